--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,14 @@
 CC = gcc
 B = build
 PKGS = liburcu-memb msgpack json-c popt glib-2.0 libxxhash libcurl
-CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc/internal -Itest $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc/internal -Iplatform -Itest $(foreach p,$(PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
 CFLAGS = -std=c11 -O2 -g -Wall -Wextra -pthread $(SAN)
 LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lcunit -lm
 LDFLAGS = -pthread $(SAN)
 
 LIB_SRC = $(wildcard src/base/*.c src/core/*.c src/link/*.c src/node/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
-PROGS = saddleheadd saddleheadctl saddlehead-bench standin-engine standin-service standin-kv
+PROGS = saddleheadd saddlehead-entry saddleheadctl saddlehead-bench standin-engine standin-service standin-kv
 DIR_saddleheadd = daemon
 DIR_saddleheadctl = ctl
 DIR_saddlehead-bench = bench
@@ -34,6 +34,13 @@
 
 $(B)/saddleheadd: $(patsubst %.c,$(B)/%.o,$(wildcard src/daemon/*.c)) $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+# The entry is a small program of its own: each library it loads costs every instance memory.
+ENTRY_PKGS = msgpack json-c popt glib-2.0
+ENTRY_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/entry/*.c src/http/*.c src/relay/*.c src/fleet/*.c platform/*.c) \
+	src/core/conf.c src/core/place.c src/core/budget.c src/core/heap.c src/link/wire_check.c \
+	$(addprefix src/base/,clock.c err.c hostport.c jlog.c jsonw.c met.c reason.c ring.c))
+$(B)/saddlehead-entry: $(ENTRY_OBJ)
+	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ $(shell pkg-config --libs $(ENTRY_PKGS) 2>/dev/null) -lhttp_parser
 $(B)/saddleheadctl: $(patsubst %.c,$(B)/%.o,$(wildcard src/ctl/*.c)) $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/saddlehead-bench: $(patsubst %.c,$(B)/%.o,$(wildcard src/bench/*.c)) $(B)/libsaddlehead.a
--- /dev/null
+++ b/include/saddlehead/place.h
@@ -0,0 +1,39 @@
+/* Which backend server gets a request: pure functions of what is known. */
+#ifndef SADDLEHEAD_PLACE_H
+#define SADDLEHEAD_PLACE_H
+#include <stdint.h>
+
+/* One backend server as a candidate. Loads are those of all instances together. */
+struct place_site {
+	int usable;
+	int near;        /* in the same data centre as the one that asks (or as the source) */
+	uint32_t slots;  /* requests at once; 0: not told */
+	uint32_t runs;   /* requests on it */
+	uint32_t unread; /* prompt tokens that wait to be read there */
+	uint32_t held;   /* tokens of memory that its requests will come to */
+	uint32_t backup; /* tokens of copies for requests elsewhere */
+	uint32_t tokens; /* its memory in tokens; 0: not told */
+	double answer_us; /* moving average of its answers; 0: none yet */
+};
+
+struct place_job {
+	uint32_t prompt; /* tokens */
+	uint32_t growth; /* tokens it will make, as far as foreseen */
+};
+
+/* For a generation: where its first token comes soonest and its memory fits. draw breaks ties.
+ * The index, or -1 when none is usable. */
+int place_generation(const struct place_site *s, int n, const struct place_job *j, uint32_t draw);
+
+/* For a running copy of a generation that runs on site main: where memory is free. -1: nowhere
+ * without pressing on others. */
+int place_backup(const struct place_site *s, int n, int main, const struct place_job *j,
+		 uint32_t draw);
+
+/* For a plain call: the least busy, the nearer one of equals. -1 when none is usable. */
+int place_call(const struct place_site *s, int n, uint32_t draw);
+
+/* Whether a generation's memory fits there beside what is foreseen, copies left out: they
+ * give way. */
+int place_fits(const struct place_site *s, const struct place_job *j);
+#endif
--- /dev/null
+++ b/src/base/jlog.c
@@ -0,0 +1,152 @@
+#include "jlog.h"
+#include "clock.h"
+#include "jsonw.h"
+#include "ring.h"
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <unistd.h>
+
+#define RING_LINES 1024       /* waiting lines: some 300 KB at most */
+#define LINES_PER_S 400       /* more only cost processor time that requests need */
+#define TAKE 64               /* lines written together */
+#define FLUSH_US 200000       /* lines wait so long for others: each write is a wake-up */
+#define STOP_US 500000        /* for what waits at the end */
+#define STACK_BYTES 65536     /* the thread only copies lines */
+
+static struct ring ring;
+static pthread_t thread;
+static int started;
+static atomic_int stopping;
+static atomic_uint_fast64_t dropped;
+static uint64_t told_dropped;
+static char instance[64];
+static int64_t second_us;
+static int in_second;
+
+static void write_all(const char *p, size_t n)
+{
+	while (n) {
+		ssize_t done = write(STDOUT_FILENO, p, n);
+
+		if (done < 0 && errno == EINTR) continue;
+		if (done <= 0) return; /* nowhere left to say so */
+		p += done;
+		n -= done;
+	}
+}
+
+static void write_lines(GString *out, void **line, uint32_t n)
+{
+	uint32_t i;
+
+	g_string_truncate(out, 0);
+	for (i = 0; i < n; i++) {
+		g_string_append_len(out, ((GString *)line[i])->str, ((GString *)line[i])->len);
+		g_string_free(line[i], TRUE);
+	}
+	write_all(out->str, out->len);
+}
+
+static void *run(void *arg)
+{
+	GString *out = g_string_new(NULL);
+	void *line[TAKE];
+	uint32_t n;
+
+	(void)arg;
+	while (!stopping) {
+		n = ring_wait(&ring, line, TAKE, clock_us() + 1000000);
+		if (!n) continue;
+		write_lines(out, line, n);
+		if (n < TAKE && !stopping) usleep(FLUSH_US);
+	}
+	while ((n = ring_take(&ring, line, TAKE))) write_lines(out, line, n);
+	g_string_free(out, TRUE);
+	return NULL;
+}
+
+int jlog_start(const char *name)
+{
+	pthread_attr_t attr;
+	int rc;
+
+	g_strlcpy(instance, name, sizeof instance);
+	rc = ring_init(&ring, RING_LINES, 0);
+	if (rc) return rc;
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, STACK_BYTES);
+	rc = -pthread_create(&thread, &attr, run, NULL);
+	pthread_attr_destroy(&attr);
+	started = !rc;
+	return rc;
+}
+
+void jlog_stop(void)
+{
+	struct timespec until;
+
+	if (!started) return;
+	stopping = 1;
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_nsec += STOP_US * 1000;
+	until.tv_sec += until.tv_nsec / 1000000000;
+	until.tv_nsec %= 1000000000;
+	pthread_timedjoin_np(thread, NULL, &until);
+	started = 0;
+}
+
+uint64_t jlog_dropped(void)
+{
+	return dropped;
+}
+
+GString *jlog_begin(const char *part, const char *event)
+{
+	GString *g = g_string_sized_new(256);
+
+	g_string_printf(g, "{\"t_ms\":%" G_GINT64_FORMAT ",\"instance\":\"%s\",\"part\":\"%s\",\"event\":\"%s\"",
+			clock_wall_ms(), instance, part, event);
+	return g;
+}
+
+void jlog_str(GString *line, const char *key, const char *value)
+{
+	if (!value) return;
+	g_string_append_printf(line, ",\"%s\":", key);
+	jsonw_str(line, value);
+}
+
+void jlog_int(GString *line, const char *key, int64_t value)
+{
+	g_string_append_printf(line, ",\"%s\":%" G_GINT64_FORMAT, key, value);
+}
+
+static int over_rate(void)
+{
+	int64_t now = clock_us();
+
+	if (now - second_us >= 1000000) {
+		second_us = now;
+		in_second = 0;
+	}
+	return ++in_second > LINES_PER_S;
+}
+
+void jlog_end(GString *line)
+{
+	if (!started || over_rate()) {
+		if (started) dropped++;
+		g_string_free(line, TRUE);
+		return;
+	}
+	if (dropped != told_dropped) jlog_int(line, "lines_dropped", dropped - told_dropped);
+	g_string_append(line, "}\n");
+	if (!ring_push(&ring, line)) {
+		told_dropped = dropped;
+		return;
+	}
+	dropped++;
+	g_string_free(line, TRUE);
+}
--- /dev/null
+++ b/src/core/conf.c
@@ -0,0 +1,144 @@
+#include "conf.h"
+#include <string.h>
+
+static void free_route(gpointer p)
+{
+	struct conf_route *r = p;
+	int i;
+
+	for (i = 0; i < r->nsplit; i++) g_free(r->split[i].service);
+	g_free(r->name);
+	g_free(r->host);
+	g_free(r->prefix);
+	g_free(r);
+}
+
+static void free_service(gpointer p)
+{
+	g_free(((struct conf_service *)p)->name);
+	g_free(p);
+}
+
+static void free_group(gpointer p)
+{
+	g_free(((struct conf_group *)p)->name);
+	g_free(p);
+}
+
+struct conf *conf_new(void)
+{
+	struct conf *c = g_new0(struct conf, 1);
+
+	c->refs = 1;
+	c->routes = g_ptr_array_new_with_free_func(free_route);
+	c->services = g_ptr_array_new_with_free_func(free_service);
+	c->groups = g_ptr_array_new_with_free_func(free_group);
+	c->by_place = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->by_service = g_hash_table_new(g_str_hash, g_str_equal);
+	return c;
+}
+
+struct conf *conf_ref(struct conf *c)
+{
+	c->refs++;
+	return c;
+}
+
+void conf_unref(struct conf *c)
+{
+	if (!c || --c->refs) return;
+	g_hash_table_destroy(c->by_place);
+	g_hash_table_destroy(c->by_key);
+	g_hash_table_destroy(c->by_service);
+	g_ptr_array_free(c->routes, TRUE);
+	g_ptr_array_free(c->services, TRUE);
+	g_ptr_array_free(c->groups, TRUE);
+	g_free(c);
+}
+
+static char *place(const char *host, const char *prefix, size_t n)
+{
+	char *lower = g_ascii_strdown(host, -1);
+	char *p = g_strdup_printf("%s %.*s", lower, (int)n, prefix);
+
+	g_free(lower);
+	return p;
+}
+
+void conf_add_route(struct conf *c, struct conf_route *r)
+{
+	g_ptr_array_add(c->routes, r);
+	g_hash_table_replace(c->by_place, place(r->host, r->prefix, strlen(r->prefix)), r);
+}
+
+void conf_add_service(struct conf *c, struct conf_service *s)
+{
+	g_ptr_array_add(c->services, s);
+	g_hash_table_replace(c->by_service, s->name, s);
+}
+
+struct conf_group *conf_add_group(struct conf *c, char *name, int priority)
+{
+	struct conf_group *g = g_new0(struct conf_group, 1);
+
+	g->name = name;
+	g->priority = priority;
+	g_ptr_array_add(c->groups, g);
+	return g;
+}
+
+void conf_add_key(struct conf *c, struct conf_group *g, char *key)
+{
+	g_hash_table_replace(c->by_key, key, g);
+}
+
+/* A host as callers write it may carry a port. */
+static char *host_only(const char *host)
+{
+	return g_strndup(host, strcspn(host, ":"));
+}
+
+const struct conf_route *conf_route(const struct conf *c, const char *host, const char *path)
+{
+	const struct conf_route *r = NULL;
+	char *name = host_only(host);
+	size_t n = strcspn(path, "?#");
+
+	while (n && !r) {
+		char *key;
+
+		while (n && path[n - 1] != '/') n--;
+		if (!n) break;
+		key = place(name, path, n);
+		r = g_hash_table_lookup(c->by_place, key);
+		g_free(key);
+		n--;
+	}
+	g_free(name);
+	return r;
+}
+
+const struct conf_group *conf_group(const struct conf *c, const char *key)
+{
+	return key ? g_hash_table_lookup(c->by_key, key) : NULL;
+}
+
+const struct conf_service *conf_service(const struct conf *c, const char *name)
+{
+	return g_hash_table_lookup(c->by_service, name);
+}
+
+const char *conf_pick(const struct conf_route *r, double draw)
+{
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < r->nsplit; i++) sum += r->split[i].weight;
+	draw *= sum;
+	for (i = 0; i < r->nsplit; i++) {
+		draw -= r->split[i].weight;
+		if (draw < 0) return r->split[i].service;
+	}
+	return r->nsplit ? r->split[r->nsplit - 1].service : NULL;
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,245 @@
+#include "entry.h"
+#include "be.h"
+#include "board.h"
+#include "clock.h"
+#include "dialect.h"
+#include "hs.h"
+#include "jlog.h"
+#include "mesh.h"
+#include "met.h"
+#include "roster.h"
+#include "rq.h"
+#include "store.h"
+#include "watch.h"
+#include <string.h>
+
+#define ADDRESSES_MAX 64        /* in one answer of the directory */
+#define TTL_PART 0.4            /* of the longest that callers keep an answer: changes are seen soon */
+#define TTL_HELD 3              /* some callers keep an answer so many times its life */
+#define DRAIN_END_US 400000     /* before the kill: what is left is ended properly */
+#define DRAIN_CLOSE_US 1000000  /* after it, connections at rest are closed: callers know by then */
+#define CONF_HEAD_MAX 16384     /* limits of a request until the configuration tells them */
+#define CONF_BODY_MAX (4u << 20)
+#define CONF_HEAD_US 5000000
+#define CONF_IDLE_US 15000000
+#define INNER_IDLE_US 10000000  /* connections that ask for readiness, addresses and metrics */
+#define LEAVING_PART 0.9        /* of the time after which nothing may reach a leaving server */
+
+static struct entry_cfg *cfg;
+static struct hs_listener front, ready, directory, metrics;
+static struct ev_timer state_timer;
+static int64_t drain_us;
+
+#define STATE_US 200000 /* how often readiness is worked out for other instances */
+
+static int64_t ttl_us(void)
+{
+	return cfg->answer_ttl_max_us * TTL_PART;
+}
+
+static int conf_is_fresh(void)
+{
+	return !cfg->fail_closed || clock_us() - board_confirmed_us() < cfg->revoke_us;
+}
+
+static int is_ready(void)
+{
+	return !drain_us && board_conf() && be_all()->len && conf_is_fresh();
+}
+
+static void on_state(struct ev_timer *t)
+{
+	ev_in(t, STATE_US);
+	mesh_set_state(is_ready(), drain_us != 0);
+	if (drain_us && clock_us() - drain_us > DRAIN_CLOSE_US) hs_close_idle(&front);
+}
+
+static void answer_ready(struct hs *h)
+{
+	int now = is_ready();
+
+	hs_answer(h, now ? 200 : 503, "Content-Type: text/plain\r\n", now ? "ready\n" : "not ready\n",
+		  now ? 6 : 10);
+}
+
+static void shuffle(const char **a, int n)
+{
+	int i, k;
+
+	for (i = n - 1; i > 0; i--) {
+		const char *t = a[i];
+
+		k = g_random_int_range(0, i + 1);
+		a[i] = a[k];
+		a[k] = t;
+	}
+}
+
+static void answer_where(struct hs *h)
+{
+	static const char *all[4096];
+	int n = mesh_addresses(all, G_N_ELEMENTS(all));
+	GString *out;
+
+	if (!n) {
+		hs_answer(h, 503, NULL, "", 0);
+		return;
+	}
+	out = g_string_new(NULL);
+	shuffle(all, n);
+	dl_write_where(out, all, MIN(n, ADDRESSES_MAX), (double)ttl_us() / 1e6);
+	hs_answer(h, 200, "Content-Type: application/json\r\n", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static void on_question(struct hs *h)
+{
+	switch (dl_question(&h->hp.head)) {
+	case DL_READY: answer_ready(h); return;
+	case DL_WHERE: answer_where(h); return;
+	case DL_NONE: hs_answer(h, 404, NULL, "", 0); return;
+	}
+}
+
+static void on_metrics(struct hs *h)
+{
+	GString *out = g_string_new(NULL);
+	int64_t confirmed = board_confirmed_us();
+
+	met_write(out);
+	g_string_append_printf(out, "# TYPE saddlehead_log_lines_dropped_total counter\n"
+				    "saddlehead_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
+			       (guint64)jlog_dropped());
+	if (confirmed != BOARD_NEVER)
+		g_string_append_printf(out,
+				       "# TYPE saddlehead_configuration_age_seconds gauge\n"
+				       "saddlehead_configuration_age_seconds %.3f\n",
+				       (double)(clock_us() - confirmed) / 1e6);
+	hs_answer(h, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static void on_bad(struct hs *h, int status)
+{
+	GString *g = jlog_begin("front", "request_malformed");
+
+	(void)h;
+	met_refused(status == 413 ? REF_TOO_LARGE : REF_BAD_REQUEST);
+	jlog_int(g, "status", status);
+	jlog_end(g);
+}
+
+static void on_conf(struct conf *c)
+{
+	front.limits.head_max = c->head_bytes ? c->head_bytes : CONF_HEAD_MAX;
+	front.limits.body_max = c->body_bytes ? c->body_bytes : CONF_BODY_MAX;
+	front.limits.head_us = c->head_us ? c->head_us : CONF_HEAD_US;
+	front.limits.idle_us = c->idle_us ? c->idle_us : CONF_IDLE_US;
+}
+
+static void init_listeners(void)
+{
+	struct hs_limits inner = {CONF_HEAD_MAX, CONF_HEAD_MAX, CONF_HEAD_US, INNER_IDLE_US};
+
+	front.limits = (struct hs_limits){CONF_HEAD_MAX, CONF_BODY_MAX, CONF_HEAD_US, CONF_IDLE_US};
+	front.on_request = rq_on_request;
+	front.on_left = rq_on_left;
+	front.on_drain = rq_on_drain;
+	front.on_bad = on_bad;
+	ready.limits = directory.limits = metrics.limits = inner;
+	ready.on_request = directory.on_request = on_question;
+	metrics.on_request = on_metrics;
+	board_on_conf = on_conf;
+}
+
+static int listen_at(struct hs_listener *l, const struct sockaddr_in *at, const char *what,
+		     struct err *e)
+{
+	int rc = hs_listen(l, at);
+
+	if (!rc) return 0;
+	return err_set(e, rc, STEP_SETTINGS, what, "can't listen for %s: %s", what, strerror(-rc));
+}
+
+static int listen_all(struct err *e)
+{
+	struct sockaddr_in m = cfg->front;
+	int rc = listen_at(&front, &cfg->front, "callers", e);
+
+	if (!rc) rc = listen_at(&ready, &cfg->ready, "readiness", e);
+	if (!rc && cfg->has_directory) rc = listen_at(&directory, &cfg->directory, "the directory", e);
+	m.sin_port = htons(cfg->metrics_port);
+	if (!rc && cfg->metrics_port) rc = listen_at(&metrics, &m, "metrics", e);
+	return rc;
+}
+
+int entry_start(struct entry_cfg *c, struct err *e)
+{
+	int rc;
+
+	cfg = c;
+	be_need_us = c->drain_us * LEAVING_PART;
+	be_on_leaving = rq_on_leaving;
+	init_listeners();
+	board_init();
+	rq_init(c);
+	rc = listen_all(e);
+	if (rc) return rc;
+	rc = mesh_start(c);
+	if (rc) return err_set(e, rc, STEP_PEER, c->ip, "can't listen for peers: %s", strerror(-rc));
+	st_init(&c->platform);
+	watch_start();
+	roster_start(c);
+	state_timer.fire = on_state;
+	ev_in(&state_timer, 0);
+	return 0;
+}
+
+void entry_reload(const struct entry_cfg *c)
+{
+	GString *g = jlog_begin("main", "settings_reloaded");
+
+	cfg->fail_closed = c->fail_closed;
+	cfg->revoke_us = c->revoke_us;
+	cfg->drain_us = c->drain_us;
+	cfg->grace_us = c->grace_us;
+	cfg->answer_ttl_max_us = c->answer_ttl_max_us;
+	cfg->retry_ratio = c->retry_ratio;
+	cfg->retry_slack = c->retry_slack;
+	cfg->retry_window_us = c->retry_window_us;
+	be_need_us = c->drain_us * LEAVING_PART;
+	jlog_end(g);
+}
+
+void entry_drain(void)
+{
+	GString *g;
+
+	if (drain_us) return;
+	drain_us = clock_us();
+	front.closing = 1;
+	mesh_set_state(0, 1);
+	rq_drain(drain_us + cfg->grace_us - DRAIN_END_US);
+	met_set(MET_G_DRAINING, 1);
+	roster_leave();
+	g = jlog_begin("main", "draining");
+	jlog_int(g, "open_requests", rq_open());
+	jlog_end(g);
+}
+
+int entry_drained(void)
+{
+	int64_t now = clock_us(), lapsed, last;
+
+	if (!drain_us) return 0;
+	lapsed = drain_us + ttl_us() * TTL_HELD;
+	last = drain_us + cfg->grace_us - DRAIN_END_US;
+	if (now >= last) return 1;
+	return now >= lapsed && !rq_open();
+}
+
+void entry_stop(void)
+{
+	rq_abort_all();
+	hs_stop(&front);
+}
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,137 @@
+/* saddlehead-entry: one instance that serves callers on the platform, as a process. */
+#include "clock.h"
+#include "dialect.h"
+#include "entry.h"
+#include "ev.h"
+#include "jlog.h"
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SIGNAL_LOOK_US 50000 /* how often flags set by signals are looked at */
+
+static volatile sig_atomic_t asked_to_drain, asked_to_reload;
+static volatile int stopped;
+static const char *settings_path;
+static struct entry_cfg cfg;
+static struct ev_timer signal_timer;
+
+struct options {
+	char *settings;
+	int metrics_port, check;
+};
+
+static void on_term(int sig)
+{
+	(void)sig;
+	asked_to_drain = 1;
+}
+
+static void on_hup(int sig)
+{
+	(void)sig;
+	asked_to_reload = 1;
+}
+
+static void catch_signals(void)
+{
+	struct sigaction term = {.sa_handler = on_term}, hup = {.sa_handler = on_hup};
+
+	sigaction(SIGTERM, &term, NULL);
+	sigaction(SIGINT, &term, NULL);
+	sigaction(SIGHUP, &hup, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static void reload(void)
+{
+	struct entry_cfg new;
+	struct err e;
+	GString *g;
+
+	if (!dl_read_settings(settings_path, &new, &e)) {
+		entry_reload(&new);
+		return;
+	}
+	g = jlog_begin("main", "settings_refused");
+	jlog_str(g, "why", e.text);
+	jlog_end(g);
+}
+
+static void on_signal_look(struct ev_timer *t)
+{
+	ev_in(t, SIGNAL_LOOK_US);
+	if (asked_to_reload) {
+		asked_to_reload = 0;
+		reload();
+	}
+	if (asked_to_drain) entry_drain();
+	if (entry_drained()) stopped = 1;
+}
+
+static int parse(int argc, const char **argv, struct options *o)
+{
+	struct poptOption table[] = {
+		{"settings", 's', POPT_ARG_STRING, &o->settings, 0,
+		 "settings as the platform lays them", "FILE"},
+		{"metrics-port", 0, POPT_ARG_INT, &o->metrics_port, 0, "0: no metrics", "PORT"},
+		{"check", 0, POPT_ARG_NONE, &o->check, 0, "check the settings and exit", NULL},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext ctx = poptGetContext("saddlehead-entry", argc, argv, table, 0);
+	int rc = poptGetNextOpt(ctx);
+
+	if (rc < -1)
+		fprintf(stderr, "saddlehead-entry: %s: %s\n", poptBadOption(ctx, 0),
+			poptStrerror(rc));
+	poptFreeContext(ctx);
+	if (o->metrics_port < 0 || o->metrics_port > 65535) return -1;
+	return rc < -1 ? -1 : 0;
+}
+
+static int run(void)
+{
+	struct err e;
+	GString *g;
+
+	catch_signals();
+	if (jlog_start(cfg.instance) || ev_init()) {
+		fprintf(stderr, "saddlehead-entry: no thread or event loop can be had\n");
+		return 1;
+	}
+	if (entry_start(&cfg, &e)) {
+		fprintf(stderr, "saddlehead-entry: %s\n", e.text);
+		return 1;
+	}
+	g = jlog_begin("main", "started");
+	jlog_str(g, "front", cfg.front_text);
+	jlog_str(g, "data_centre", cfg.data_centre);
+	jlog_end(g);
+	signal_timer.fire = on_signal_look;
+	ev_in(&signal_timer, SIGNAL_LOOK_US);
+	ev_run(&stopped);
+	entry_stop();
+	jlog_end(jlog_begin("main", "stopped"));
+	jlog_stop();
+	return 0;
+}
+
+int main(int argc, const char **argv)
+{
+	struct options o = {0};
+	struct err e;
+
+	if (parse(argc, argv, &o)) return 2;
+	settings_path = o.settings ? o.settings : dl_settings_path();
+	if (dl_read_settings(settings_path, &cfg, &e)) {
+		fprintf(stderr, "saddlehead-entry: %s\n", e.text);
+		return 2;
+	}
+	if (o.check) {
+		printf("%s: settings are good\n", settings_path);
+		return 0;
+	}
+	cfg.metrics_port = o.metrics_port;
+	return run();
+}
--- /dev/null
+++ b/src/fleet/be.c
@@ -0,0 +1,227 @@
+#include "be.h"
+#include "clock.h"
+#include "hostport.h"
+#include "jlog.h"
+#include <errno.h>
+#include <string.h>
+
+#define EJECT_AFTER 3            /* failures in a row: two may be chance */
+#define EJECT_FIRST_US 1000000   /* then doubled each time, up to ... */
+#define EJECT_MAX_US 8000000     /* ... this: real work finds out whether it has recovered */
+#define EJECT_SHARE 2            /* at most one in so many of a service is ejected */
+#define FORGET_US 30000000       /* a gone entry is remembered: late word must not revive it */
+
+void (*be_on_leaving)(struct be *b);
+int64_t be_need_us;
+
+static GHashTable *by_id, *by_service;
+static GPtrArray *all;
+
+static void init(void)
+{
+	if (all) return;
+	by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	all = g_ptr_array_new();
+}
+
+struct be *be_ref(struct be *b)
+{
+	b->refs++;
+	return b;
+}
+
+void be_unref(struct be *b)
+{
+	if (!b || --b->refs) return;
+	g_free(b->id);
+	g_free(b->service);
+	g_free(b->zone);
+	g_free(b->address);
+	g_free(b);
+}
+
+struct be *be_find(const char *id)
+{
+	init();
+	return g_hash_table_lookup(by_id, id);
+}
+
+const GPtrArray *be_of(const char *service)
+{
+	init();
+	return g_hash_table_lookup(by_service, service);
+}
+
+const GPtrArray *be_all(void)
+{
+	init();
+	return all;
+}
+
+struct be *be_at(const char *address)
+{
+	struct be *found = NULL;
+	uint32_t i;
+
+	init();
+	for (i = 0; i < all->len; i++) {
+		struct be *b = g_ptr_array_index(all, i);
+
+		if (!strcmp(b->address, address) && (!found || b->state == BE_READY)) found = b;
+	}
+	return found;
+}
+
+static void forget(struct be *b)
+{
+	g_hash_table_remove(by_id, b->id);
+	g_ptr_array_remove_fast(all, b);
+	g_ptr_array_remove_fast(g_hash_table_lookup(by_service, b->service), b);
+	be_unref(b);
+}
+
+static void forget_old(int64_t now)
+{
+	uint32_t i;
+
+	for (i = all->len; i-- > 0;) {
+		struct be *b = g_ptr_array_index(all, i);
+
+		if (b->state == BE_GONE && b->refs == 1 && now - b->since_us > FORGET_US) forget(b);
+	}
+}
+
+static void add_to_service(struct be *b)
+{
+	GPtrArray *list = g_hash_table_lookup(by_service, b->service);
+
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(by_service, g_strdup(b->service), list);
+	}
+	g_ptr_array_add(list, b);
+}
+
+static struct be *add(const struct be_info *i, const struct sockaddr_in *sa)
+{
+	struct be *b = g_new0(struct be, 1);
+
+	b->refs = 1;
+	b->id = g_strdup(i->id);
+	b->service = g_strdup(i->service);
+	b->zone = g_strdup(i->zone);
+	b->address = g_strdup(i->address);
+	b->sa = *sa;
+	b->since_us = clock_us();
+	g_hash_table_insert(by_id, b->id, b);
+	g_ptr_array_add(all, b);
+	add_to_service(b);
+	return b;
+}
+
+static void set_state(struct be *b, enum be_state s, const char *said_by)
+{
+	static const char *const names[] = {"ready", "leaving", "gone"};
+	GString *g;
+	int began = b->state == BE_READY && s != BE_READY;
+
+	if (b->state == s) return;
+	b->state = s;
+	b->since_us = clock_us();
+	g = jlog_begin("fleet", "backend_state");
+	jlog_str(g, "backend", b->id);
+	jlog_str(g, "service", b->service);
+	jlog_str(g, "state", names[s]);
+	jlog_str(g, "said_by", said_by);
+	jlog_end(g);
+	if (began && be_on_leaving) be_on_leaving(b);
+}
+
+int be_update(const struct be_info *i)
+{
+	struct sockaddr_in sa;
+	struct be *b;
+	int64_t now = clock_us();
+
+	init();
+	if (hostport_parse(i->address, &sa)) return -EINVAL;
+	forget_old(now);
+	b = be_find(i->id);
+	if (!b) b = add(i, &sa);
+	b->slots = i->slots;
+	if (i->cold_us) b->cold_until_us = now + i->cold_us;
+	if (i->leaving) set_state(b, BE_LEAVING, "platform");
+	else if (b->state == BE_GONE) set_state(b, BE_READY, "platform");
+	return 0;
+}
+
+void be_leaving(const char *id, const char *said_by)
+{
+	struct be *b = be_find(id);
+
+	if (b && b->state == BE_READY) set_state(b, BE_LEAVING, said_by);
+}
+
+void be_gone(const char *id)
+{
+	struct be *b = be_find(id);
+
+	if (b) set_state(b, BE_GONE, "platform");
+}
+
+void be_touch(struct be *b)
+{
+	b->dirty = 1;
+}
+
+void be_succeeded(struct be *b, int64_t took_us)
+{
+	b->failures = 0;
+	b->eject_us = 0;
+	b->ejected_until_us = 0;
+	if (took_us) b->answer_us = b->answer_us ? b->answer_us * 0.8 + took_us * 0.2 : took_us;
+}
+
+static int may_eject(const struct be *b, int64_t now)
+{
+	const GPtrArray *list = be_of(b->service);
+	uint32_t i, usable = 0, out = 0;
+
+	for (i = 0; i < list->len; i++) {
+		const struct be *o = g_ptr_array_index(list, i);
+
+		if (o->state != BE_READY) continue;
+		usable++;
+		if (o->ejected_until_us > now) out++;
+	}
+	return (out + 1) * EJECT_SHARE <= usable;
+}
+
+void be_failed(struct be *b, const char *why)
+{
+	int64_t now = clock_us();
+	GString *g;
+
+	if (++b->failures < EJECT_AFTER || b->ejected_until_us > now) return;
+	if (!may_eject(b, now)) return;
+	b->eject_us = b->eject_us ? MIN(b->eject_us * 2, EJECT_MAX_US) : EJECT_FIRST_US;
+	b->ejected_until_us = now + b->eject_us;
+	b->failures = EJECT_AFTER - 1; /* one more failure after it ejects it again */
+	g = jlog_begin("fleet", "backend_ejected");
+	jlog_str(g, "backend", b->id);
+	jlog_str(g, "why", why);
+	jlog_int(g, "for_ms", b->eject_us / 1000);
+	jlog_end(g);
+}
+
+int be_usable(const struct be *b, int64_t now)
+{
+	return b->state == BE_READY && b->ejected_until_us <= now;
+}
+
+int be_last_resort(const struct be *b, int64_t now)
+{
+	if (b->state == BE_READY) return 1;
+	return b->state == BE_GONE && now - b->since_us < be_need_us;
+}
--- /dev/null
+++ b/src/fleet/board.c
@@ -0,0 +1,183 @@
+#include "board.h"
+#include "be.h"
+#include "clock.h"
+#include "dialect.h"
+#include "jlog.h"
+#include "met.h"
+#include <string.h>
+
+struct note {
+	char *key;
+	GBytes *value; /* NULL: gone */
+	uint64_t revision;
+};
+
+void (*board_on_conf)(struct conf *c);
+
+static GHashTable *notes;
+static struct board_revs revs;
+static struct conf *conf;
+static int64_t confirmed_us = BOARD_NEVER;
+
+static void free_note(gpointer p)
+{
+	struct note *n = p;
+
+	g_free(n->key);
+	if (n->value) g_bytes_unref(n->value);
+	g_free(n);
+}
+
+void board_init(void)
+{
+	notes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
+}
+
+struct conf *board_conf(void)
+{
+	return conf;
+}
+
+int64_t board_confirmed_us(void)
+{
+	return confirmed_us;
+}
+
+struct board_revs board_revs(void)
+{
+	return revs;
+}
+
+void board_confirm(uint64_t revision, int64_t at_us)
+{
+	if (conf && revision == conf->revision && at_us > confirmed_us) confirmed_us = at_us;
+}
+
+static void log_conf(const struct conf *c, const char *from)
+{
+	GString *g = jlog_begin("fleet", "configuration");
+
+	jlog_int(g, "version", c->version);
+	jlog_int(g, "revision", c->revision);
+	jlog_int(g, "routes", c->routes->len);
+	jlog_int(g, "workspaces", c->groups->len);
+	jlog_str(g, "from", from);
+	jlog_end(g);
+}
+
+static void log_unread(const char *key, uint64_t revision, const char *why)
+{
+	GString *g = jlog_begin("fleet", "entry_unreadable");
+
+	jlog_str(g, "key", key);
+	jlog_int(g, "revision", revision);
+	jlog_str(g, "why", why);
+	jlog_end(g);
+}
+
+/* A configuration that can't be read leaves the one before in force, but no longer confirmed. */
+static void take_conf(const struct st_item *i, const char *from)
+{
+	struct err e;
+	struct conf *c = i->value ? dl_read_conf(i->value, i->len, &e) : NULL;
+
+	if (!c) {
+		log_unread(i->key, i->revision, i->value ? e.text : "it is gone");
+		return;
+	}
+	c->revision = i->revision;
+	if (conf && c->version < conf->version) {
+		log_unread(i->key, i->revision, "an older version under a newer revision");
+		conf_unref(c);
+		return;
+	}
+	conf_unref(conf);
+	conf = c;
+	met_add(MET_TABLE_CHANGES, 1);
+	met_set(MET_G_TABLE_VERSION, c->version);
+	log_conf(c, from);
+	if (board_on_conf) board_on_conf(c);
+}
+
+static void take_backend(const struct st_item *i)
+{
+	if (!i->value) {
+		be_gone(dl_backend_id(i->key));
+		return;
+	}
+	if (dl_read_backend(i->key, i->value, i->len))
+		log_unread(i->key, i->revision, "a field is missing or malformed");
+}
+
+static void keep_note(const struct st_item *i)
+{
+	struct note *n = g_new0(struct note, 1);
+
+	n->key = g_strdup(i->key);
+	n->value = i->value ? g_bytes_new(i->value, i->len) : NULL;
+	n->revision = i->revision;
+	g_hash_table_replace(notes, n->key, n);
+}
+
+int board_apply(const struct st_item *i, const char *from)
+{
+	const struct note *known = g_hash_table_lookup(notes, i->key);
+	enum dl_item kind = dl_item_kind(i->key);
+
+	if (kind == DL_OTHER || (known && known->revision >= i->revision)) return 0;
+	keep_note(i);
+	switch (kind) {
+	case DL_CONF:
+		revs.conf = MAX(revs.conf, i->revision);
+		take_conf(i, from);
+		break;
+	case DL_BACKEND:
+		revs.backends = MAX(revs.backends, i->revision);
+		take_backend(i);
+		break;
+	case DL_OTHER: break;
+	}
+	return 1;
+}
+
+void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at)
+{
+	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	gpointer key, value;
+	uint32_t i;
+
+	g_hash_table_iter_init(&it, notes);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct note *n = value;
+
+		if (!n->value || n->revision > at || !g_str_has_prefix(key, prefix)) continue;
+		if (!g_hash_table_contains(listed, key)) g_ptr_array_add(missing, g_strdup(key));
+	}
+	for (i = 0; i < missing->len; i++) {
+		struct st_item gone = {.key = g_ptr_array_index(missing, i), .revision = at};
+
+		board_apply(&gone, "platform");
+	}
+	g_ptr_array_free(missing, TRUE);
+}
+
+void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
+		      void *arg)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, notes);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct note *n = value;
+		struct st_item i = {.key = n->key, .revision = n->revision};
+		gsize len = 0;
+
+		if (n->revision <= (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
+			continue;
+		if (n->value) i.value = g_bytes_get_data(n->value, &len);
+		i.len = len;
+		f(&i, arg);
+	}
+}
--- /dev/null
+++ b/src/fleet/mesh.c
@@ -0,0 +1,389 @@
+#include "clock.h"
+#include "hostport.h"
+#include "jlog.h"
+#include "mesh_impl.h"
+#include "met.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BEAT_US 400000        /* each instance to each other one */
+#define DEAD_US 1500000       /* three beats missed and some way */
+#define FORGET_US 30000000    /* an instance not heard of for so long is not tried any more */
+#define RECONNECT_US 500000   /* between two tries to connect */
+#define LINK_MAX (6u << 20)   /* bytes that wait for an instance that does not read */
+#define WHOLE_EVERY 5         /* beats between whole load messages: heals what was missed */
+#define MEMBERS_MAX 4096
+
+static const struct entry_cfg *cfg;
+static GPtrArray *members;
+static struct ev_timer beat_timer;
+static struct ev_fd listener;
+static int self_ready, self_draining, most_known = 1;
+static unsigned beats;
+
+const struct entry_cfg *mesh_cfg(void)
+{
+	return cfg;
+}
+
+void mesh_set_state(int ready, int draining)
+{
+	self_ready = ready;
+	self_draining = draining;
+}
+
+static void on_link_end(struct cn *c, int err)
+{
+	(void)err;
+	cn_close(c);
+}
+
+static void on_link_data(struct cn *c, const char *p, size_t n)
+{
+	(void)c; /* nothing is said this way */
+	(void)p;
+	(void)n;
+}
+
+static void write_members(GString *out)
+{
+	char(*ip)[ENTRY_TEXT_MAX + 1] = g_malloc(members->len * sizeof *ip + 1);
+	uint32_t i;
+
+	for (i = 0; i < members->len; i++)
+		g_strlcpy(ip[i], ((struct member *)g_ptr_array_index(members, i))->ip, sizeof ip[i]);
+	mesh_write_members(out, ip, members->len);
+	g_free(ip);
+}
+
+static void write_beat(GString *out, const struct member *to)
+{
+	struct mesh_beat b = {.ready = self_ready, .draining = self_draining};
+	int64_t now = clock_us(), confirmed = board_confirmed_us();
+
+	g_strlcpy(b.name, cfg->instance, sizeof b.name);
+	g_strlcpy(b.ip, cfg->ip, sizeof b.ip);
+	g_strlcpy(b.front, cfg->front_text, sizeof b.front);
+	b.revs = board_revs();
+	b.confirmed_ago_us = confirmed == BOARD_NEVER ? -1 : now - confirmed;
+	b.stamp_us = now;
+	if (to->heard_us) {
+		b.echo_us = to->said.stamp_us;
+		b.echo_held_us = now - to->heard_us;
+	}
+	mesh_write_beat(out, &b);
+}
+
+static void on_link_up(struct cn *c)
+{
+	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
+	GString *out = g_string_new(NULL);
+
+	write_beat(out, m);
+	write_members(out);
+	mesh_write_all_loads(out);
+	cn_write(c, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static void connect_to(struct member *m)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(cfg->peer_port)};
+
+	m->next_connect_us = clock_us() + RECONNECT_US;
+	if (inet_pton(AF_INET, m->ip, &to.sin_addr) != 1) return;
+	m->link = (struct cn){.on_up = on_link_up, .on_data = on_link_data, .on_end = on_link_end};
+	cn_connect(&m->link, &to);
+}
+
+struct member *mesh_member_at(const char *ip)
+{
+	struct member *m;
+	uint32_t i;
+
+	for (i = 0; i < members->len; i++) {
+		m = g_ptr_array_index(members, i);
+		if (!strcmp(m->ip, ip)) return m;
+	}
+	m = g_new0(struct member, 1);
+	g_strlcpy(m->ip, ip, sizeof m->ip);
+	m->link.ev.fd = -1;
+	m->learnt_us = clock_us();
+	m->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_ptr_array_add(members, m);
+	most_known = MAX(most_known, (int)members->len + 1);
+	return m;
+}
+
+void mesh_learn(const char *ip)
+{
+	struct in_addr a;
+
+	if (!strcmp(ip, cfg->ip) || inet_pton(AF_INET, ip, &a) != 1) return;
+	if (members->len < MEMBERS_MAX) mesh_member_at(ip);
+}
+
+void mesh_send(struct member *m, const GString *frame)
+{
+	if (!cn_open(&m->link) || m->link.connecting) return;
+	if (cn_pending(&m->link) + frame->len > LINK_MAX) {
+		met_add(MET_PEER_DROPPED, 1);
+		cn_reset(&m->link);
+		return;
+	}
+	met_add(MET_PEER_MSGS_OUT, 1);
+	met_add(MET_PEER_BYTES_OUT, frame->len);
+	cn_write(&m->link, frame->str, frame->len);
+}
+
+void mesh_send_all(const GString *frame)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->len; i++) mesh_send(g_ptr_array_index(members, i), frame);
+}
+
+static void log_member(const struct member *m, const char *event)
+{
+	GString *g = jlog_begin("fleet", event);
+
+	jlog_str(g, "member", m->said.name);
+	jlog_str(g, "ip", m->ip);
+	jlog_int(g, "ready", m->said.ready);
+	jlog_end(g);
+}
+
+/*
+ * The sender was sure of its configuration confirmed_ago before it sent this, and our stamp had
+ * reached it echo_held before it did. So it was sure no earlier than our stamp plus the
+ * difference, by our own clock, however long this message was under way or lay unread.
+ */
+static void take_confirmation(const struct mesh_beat *b)
+{
+	if (!b->echo_us || b->confirmed_ago_us < 0) return;
+	board_confirm(b->revs.conf, b->echo_us + b->echo_held_us - b->confirmed_ago_us);
+}
+
+static void ask_for_newer(struct member *m, const struct mesh_beat *b)
+{
+	struct board_revs mine = board_revs();
+	GString *out;
+
+	if (b->revs.conf <= mine.conf && b->revs.backends <= mine.backends) return;
+	out = g_string_new(NULL);
+	mesh_write_want(out, mine);
+	mesh_send(m, out);
+	g_string_free(out, TRUE);
+}
+
+void mesh_heard(struct member *m, const struct mesh_beat *b)
+{
+	m->said = *b;
+	m->heard_us = clock_us();
+	if (!m->alive) {
+		m->alive = 1;
+		log_member(m, "member_alive");
+	}
+	take_confirmation(b);
+	ask_for_newer(m, b);
+}
+
+static void check_alive(struct member *m, int64_t now)
+{
+	if (!m->alive || now - m->heard_us < DEAD_US) return;
+	m->alive = 0;
+	mesh_drop_loads(m);
+	log_member(m, "member_dead");
+}
+
+static void beat_to(struct member *m, int64_t now)
+{
+	GString *out;
+
+	check_alive(m, now);
+	if (!cn_open(&m->link)) {
+		if (now >= m->next_connect_us) connect_to(m);
+		return;
+	}
+	if (m->link.connecting) {
+		if (now >= m->next_connect_us) cn_reset(&m->link);
+		return;
+	}
+	out = g_string_new(NULL);
+	write_beat(out, m);
+	if (beats % WHOLE_EVERY == 0) mesh_write_all_loads(out);
+	mesh_send(m, out);
+	g_string_free(out, TRUE);
+}
+
+static int forgotten(struct member *m, int64_t now)
+{
+	if (now - MAX(m->heard_us, m->learnt_us) < FORGET_US) return 0;
+	mesh_drop_loads(m);
+	cn_reset(&m->link);
+	g_hash_table_destroy(m->loads);
+	return 1;
+}
+
+static void on_beat(struct ev_timer *t)
+{
+	int64_t now = clock_us();
+	uint32_t i;
+
+	ev_in(t, BEAT_US);
+	beats++;
+	for (i = members->len; i-- > 0;) {
+		struct member *m = g_ptr_array_index(members, i);
+
+		if (forgotten(m, now)) {
+			g_ptr_array_remove_index_fast(members, i);
+			ev_free_later(m);
+			continue;
+		}
+		beat_to(m, now);
+	}
+	met_set(MET_G_MEMBERS, mesh_live());
+}
+
+int mesh_live(void)
+{
+	uint32_t i;
+	int n = 1;
+
+	for (i = 0; i < members->len; i++)
+		n += ((struct member *)g_ptr_array_index(members, i))->alive;
+	return n;
+}
+
+int mesh_known(void)
+{
+	return most_known;
+}
+
+static int collect_addresses(const char **out, int max, int only_ready)
+{
+	uint32_t i;
+	int n = 0;
+
+	if (self_ready && !self_draining && n < max) out[n++] = cfg->front_text;
+	for (i = 0; i < members->len && n < max; i++) {
+		const struct member *m = g_ptr_array_index(members, i);
+
+		if (!m->said.front[0] || m->said.draining) continue;
+		if (only_ready && (!m->alive || !m->said.ready)) continue;
+		out[n++] = m->said.front;
+	}
+	return n;
+}
+
+int mesh_addresses(const char **out, int max)
+{
+	int n = collect_addresses(out, max, 1);
+
+	return n ? n : collect_addresses(out, max, 0);
+}
+
+void mesh_tell_leaving(const struct be *b)
+{
+	GString *out = g_string_new(NULL);
+
+	mesh_write_leaving(out, b->id);
+	mesh_send_all(out);
+	g_string_free(out, TRUE);
+}
+
+static void drop_in(struct mesh_in *in)
+{
+	cn_close(&in->cn);
+	g_string_free(in->buf, TRUE);
+	ev_free_later(in);
+}
+
+static void on_in_end(struct cn *c, int err)
+{
+	(void)err;
+	drop_in((struct mesh_in *)c);
+}
+
+/* Cuts whole frames out of what has come. 0 or -EBADMSG. */
+static int cut_frames(struct mesh_in *in)
+{
+	size_t off = 0;
+	uint32_t n;
+
+	while (in->buf->len - off >= sizeof n) {
+		memcpy(&n, in->buf->str + off, sizeof n);
+		n = ntohl(n);
+		if (n > MESH_FRAME_MAX) return -EBADMSG;
+		if (in->buf->len - off - sizeof n < n) break;
+		met_add(MET_PEER_MSGS_IN, 1);
+		if (mesh_dispatch(in, in->buf->str + off + sizeof n, n)) return -EBADMSG;
+		off += sizeof n + n;
+	}
+	g_string_erase(in->buf, 0, off);
+	return 0;
+}
+
+static void on_in_data(struct cn *c, const char *p, size_t n)
+{
+	struct mesh_in *in = (struct mesh_in *)c;
+	GString *g;
+
+	met_add(MET_PEER_BYTES_IN, n);
+	g_string_append_len(in->buf, p, n);
+	if (!cut_frames(in)) return;
+	g = jlog_begin("fleet", "peer_frame_malformed");
+	jlog_str(g, "member", in->from ? in->from->said.name : NULL);
+	jlog_end(g);
+	drop_in(in);
+}
+
+static void on_acceptable(struct ev_fd *f, uint32_t events)
+{
+	struct sockaddr_in from;
+	socklen_t len = sizeof from;
+	int fd = accept4(f->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct mesh_in *in;
+
+	(void)events;
+	if (fd < 0) return;
+	in = g_new0(struct mesh_in, 1);
+	in->buf = g_string_new(NULL);
+	in->cn.on_data = on_in_data;
+	in->cn.on_end = on_in_end;
+	if (cn_accepted(&in->cn, fd, &from)) drop_in(in);
+}
+
+static int listen_for_peers(void)
+{
+	struct sockaddr_in at = cfg->front;
+	int fd;
+
+	at.sin_port = htons(cfg->peer_port);
+	fd = cn_listen(&at);
+	if (fd < 0) return fd;
+	listener = (struct ev_fd){fd, on_acceptable};
+	return ev_add(&listener, EPOLLIN);
+}
+
+int mesh_start(const struct entry_cfg *c)
+{
+	char ip[INET_ADDRSTRLEN];
+	int i;
+
+	cfg = c;
+	members = g_ptr_array_new();
+	mesh_loads_start();
+	for (i = 0; i < c->nseeds; i++) {
+		inet_ntop(AF_INET, &c->seed[i].sin_addr, ip, sizeof ip);
+		mesh_learn(ip);
+	}
+	beat_timer.fire = on_beat;
+	ev_in(&beat_timer, 0);
+	return listen_for_peers();
+}
--- /dev/null
+++ b/src/fleet/mesh_in.c
@@ -0,0 +1,96 @@
+/* Links from other instances: frames are cut out, checked and handed on. */
+#include "clock.h"
+#include "mesh_impl.h"
+#include "wire.h"
+#include <errno.h>
+#include <string.h>
+
+static int take_beat(struct mesh_in *in, const msgpack_object_array *a)
+{
+	struct mesh_beat b;
+
+	if (mesh_read_beat(a, &b)) return -EBADMSG;
+	if (!strcmp(b.name, mesh_cfg()->instance)) return -EBADMSG;
+	in->from = mesh_member_at(b.ip);
+	mesh_heard(in->from, &b);
+	return 0;
+}
+
+static int take_want(struct mesh_in *in, const msgpack_object_array *a)
+{
+	struct board_revs after;
+	GString *out;
+
+	if (mesh_read_want(a, &after)) return -EBADMSG;
+	out = g_string_new(NULL);
+	mesh_write_items(out, after);
+	if (out->len) mesh_send(in->from, out);
+	g_string_free(out, TRUE);
+	return 0;
+}
+
+static int take_items(struct mesh_in *in, const msgpack_object_array *a)
+{
+	char key[512];
+	struct st_item i;
+	uint32_t k;
+
+	for (k = 1; k < a->size; k++) {
+		if (mesh_read_item(&a->ptr[k], &i, key, sizeof key)) return -EBADMSG;
+		board_apply(&i, in->from->said.name);
+	}
+	return 0;
+}
+
+static int take_leaving(struct mesh_in *in, const msgpack_object_array *a)
+{
+	char id[ENTRY_TEXT_MAX + 1];
+
+	if (a->size < 2 || mesh_text(&a->ptr[1], id, sizeof id)) return -EBADMSG;
+	be_leaving(id, in->from->said.name);
+	return 0;
+}
+
+static int take_members(const msgpack_object_array *a)
+{
+	char ip[ENTRY_TEXT_MAX + 1];
+	uint32_t k;
+
+	for (k = 1; k < a->size; k++) {
+		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
+		mesh_learn(ip);
+	}
+	return 0;
+}
+
+static int take(struct mesh_in *in, const msgpack_object_array *a)
+{
+	int64_t type = mesh_int(&a->ptr[0]);
+
+	if (type == MESH_BEAT) return take_beat(in, a);
+	if (!in->from) return -EBADMSG;
+	switch ((enum mesh_type)type) {
+	case MESH_LOADS: mesh_take_loads(in->from, a); return 0;
+	case MESH_WANT: return take_want(in, a);
+	case MESH_ITEMS: return take_items(in, a);
+	case MESH_LEAVING: return take_leaving(in, a);
+	case MESH_MEMBERS: return take_members(a);
+	case MESH_BEAT: break;
+	}
+	return 0; /* of a later release: not ours to refuse */
+}
+
+int mesh_dispatch(struct mesh_in *in, const char *p, size_t n)
+{
+	msgpack_unpacked u;
+	size_t off = 0;
+	int rc = -EBADMSG;
+
+	if (wire_check(p, n)) return -EBADMSG;
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, p, n, &off) == MSGPACK_UNPACK_SUCCESS &&
+	    u.data.type == MSGPACK_OBJECT_ARRAY && u.data.via.array.size)
+		rc = take(in, &u.data.via.array);
+	msgpack_unpacked_destroy(&u);
+	return rc;
+}
--- /dev/null
+++ b/src/fleet/mesh_loads.c
@@ -0,0 +1,118 @@
+/* Each instance tells the others what it has sent to which backend server, as whole figures:
+ * a lost or repeated message does no harm. */
+#include "clock.h"
+#include "ev.h"
+#include "mesh_impl.h"
+#include "met.h"
+#include <string.h>
+
+#define TELL_US 3000 /* changes wait so long for others: a prompt is read in 200 ms */
+#define ROWS_MAX 256 /* of one message */
+
+static struct ev_timer teller;
+
+static void add(struct be_load *a, const struct be_load *b, int sign)
+{
+	a->runs += sign * b->runs;
+	a->unread += sign * b->unread;
+	a->held += sign * b->held;
+	a->backup += sign * b->backup;
+}
+
+static void set_row(struct member *m, const struct mesh_row *r)
+{
+	struct be_load *old = g_hash_table_lookup(m->loads, r->id);
+	struct be *b = be_find(r->id);
+
+	/* An entry that is not listed here yet comes with the next whole message. */
+	if (!b) return;
+	if (!old) {
+		old = g_new0(struct be_load, 1);
+		g_hash_table_insert(m->loads, g_strdup(r->id), old);
+	}
+	add(&b->others, old, -1);
+	*old = r->load;
+	add(&b->others, old, 1);
+}
+
+static void drop_row(gpointer id, gpointer load, gpointer user)
+{
+	struct be *b = be_find(id);
+
+	(void)user;
+	if (b) add(&b->others, load, -1);
+}
+
+void mesh_drop_loads(struct member *m)
+{
+	g_hash_table_foreach(m->loads, drop_row, NULL);
+	g_hash_table_remove_all(m->loads);
+}
+
+void mesh_take_loads(struct member *m, const msgpack_object_array *a)
+{
+	struct mesh_row r;
+	uint32_t k;
+
+	if (a->size < 2) return;
+	if (mesh_int(&a->ptr[1])) mesh_drop_loads(m);
+	for (k = 2; k < a->size; k++)
+		if (!mesh_read_row(&a->ptr[k], &r)) set_row(m, &r);
+}
+
+static int idle(const struct be *b)
+{
+	return !b->own.runs && !b->own.backup;
+}
+
+static int collect(struct mesh_row *row, int whole)
+{
+	const GPtrArray *all = be_all();
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < all->len && n < ROWS_MAX; i++) {
+		struct be *b = g_ptr_array_index(all, i);
+
+		if (whole ? idle(b) : !b->dirty) continue;
+		b->dirty = 0;
+		g_strlcpy(row[n].id, b->id, sizeof row[n].id);
+		row[n++].load = b->own;
+	}
+	return n;
+}
+
+static void write_rows(GString *out, int whole)
+{
+	struct mesh_row *row = g_new(struct mesh_row, ROWS_MAX);
+	int n = collect(row, whole);
+
+	if (n || whole) mesh_write_loads(out, row, n, whole);
+	g_free(row);
+}
+
+void mesh_write_all_loads(GString *out)
+{
+	write_rows(out, 1);
+}
+
+static void on_tell(struct ev_timer *t)
+{
+	GString *out = g_string_new(NULL);
+
+	(void)t;
+	write_rows(out, 0);
+	if (out->len) mesh_send_all(out);
+	g_string_free(out, TRUE);
+}
+
+void mesh_load_changed(struct be *b)
+{
+	b->dirty = 1;
+	if (!teller.armed) ev_in(&teller, TELL_US);
+}
+
+void mesh_loads_start(void)
+{
+	teller.fire = on_tell;
+}
--- /dev/null
+++ b/src/fleet/roster.c
@@ -0,0 +1,103 @@
+#include "roster.h"
+#include "ev.h"
+#include "jlog.h"
+#include "mesh.h"
+#include "store.h"
+#include <errno.h>
+#include <string.h>
+
+#define PREFIX "saddlehead/members/"
+#define LEASE_MS 15000        /* an instance that died is listed no longer than this */
+#define RENEW_US 5000000      /* a third of it */
+#define RETRY_US 1000000      /* after a call that failed */
+#define LIST_US 20000000      /* members tell each other of members; this is for those apart */
+#define LIST_ALONE_US 1500000 /* while no other instance is heard of */
+
+static const struct entry_cfg *cfg;
+static struct ev_timer keep_timer, list_timer;
+static uint64_t lease;
+static int written;
+
+static void on_written(const struct st_reply *r, void *user)
+{
+	(void)user;
+	written = r->rc == 0;
+	if (r->rc == -ENOENT) lease = 0;
+	ev_in(&keep_timer, written ? RENEW_US : RETRY_US);
+}
+
+static void write_key(void)
+{
+	char *key = g_strconcat(PREFIX, cfg->instance, NULL);
+	struct st_change c = {.put_key = key, .value = cfg->ip, .len = strlen(cfg->ip), .lease = lease};
+
+	st_commit(&c, on_written, NULL);
+	g_free(key);
+}
+
+static void on_leased(const struct st_reply *r, void *user)
+{
+	(void)user;
+	if (r->rc || !r->lease) {
+		ev_in(&keep_timer, RETRY_US);
+		return;
+	}
+	lease = r->lease;
+	written = 0;
+	write_key();
+}
+
+static void on_renewed(const struct st_reply *r, void *user)
+{
+	(void)user;
+	if (r->rc == -ENOENT) {
+		lease = 0;
+		written = 0;
+	}
+	ev_in(&keep_timer, r->rc ? RETRY_US : RENEW_US);
+}
+
+static void on_keep(struct ev_timer *t)
+{
+	(void)t;
+	if (!lease) st_lease(LEASE_MS, on_leased, NULL);
+	else if (!written) write_key();
+	else st_renew(lease, on_renewed, NULL);
+}
+
+static void on_listed(const struct st_reply *r, void *user)
+{
+	char ip[ENTRY_TEXT_MAX + 1];
+	size_t i;
+
+	(void)user;
+	for (i = 0; !r->rc && i < r->n; i++) {
+		if (!r->items[i].value || r->items[i].len >= sizeof ip) continue;
+		memcpy(ip, r->items[i].value, r->items[i].len);
+		ip[r->items[i].len] = '\0';
+		mesh_learn(ip);
+	}
+	ev_in(&list_timer, mesh_live() > 1 ? LIST_US : LIST_ALONE_US);
+}
+
+static void on_list(struct ev_timer *t)
+{
+	(void)t;
+	st_range(PREFIX, NULL, on_listed, NULL);
+}
+
+void roster_start(const struct entry_cfg *c)
+{
+	cfg = c;
+	keep_timer.fire = on_keep;
+	list_timer.fire = on_list;
+	ev_in(&keep_timer, 0);
+	ev_in(&list_timer, LIST_ALONE_US);
+}
+
+void roster_leave(void)
+{
+	ev_stop(&keep_timer);
+	if (lease) st_release(lease);
+	lease = 0;
+}
--- /dev/null
+++ b/src/fleet/watch.c
@@ -0,0 +1,226 @@
+#include "watch.h"
+#include "board.h"
+#include "clock.h"
+#include "dialect.h"
+#include "ev.h"
+#include "jlog.h"
+#include "met.h"
+#include <errno.h>
+#include <stddef.h>
+
+#define WATCH_MS 20000         /* a call that waits: each return is paid for */
+#define RETRY_FIRST_US 100000  /* after a failed call, doubled up to ... */
+#define RETRY_MAX_US 800000    /* ... this: the store's return must be seen within a second */
+#define CONFIRM_US 900000      /* the age at which the configuration is confirmed anew ... */
+#define CONFIRM_SPREAD_US 900000 /* ... and as much more by chance, so that one asks for all */
+#define CONFIRM_TICK_US 100000 /* how often its age is looked at */
+#define UP_US 2500000          /* without an answer for so long the store counts as away */
+
+enum phase { LISTING, WATCHING };
+
+struct watcher {
+	const char *prefix;
+	enum phase phase;
+	uint64_t at; /* changes up to this revision are applied */
+	struct st_call *call;
+	struct ev_timer retry;
+	int64_t wait_us;
+	GHashTable *listed;
+};
+
+#define WATCHERS_MAX 4
+
+static struct watcher watchers[WATCHERS_MAX];
+static int nwatchers;
+static struct st_call *confirming;
+static struct ev_timer confirm_timer;
+static int64_t confirm_age_us = CONFIRM_US, confirm_not_before_us;
+static uint64_t confirming_revision;
+static int64_t answered_us, failed_us = INT64_MIN / 2;
+static int up;
+
+static void next(struct watcher *w);
+
+int watch_store_up(void)
+{
+	return up && clock_us() - answered_us < UP_US * 10;
+}
+
+int watch_store_shaky(int64_t within_us)
+{
+	return clock_us() - failed_us < within_us;
+}
+
+static void set_up(int now_up, int rc)
+{
+	GString *g;
+
+	if (up == now_up) return;
+	up = now_up;
+	g = jlog_begin("fleet", up ? "store_regained" : "store_lost");
+	if (!up) jlog_int(g, "error", rc);
+	jlog_end(g);
+}
+
+/* Every reply tells whether the store serves this instance. */
+static void note_reply(const struct st_reply *r)
+{
+	met_add(MET_KV_CALLS, 1);
+	switch (r->rc) {
+	case 0:
+	case -ENOENT:
+	case -ECANCELED:
+	case -ESTALE:
+		answered_us = clock_us();
+		set_up(1, 0);
+		return;
+	default:
+		met_add(MET_KV_ERRORS, 1);
+		failed_us = clock_us();
+		set_up(0, r->rc);
+	}
+}
+
+static void try_later(struct watcher *w)
+{
+	w->wait_us = w->wait_us ? MIN(w->wait_us * 2, RETRY_MAX_US) : RETRY_FIRST_US;
+	ev_in(&w->retry, w->wait_us);
+}
+
+static void apply_all(const struct st_reply *r, const char *prefix, int64_t listed_us)
+{
+	size_t i;
+
+	for (i = 0; i < r->n; i++) {
+		board_apply(&r->items[i], "platform");
+		if (listed_us && dl_item_kind(r->items[i].key) == DL_CONF)
+			board_confirm(r->items[i].revision, listed_us);
+	}
+	(void)prefix;
+}
+
+static void on_listed(const struct st_reply *r, void *user)
+{
+	struct watcher *w = user;
+	size_t i;
+
+	w->call = NULL;
+	note_reply(r);
+	if (r->rc) {
+		g_hash_table_remove_all(w->listed);
+		try_later(w);
+		return;
+	}
+	w->wait_us = 0;
+	/* Pages are no snapshot: what changed since the first one is watched from there. */
+	if (!g_hash_table_size(w->listed)) w->at = r->at;
+	apply_all(r, w->prefix, r->sent_us);
+	for (i = 0; i < r->n; i++) g_hash_table_add(w->listed, g_strdup(r->items[i].key));
+	if (r->more && r->n) {
+		w->call = st_range(w->prefix, r->items[r->n - 1].key, on_listed, w);
+		return;
+	}
+	board_apply_missing(w->prefix, w->listed, w->at);
+	g_hash_table_remove_all(w->listed);
+	w->phase = WATCHING;
+	next(w);
+}
+
+static void on_watched(const struct st_reply *r, void *user)
+{
+	struct watcher *w = user;
+
+	w->call = NULL;
+	note_reply(r);
+	if (r->rc == -ESTALE) w->phase = LISTING;
+	if (r->rc && r->rc != -ESTALE) {
+		try_later(w);
+		return;
+	}
+	w->wait_us = 0;
+	apply_all(r, w->prefix, 0);
+	if (r->at > w->at) w->at = r->at;
+	next(w);
+}
+
+static void next(struct watcher *w)
+{
+	if (w->call) return;
+	if (w->phase == LISTING)
+		w->call = st_range(w->prefix, NULL, on_listed, w);
+	else
+		w->call = st_watch(w->prefix, w->at, WATCH_MS, on_watched, w);
+}
+
+static void on_retry(struct ev_timer *t)
+{
+	next((struct watcher *)((char *)t - offsetof(struct watcher, retry)));
+}
+
+static void start_again(struct watcher *w)
+{
+	st_cancel(w->call);
+	w->call = NULL;
+	ev_stop(&w->retry);
+	next(w);
+}
+
+/* A watch that waits on a connection which the store has forgotten says nothing: when another
+ * call shows changes that it did not tell, or the store comes back, it is made anew. */
+static void watch_anew(void)
+{
+	int i;
+
+	for (i = 0; i < nwatchers; i++)
+		if (watchers[i].phase == WATCHING) start_again(&watchers[i]);
+}
+
+static void on_confirmed(const struct st_reply *r, void *user)
+{
+	int was_up = up;
+
+	(void)user;
+	confirming = NULL;
+	note_reply(r);
+	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
+	if (r->rc == -ECANCELED) apply_all(r, NULL, r->sent_us);
+	if (r->rc && r->rc != -ECANCELED) {
+		confirm_not_before_us = clock_us() + RETRY_FIRST_US * 3;
+		return;
+	}
+	if (!was_up || r->rc == -ECANCELED) watch_anew();
+	confirm_age_us = CONFIRM_US + g_random_int_range(0, CONFIRM_SPREAD_US);
+}
+
+/* Asks whether the revision held here is still the newest: a condition without a change. */
+static void confirm(void)
+{
+	struct st_change ask = {.if_key = dl_conf_key};
+
+	confirming_revision = board_conf()->revision;
+	ask.if_revision = confirming_revision;
+	confirming = st_commit(&ask, on_confirmed, NULL);
+}
+
+static void on_confirm_tick(struct ev_timer *t)
+{
+	int64_t now = clock_us();
+
+	ev_in(t, CONFIRM_TICK_US);
+	if (confirming || !board_conf() || now < confirm_not_before_us) return;
+	if (now - board_confirmed_us() >= confirm_age_us) confirm();
+}
+
+void watch_start(void)
+{
+	int i;
+
+	for (i = 0; dl_prefixes[i] && i < WATCHERS_MAX; i++) {
+		watchers[i] = (struct watcher){.prefix = dl_prefixes[i], .retry.fire = on_retry};
+		watchers[i].listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		nwatchers++;
+		next(&watchers[i]);
+	}
+	confirm_timer.fire = on_confirm_tick;
+	ev_in(&confirm_timer, CONFIRM_TICK_US);
+}
--- /dev/null
+++ b/src/http/hp.c
@@ -0,0 +1,218 @@
+#include "hp.h"
+#include <errno.h>
+#include <string.h>
+#include <strings.h>
+
+static struct hp *self(http_parser *p)
+{
+	return p->data;
+}
+
+static uint32_t put_text(struct hp_head *h, const char *at, size_t n)
+{
+	uint32_t off = h->text->len;
+
+	g_string_append_len(h->text, at, n);
+	g_string_append_c(h->text, '\0');
+	return off;
+}
+
+/* Pieces of one text may come apart: the new one goes on where the last one ended. */
+static void add_text(struct hp_head *h, const char *at, size_t n)
+{
+	g_string_truncate(h->text, h->text->len - 1);
+	put_text(h, at, n);
+}
+
+static int on_begin(http_parser *p)
+{
+	struct hp *m = self(p);
+
+	m->head.target = put_text(&m->head, "", 0);
+	return 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t n)
+{
+	add_text(&self(p)->head, at, n);
+	return 0;
+}
+
+static int on_field(http_parser *p, const char *at, size_t n)
+{
+	struct hp *m = self(p);
+	struct hp_field f;
+
+	if (m->head.fields->len && !m->in_value) {
+		add_text(&m->head, at, n);
+		return 0;
+	}
+	f.name = put_text(&m->head, at, n);
+	f.value = f.name;
+	g_array_append_val(m->head.fields, f);
+	m->in_value = 0;
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t n)
+{
+	struct hp *m = self(p);
+	struct hp_field *f = &g_array_index(m->head.fields, struct hp_field, m->head.fields->len - 1);
+
+	if (m->in_value) {
+		add_text(&m->head, at, n);
+		return 0;
+	}
+	f->value = put_text(&m->head, at, n);
+	m->in_value = 1;
+	return 0;
+}
+
+static int on_headers(http_parser *p)
+{
+	struct hp *m = self(p);
+
+	m->head.method = p->method;
+	m->head.status = p->status_code;
+	m->head_done = 1;
+	m->rc = m->on_head ? m->on_head(m) : 0;
+	if (m->rc) return -1;
+	return m->no_body;
+}
+
+static int on_body(http_parser *p, const char *at, size_t n)
+{
+	struct hp *m = self(p);
+
+	m->rc = m->on_body ? m->on_body(m, at, n) : 0;
+	return m->rc ? -1 : 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	self(p)->done = 1;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void hp_init(struct hp *p, int request)
+{
+	memset(p, 0, sizeof *p);
+	http_parser_init(&p->parser, request ? HTTP_REQUEST : HTTP_RESPONSE);
+	p->parser.data = p;
+	p->head.text = g_string_new(NULL);
+	p->head.fields = g_array_new(FALSE, FALSE, sizeof(struct hp_field));
+}
+
+void hp_again(struct hp *p)
+{
+	http_parser_init(&p->parser, p->parser.type);
+	p->parser.data = p;
+	g_string_truncate(p->head.text, 0);
+	g_array_set_size(p->head.fields, 0);
+	p->head_bytes = 0;
+	p->in_value = p->head_done = p->done = 0;
+}
+
+void hp_free(struct hp *p)
+{
+	if (p->head.text) g_string_free(p->head.text, TRUE);
+	if (p->head.fields) g_array_free(p->head.fields, TRUE);
+	p->head.text = NULL;
+	p->head.fields = NULL;
+}
+
+ssize_t hp_feed(struct hp *p, const char *at, size_t n)
+{
+	enum http_errno err;
+	size_t used;
+	int had_head = p->head_done;
+
+	if (p->done) return 0;
+	used = http_parser_execute(&p->parser, &settings, at, n);
+	err = HTTP_PARSER_ERRNO(&p->parser);
+	if (!had_head) p->head_bytes += used;
+	if (p->rc) return p->rc;
+	if (err == HPE_HEADER_OVERFLOW) return -EMSGSIZE;
+	if (!p->head_done && p->head_max && p->head_bytes > p->head_max) return -EMSGSIZE;
+	if (!had_head && p->head_max && p->head.text->len > p->head_max) return -EMSGSIZE;
+	if (err != HPE_OK && err != HPE_PAUSED) return -EBADMSG;
+	if (p->parser.upgrade) return -EBADMSG;
+	return used;
+}
+
+int hp_end(struct hp *p)
+{
+	if (p->done) return 0;
+	if (!p->head_done) return -EPIPE;
+	http_parser_execute(&p->parser, &settings, NULL, 0);
+	return p->done ? 0 : -EPIPE;
+}
+
+uint32_t hp_count(const struct hp_head *h)
+{
+	return h->fields->len;
+}
+
+const char *hp_name(const struct hp_head *h, uint32_t i)
+{
+	return h->text->str + g_array_index(h->fields, struct hp_field, i).name;
+}
+
+const char *hp_value(const struct hp_head *h, uint32_t i)
+{
+	const struct hp_field *f = &g_array_index(h->fields, struct hp_field, i);
+
+	return f->value == f->name ? "" : h->text->str + f->value;
+}
+
+const char *hp_get(const struct hp_head *h, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < hp_count(h); i++)
+		if (!strcasecmp(hp_name(h, i), name)) return hp_value(h, i);
+	return NULL;
+}
+
+const char *hp_target(const struct hp_head *h)
+{
+	return h->text->str + h->target;
+}
+
+int hp_has_token(const char *list, const char *token)
+{
+	size_t n = strlen(token);
+
+	while (list && *list) {
+		list += strspn(list, " \t,");
+		if (!strncasecmp(list, token, n) && strchr(" \t,;", list[n])) return 1;
+		list += strcspn(list, ",");
+	}
+	return 0;
+}
+
+int hp_hop_by_hop(const struct hp_head *h, const char *name)
+{
+	static const char *const known[] = {"connection", "keep-alive", "proxy-connection", "te",
+					    "trailer", "transfer-encoding", "upgrade",
+					    "proxy-authenticate", "proxy-authorization", NULL};
+	uint32_t i;
+
+	for (i = 0; known[i]; i++)
+		if (!strcasecmp(name, known[i])) return 1;
+	for (i = 0; i < hp_count(h); i++)
+		if (!strcasecmp(hp_name(h, i), "connection") && hp_has_token(hp_value(h, i), name))
+			return 1;
+	return 0;
+}
--- /dev/null
+++ b/src/internal/be.h
@@ -0,0 +1,75 @@
+/* Backend servers as this instance knows them: where, in which state, how loaded, how sound. */
+#ifndef SH_BE_H
+#define SH_BE_H
+#include "conf.h"
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdint.h>
+
+enum be_state {
+	BE_READY,
+	BE_LEAVING, /* said so: gets no new work */
+	BE_GONE,    /* its entry went */
+};
+
+/* Work of one instance, or of several added up, on one backend server. */
+struct be_load {
+	uint32_t runs;   /* requests sent and not ended */
+	uint32_t unread; /* prompt tokens of those that made no token yet */
+	uint32_t held;   /* tokens of memory they will come to, as far as foreseen */
+	uint32_t backup; /* tokens of copies kept there for runs elsewhere */
+};
+
+struct be {
+	int refs;
+	char *id; /* of this start of it; never comes again */
+	char *service, *zone, *address;
+	struct sockaddr_in sa;
+	enum be_state state;
+	uint32_t slots;
+	int64_t since_us;     /* monotonic: when state became what it is */
+	int64_t cold_until_us; /* slow until then */
+	struct be_load own, others;
+	/* From this instance's own exchanges: */
+	uint32_t failures;       /* in a row */
+	int64_t ejected_until_us; /* gets no work before; 0: sound */
+	int64_t eject_us;        /* how long the last time */
+	double answer_us;        /* moving average of plain answers; 0: none yet */
+	int dirty;               /* own load changed since peers were told */
+};
+
+struct be_info { /* an entry as the platform lists it */
+	const char *id, *service, *zone, *address;
+	uint32_t slots;
+	int leaving;
+	int64_t cold_us;
+};
+
+/* A new or changed entry. 0 or -EINVAL (no such address). */
+int be_update(const struct be_info *i);
+/* It leaves: said by its entry, by its own answer, or by a peer. Never turned back. */
+void be_leaving(const char *id, const char *said_by);
+void be_gone(const char *id);
+/* Its entry stands again: it had lapsed while the platform was away. */
+struct be *be_find(const char *id);
+struct be *be_at(const char *address);
+/* All known of a service, those leaving and gone too; NULL when none. */
+const GPtrArray *be_of(const char *service);
+const GPtrArray *be_all(void);
+struct be *be_ref(struct be *b);
+void be_unref(struct be *b);
+
+/* An exchange went well or not; failures in a row eject it for a while, within a cap. */
+void be_succeeded(struct be *b, int64_t took_us);
+void be_failed(struct be *b, const char *why);
+/* May get new work now. */
+int be_usable(const struct be *b, int64_t now);
+/* Entries that lapsed all together are better than nothing for a moment. */
+int be_last_resort(const struct be *b, int64_t now);
+void be_touch(struct be *b);
+
+/* Called when a backend server begins to leave or is gone; set once. */
+extern void (*be_on_leaving)(struct be *b);
+/* How long after its notice a backend server may still get work in need; microseconds. */
+extern int64_t be_need_us;
+#endif
--- /dev/null
+++ b/src/internal/board.h
@@ -0,0 +1,35 @@
+/* The platform's lists as this instance believes them: the configuration and the entries of
+ * backend servers, each with its revision, from the store or from peers. */
+#ifndef SH_BOARD_H
+#define SH_BOARD_H
+#include "conf.h"
+#include "store.h"
+#include <glib.h>
+
+/* What has come, by revision; each only goes up. */
+struct board_revs {
+	uint64_t conf, backends;
+};
+
+void board_init(void);
+/* Takes an item that is newer than what is known. from: "platform" or the peer. 1 if taken. */
+int board_apply(const struct st_item *i, const char *from);
+/* Keys of the prefix that a complete listing as of revision at did not hold are gone. listed:
+ * set of keys. */
+void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at);
+struct board_revs board_revs(void);
+/* Calls f for each item newer than the revisions of its kind, gone ones too. */
+void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
+		      void *arg);
+
+/* The newest configuration, or NULL before the first. */
+struct conf *board_conf(void);
+/* The configuration of that revision was surely the newest at that time (monotonic). */
+void board_confirm(uint64_t revision, int64_t at_us);
+/* A time so long past that any age worked out from it is too great. */
+#define BOARD_NEVER (INT64_MIN / 2)
+/* When it was last sure, or BOARD_NEVER. */
+int64_t board_confirmed_us(void);
+/* Called after a new configuration is in force; set once, may be NULL. */
+extern void (*board_on_conf)(struct conf *c);
+#endif
--- /dev/null
+++ b/src/internal/dialect.h
@@ -0,0 +1,86 @@
+/* What is spoken with callers, backend servers, the directory's callers and the platform's
+ * lists, in the product's own types. One adapter implements it; nothing else knows its names. */
+#ifndef SH_DIALECT_H
+#define SH_DIALECT_H
+#include "be.h"
+#include "conf.h"
+#include "entry_cfg.h"
+#include "hp.h"
+#include "store.h"
+#include <glib.h>
+#include <stdint.h>
+
+#define DL_HANDLE_MAX 127
+
+/* What the head of a caller's request says. Texts live as long as the head. */
+struct dl_request {
+	const char *id;       /* of this attempt */
+	const char *host, *target;
+	const char *key;      /* NULL: none */
+	int64_t deadline_us;  /* how long the caller waits; 0: not told */
+	uint32_t prompt_tokens, output_max; /* 0: not told */
+	uint32_t output_hint; /* the caller's guess; 0: none */
+	const char *resume_after; /* the last event that the caller has; NULL: from the start */
+};
+
+/* 0, or -EINVAL for a number that is none, or no host. */
+int dl_read_request(const struct hp_head *h, struct dl_request *r);
+
+/* What this instance adds to a request on its way to a backend server. */
+struct dl_send {
+	const char *backend;     /* the incarnation meant: another one refuses */
+	const char *group;       /* the workspace, NULL where the route is open */
+	int64_t deadline_us;     /* what is left */
+	int priority;            /* 0 (most urgent) to 9; -1: not told */
+	const char *backup_at;   /* address of the engine that gets a running copy; or NULL */
+	const char *copy_at, *copy; /* goes on from a copy: the source's address, and its name */
+	const char *resume_after;   /* instead of the caller's; NULL: the caller's */
+};
+void dl_write_request(GString *out, const struct hp_head *h, const GString *body,
+		      const struct dl_send *s);
+
+/* What the head of a backend server's answer says. */
+struct dl_answer {
+	const char *id; /* of the request it answers; NULL: not told */
+	int not_run;    /* it has not run and never will */
+	int sound;      /* carries the signature, and its body comes as it was made */
+};
+void dl_read_answer(const struct hp_head *h, struct dl_answer *a);
+/* The answer's head for the caller. length -1: the body follows in chunks. */
+void dl_write_head(GString *out, const struct hp_head *h, int64_t length, int keep);
+/* Fields for a refusal that says when to come back; retry_us 0: does not say. */
+char *dl_retry_fields(const char *request_id, int64_t retry_us);
+
+/* Moving the memory of a run: copies it to target; with last the source stops first. */
+void dl_write_move(GString *out, const struct be *source, const char *run, const char *target,
+		   int last);
+struct dl_moved {
+	char handle[DL_HANDLE_MAX + 1];
+	int64_t events; /* made by the source so far; -1: not told */
+};
+/* 0 or -EBADMSG. A failed move may name its handle too. */
+int dl_read_moved(const char *body, size_t n, struct dl_moved *m);
+void dl_write_drop(GString *out, const struct be *at, const char *handle);
+
+/* The platform's lists. */
+extern const char *const dl_prefixes[]; /* of the keys to watch, NULL at the end */
+extern const char *const dl_conf_key;
+enum dl_item { DL_OTHER, DL_CONF, DL_BACKEND };
+enum dl_item dl_item_kind(const char *key);
+/* The id of the backend server whose entry the key is. */
+const char *dl_backend_id(const char *key);
+/* NULL and e set when it is none. */
+struct conf *dl_read_conf(const char *value, size_t n, struct err *e);
+/* Calls be_update. 0 or -EBADMSG. */
+int dl_read_backend(const char *key, const char *value, size_t n);
+
+/* Questions to this instance itself. */
+enum dl_question { DL_NONE, DL_READY, DL_WHERE };
+enum dl_question dl_question(const struct hp_head *h);
+void dl_write_where(GString *out, const char *const *address, int n, double ttl_s);
+
+/* Settings as the platform lays them. 0, or negative with e set. */
+int dl_read_settings(const char *path, struct entry_cfg *c, struct err *e);
+/* Where the platform lays them. */
+const char *dl_settings_path(void);
+#endif
--- /dev/null
+++ b/src/internal/mesh.h
@@ -0,0 +1,26 @@
+/* The other instances: who lives, who takes callers, what each sends to which backend server,
+ * and what they know of the platform's lists. One TCP link each way, msgpack in frames. */
+#ifndef SH_MESH_H
+#define SH_MESH_H
+#include "be.h"
+#include "entry_cfg.h"
+#include <stdint.h>
+
+/* 0 or a negative errno. */
+int mesh_start(const struct entry_cfg *c);
+/* What other instances are told of this one. */
+void mesh_set_state(int ready, int draining);
+/* An instance at this IP may exist. */
+void mesh_learn(const char *ip);
+/* Addresses of the instances that take callers, this one included if it does; how many. When
+ * none does, all that are known. Valid until the next call of the loop. */
+int mesh_addresses(const char **out, int max);
+/* Instances that were heard of lately, this one included; at least 1. */
+int mesh_live(void);
+/* Most instances known at once so far, dead ones included until they are forgotten. */
+int mesh_known(void);
+/* The load on b changed; peers are told soon. */
+void mesh_load_changed(struct be *b);
+/* b said itself that it leaves: peers are told at once. */
+void mesh_tell_leaving(const struct be *b);
+#endif
--- /dev/null
+++ b/src/internal/mesh_impl.h
@@ -0,0 +1,74 @@
+/* Private to src/fleet/mesh*.c. */
+#ifndef SH_MESH_IMPL_H
+#define SH_MESH_IMPL_H
+#include "board.h"
+#include "cn.h"
+#include "mesh.h"
+#include <msgpack.h>
+
+enum mesh_type { MESH_BEAT = 1, MESH_LOADS, MESH_WANT, MESH_ITEMS, MESH_LEAVING, MESH_MEMBERS };
+
+/* What an instance tells of itself. */
+struct mesh_beat {
+	char name[ENTRY_TEXT_MAX + 1], ip[ENTRY_TEXT_MAX + 1], front[ENTRY_TEXT_MAX + 1];
+	int ready, draining;
+	struct board_revs revs;
+	int64_t confirmed_ago_us; /* -1: never */
+	int64_t stamp_us;         /* the sender's clock */
+	int64_t echo_us;          /* the receiver's stamp that came last; 0: none */
+	int64_t echo_held_us;     /* since it came */
+};
+
+struct mesh_row {
+	char id[ENTRY_TEXT_MAX + 1];
+	struct be_load load;
+};
+
+struct member {
+	char ip[ENTRY_TEXT_MAX + 1];
+	struct mesh_beat said; /* name is empty before the first beat */
+	int64_t heard_us;      /* monotonic; 0: never */
+	int64_t learnt_us;
+	int alive;
+	struct cn link; /* to it: only this instance writes there */
+	int64_t next_connect_us;
+	GHashTable *loads; /* id -> struct be_load as it told */
+};
+
+/* mesh_msg.c: one frame each, appended to out. */
+void mesh_write_beat(GString *out, const struct mesh_beat *b);
+void mesh_write_loads(GString *out, const struct mesh_row *row, int n, int whole);
+void mesh_write_want(GString *out, struct board_revs after);
+void mesh_write_items(GString *out, struct board_revs after);
+void mesh_write_leaving(GString *out, const char *id);
+void mesh_write_members(GString *out, char (*ip)[ENTRY_TEXT_MAX + 1], int n);
+
+/* What comes in. Each returns 0 or -EBADMSG. */
+struct mesh_in {
+	struct cn cn;
+	GString *buf;
+	struct member *from; /* after its first beat */
+};
+#define MESH_FRAME_MAX (4u << 20) /* bytes: the largest configuration is under a megabyte */
+
+int mesh_read_beat(const msgpack_object_array *a, struct mesh_beat *b);
+int mesh_read_row(const msgpack_object *o, struct mesh_row *r);
+int mesh_read_want(const msgpack_object_array *a, struct board_revs *after);
+int mesh_read_item(const msgpack_object *o, struct st_item *i, char *key, size_t max);
+int mesh_text(const msgpack_object *o, char *out, size_t max);
+int64_t mesh_int(const msgpack_object *o);
+
+/* mesh_in.c: dispatches one whole frame. 0 or -EBADMSG. */
+int mesh_dispatch(struct mesh_in *in, const char *p, size_t n);
+/* mesh.c */
+struct member *mesh_member_at(const char *ip);
+void mesh_heard(struct member *m, const struct mesh_beat *b);
+void mesh_send(struct member *m, const GString *frame);
+const struct entry_cfg *mesh_cfg(void);
+/* mesh_loads.c */
+void mesh_take_loads(struct member *m, const msgpack_object_array *a);
+void mesh_drop_loads(struct member *m);
+void mesh_write_all_loads(GString *out);
+void mesh_loads_start(void);
+void mesh_send_all(const GString *frame);
+#endif
--- /dev/null
+++ b/src/internal/rq.h
@@ -0,0 +1,20 @@
+/* Requests on the event loop: from a caller's head to the last byte of its answer. */
+#ifndef SH_RQ_H
+#define SH_RQ_H
+#include "be.h"
+#include "entry_cfg.h"
+#include "hs.h"
+
+void rq_init(const struct entry_cfg *c);
+/* For the callers' listener. */
+void rq_on_request(struct hs *h);
+void rq_on_left(struct hs *h);
+void rq_on_drain(struct hs *h);
+/* A backend server leaves: what runs there goes on elsewhere where it can. */
+void rq_on_leaving(struct be *b);
+uint32_t rq_open(void);
+/* From now on what can't be finished before until_us is sent elsewhere. */
+void rq_drain(int64_t until_us);
+/* Ends all that is under way. */
+void rq_abort_all(void);
+#endif
--- /dev/null
+++ b/src/internal/rq_impl.h
@@ -0,0 +1,119 @@
+/* Private to src/relay/rq*.c. */
+#ifndef SH_RQ_IMPL_H
+#define SH_RQ_IMPL_H
+#include "board.h"
+#include "budget.h"
+#include "dialect.h"
+#include "ev.h"
+#include "evs.h"
+#include "hx.h"
+#include "met.h"
+#include "rq.h"
+#include <saddlehead/place.h>
+
+struct rq;
+
+/* One exchange with a backend server on a request's behalf. */
+struct leg {
+	struct rq *rq;
+	struct be *be;
+	struct hx *hx;     /* NULL once it ended */
+	struct be *backup; /* gets a running copy; or NULL */
+	int from_copy;     /* goes on from memory that was copied there */
+	int reading;       /* its prompt counts as unread there */
+	int not_run;       /* the answer says so */
+	int answered;      /* the head of an answer that counts came */
+	int64_t sent_us, first_us;
+	struct evs evs;
+};
+
+enum move_state {
+	MOVE_NONE,
+	MOVE_SETTLE, /* waits: for a first event, a copy to be whole, or its turn */
+	MOVE_COPY,   /* memory is copied while the source runs */
+	MOVE_LAST,   /* the source was told to stop; the rest is copied */
+	MOVE_NEXT,   /* sent to the engine that has the copy */
+};
+
+struct move {
+	enum move_state state;
+	struct be *source, *target;
+	struct hx *hx; /* the order under way */
+	GString *body;
+	struct ev_timer timer;
+	char handle[DL_HANDLE_MAX + 1];
+	int tries;
+};
+
+struct rq {
+	struct hs *h;
+	struct conf *conf;
+	const struct conf_route *route;
+	const struct conf_group *group;
+	const struct conf_service *service;
+	struct dl_request in;
+	struct place_job job;
+	int64_t began_us, end_us; /* came; must have its final answer */
+	int64_t first_us, event_us; /* first byte to the caller; last event */
+	struct ev_timer end_timer, stall_timer;
+	struct leg *leg, *next; /* the one that answers; the one that will */
+	struct move move;
+	int sends;    /* exchanges that were begun */
+	int runs;     /* of them, those that may have run */
+	int head_sent;
+	int status;
+	GString *answer; /* of a plain call, until it is whole */
+	struct evs_seen seen;
+	uint32_t index;
+};
+
+extern const struct entry_cfg *rq_cfg;
+extern GPtrArray *rq_all;
+extern int64_t rq_drain_until_us;
+
+/* rq.c */
+void rq_free(struct rq *r);
+/* Not run: told so, with a time to come back. */
+void rq_refuse(struct rq *r, enum refusal why, int64_t retry_us, const char *detail);
+/* May have run: the answer promises nothing. */
+void rq_fail(struct rq *r, enum refusal why, const char *detail);
+/* A whole plain answer. */
+void rq_answer(struct rq *r, const struct hp_head *head);
+/* The stream's last event is out. */
+void rq_stream_end(struct rq *r);
+/* 0 while the configuration is too old to tell whether the request's key still holds. */
+int rq_confirmed(const struct rq *r);
+void rq_log(const struct rq *r, const char *outcome, const char *detail);
+
+/* rq_send.c */
+/* Looks for a backend server and sends; refuses when there is none. */
+void rq_place(struct rq *r);
+/* Sends to b; copy NULL: from the start, or after the last event seen. NULL when not possible. */
+struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy);
+/* Cancels what is under way and takes its load off. */
+void leg_free(struct leg *l);
+/* Its prompt is read: the first token came. */
+void leg_read(struct leg *l);
+int rq_may_repeat(struct rq *r);
+struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
+struct budget *rq_budget(const char *service);
+struct budget_rule rq_budget_rule(void);
+
+/* rq_answer.c */
+int leg_on_head(struct hx *x);
+int leg_on_body(struct hx *x, const char *p, size_t n);
+void leg_on_end(struct hx *x, int err);
+
+/* rq_move.c */
+void move_begin(struct rq *r);
+/* The first event came, or another change that may let a move go on. */
+void move_go_on(struct rq *r);
+/* The exchange with the copy's engine: answered, or refused. */
+void move_answered(struct rq *r);
+void move_refused(struct rq *r);
+/* The source's stream ended without its end. 1: the move goes on without it. */
+int move_source_ended(struct rq *r);
+void move_stop(struct rq *r);
+/* The engine is silent or broke: goes on from the running copy. 0, or -ENOENT without one. */
+int move_to_backup(struct rq *r);
+#endif
--- /dev/null
+++ b/src/relay/evs.c
@@ -0,0 +1,98 @@
+#include "evs.h"
+#include <errno.h>
+#include <string.h>
+
+void evs_init(struct evs *s)
+{
+	s->part = g_string_new(NULL);
+}
+
+void evs_free(struct evs *s)
+{
+	if (s->part) g_string_free(s->part, TRUE);
+	s->part = NULL;
+}
+
+/* Length of the first whole event, its blank line included; 0: none yet. */
+static size_t event_length(const char *p, size_t n)
+{
+	size_t i = 0;
+
+	while (i < n) {
+		const char *nl = memchr(p + i, '\n', n - i);
+		size_t line;
+
+		if (!nl) return 0;
+		line = nl - (p + i);
+		if (line && p[i + line - 1] == '\r') line--;
+		i = nl - p + 1;
+		if (!line) return i;
+	}
+	return 0;
+}
+
+/* Copies the value of the event's id line; 0 when it has none. */
+static int event_id(const char *p, size_t n, char *id)
+{
+	const char *end = p + n;
+
+	while (p < end) {
+		const char *nl = memchr(p, '\n', end - p);
+		size_t line = (nl ? nl : end) - p;
+
+		if (line > 3 && !memcmp(p, "id:", 3)) {
+			const char *v = p + 3;
+			size_t len = line - 3;
+
+			while (len && *v == ' ') v++, len--;
+			if (len && v[len - 1] == '\r') len--;
+			if (len > EVS_ID_MAX) return 0;
+			memcpy(id, v, len);
+			id[len] = '\0';
+			return 1;
+		}
+		p += line + 1;
+	}
+	return 0;
+}
+
+/* Ids rise as numbers; others can't be compared and are taken as new. */
+static int was_seen(const struct evs_seen *seen, const char *id)
+{
+	char *end_old, *end_new;
+	uint64_t old, new;
+
+	if (!seen->id[0]) return 0;
+	old = g_ascii_strtoull(seen->id, &end_old, 10);
+	new = g_ascii_strtoull(id, &end_new, 10);
+	if (*end_old || *end_new || end_new == id) return !strcmp(seen->id, id);
+	return new <= old;
+}
+
+static void take(struct evs_seen *seen, const char *p, size_t n, GString *out)
+{
+	char id[EVS_ID_MAX + 1];
+
+	if (event_id(p, n, id)) {
+		if (was_seen(seen, id)) {
+			seen->repeated++;
+			return;
+		}
+		g_strlcpy(seen->id, id, sizeof seen->id);
+	}
+	seen->count++;
+	g_string_append_len(out, p, n);
+}
+
+int evs_feed(struct evs *s, struct evs_seen *seen, const char *p, size_t n, GString *out)
+{
+	size_t off = 0, len;
+
+	g_string_append_len(s->part, p, n);
+	while ((len = event_length(s->part->str + off, s->part->len - off))) {
+		take(seen, s->part->str + off, len, out);
+		off += len;
+	}
+	g_string_erase(s->part, 0, off);
+	return s->part->len > EVS_EVENT_MAX ? -EMSGSIZE : 0;
+}
--- /dev/null
+++ b/src/relay/rq_answer.c
@@ -0,0 +1,242 @@
+/* What comes back from a backend server. */
+#include "clock.h"
+#include "jlog.h"
+#include "mesh.h"
+#include "rq_impl.h"
+#include <errno.h>
+#include <string.h>
+
+#define ANSWER_MAX (4u << 20) /* bytes of a plain answer: a thousand times one of today */
+#define READ_PAUSE 131072     /* bytes that a slow reader may leave: some 400 events */
+
+/* These statuses promise that the request has not run. */
+static int promises(int status)
+{
+	return status == 503 || status == 429 || status == 408;
+}
+
+static int success(const struct hx *x)
+{
+	return x->hp.head.status / 100 == 2;
+}
+
+static int is_stream(const struct leg *l, const struct hx *x)
+{
+	return l->rq->route->kind == CONF_STREAM && success(x);
+}
+
+static void note_stranger(struct leg *l)
+{
+	be_leaving(l->be->id, "another incarnation answers at its address");
+	mesh_tell_leaving(l->be);
+}
+
+int leg_on_head(struct hx *x)
+{
+	struct leg *l = x->user;
+	struct rq *r = l->rq;
+	struct dl_answer a;
+
+	dl_read_answer(&x->hp.head, &a);
+	if (a.not_run) {
+		l->not_run = 1;
+		if (x->hp.head.status == 421) note_stranger(l);
+		return -ECANCELED;
+	}
+	if (!a.id || strcmp(a.id, r->in.id)) {
+		met_add(MET_ANSWERS_DROPPED, 1);
+		return -EBADMSG;
+	}
+	if (success(x) && !a.sound) return -EBADMSG;
+	if (promises(x->hp.head.status)) return -EPROTO;
+	l->answered = 1;
+	if (l == r->next) {
+		if (!is_stream(l, x)) return -EPROTO;
+		move_answered(r);
+	} else if (!is_stream(l, x)) {
+		if (r->answer) g_string_free(r->answer, TRUE);
+		r->answer = g_string_new(NULL);
+	}
+	x->hp.no_body = r->h->hp.head.method == HTTP_HEAD;
+	return 0;
+}
+
+static void write_chunk(struct rq *r, const char *p, size_t n)
+{
+	GString *out = g_string_sized_new(n + 32);
+
+	g_string_append_printf(out, "%zx\r\n", n);
+	g_string_append_len(out, p, n);
+	g_string_append(out, "\r\n");
+	hs_write(r->h, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+/* A stream keeps the head of the engine that began it. */
+static void write_stream_head(struct rq *r, const struct hp_head *head)
+{
+	GString *out;
+
+	if (r->head_sent) return;
+	out = g_string_new(NULL);
+	dl_write_head(out, head, -1, hs_keeps(r->h));
+	hs_write(r->h, out->str, out->len);
+	g_string_free(out, TRUE);
+	r->head_sent = 1;
+	r->status = head->status;
+	r->first_us = clock_us();
+}
+
+static void pass_on(struct leg *l, const struct hp_head *head, const char *p, size_t n)
+{
+	struct rq *r = l->rq;
+
+	write_stream_head(r, head);
+	write_chunk(r, p, n);
+	if (l->hx && cn_pending(&r->h->cn) > READ_PAUSE) {
+		met_add(MET_PAUSES, 1);
+		hx_pause(l->hx, 1);
+	}
+}
+
+static int on_events(struct leg *l, struct hx *x, const char *p, size_t n)
+{
+	struct rq *r = l->rq;
+	GString *out = g_string_sized_new(n + 64);
+	int rc = evs_feed(&l->evs, &r->seen, p, n, out);
+
+	if (out->len) {
+		r->event_us = clock_us();
+		pass_on(l, &x->hp.head, out->str, out->len);
+	}
+	g_string_free(out, TRUE);
+	if (rc || !r->event_us) return rc;
+	if (!l->first_us) {
+		l->first_us = r->event_us;
+		leg_read(l);
+		be_succeeded(l->be, 0);
+		if (r->leg->be->state != BE_READY) move_begin(r);
+	}
+	move_go_on(r);
+	return 0;
+}
+
+int leg_on_body(struct hx *x, const char *p, size_t n)
+{
+	struct leg *l = x->user;
+
+	if (is_stream(l, x)) return on_events(l, x, p, n);
+	if (l->rq->answer->len + n > ANSWER_MAX) return -EMSGSIZE;
+	g_string_append_len(l->rq->answer, p, n);
+	return 0;
+}
+
+static void log_broke(const struct leg *l, const char *why, int err)
+{
+	GString *g = jlog_begin("relay", "exchange_broke");
+
+	jlog_str(g, "request", l->rq->in.id);
+	jlog_str(g, "backend", l->be->id);
+	jlog_str(g, "why", why);
+	jlog_int(g, "error", err);
+	jlog_int(g, "after_ms", (clock_us() - l->sent_us) / 1000);
+	jlog_int(g, "events", l->rq->seen.count);
+	jlog_end(g);
+}
+
+static int repeatable(const struct rq *r)
+{
+	if (r->route->kind == CONF_STREAM) return r->route->resumable;
+	return r->route->kind == CONF_SAFE;
+}
+
+static void again(struct rq *r, enum retry why)
+{
+	met_retried(why);
+	rq_place(r);
+}
+
+/* Turned away: free to go elsewhere, as far as repeats may be sent. */
+static void turned_away(struct leg *l)
+{
+	struct rq *r = l->rq;
+
+	log_broke(l, "not_run", 0);
+	leg_read(l);
+	if (rq_may_repeat(r)) again(r, RETRY_ENGINE_STATUS);
+	else rq_refuse(r, REF_BUSY, 300000, "backend servers turned it away");
+}
+
+static void not_reached(struct leg *l, int err)
+{
+	struct rq *r = l->rq;
+
+	log_broke(l, "not_reached", err);
+	be_failed(l->be, "not reached");
+	if (r->sends < 4) again(r, RETRY_CONNECT);
+	else rq_refuse(r, REF_NO_ENGINE, 300000, "backend servers are not reached");
+}
+
+static void broke(struct leg *l, int err)
+{
+	struct rq *r = l->rq;
+
+	log_broke(l, "may_have_run", err);
+	be_failed(l->be, "broke off");
+	if (move_source_ended(r)) return;
+	r->runs++;
+	if (!move_to_backup(r)) return;
+	if (repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+		again(r, r->seen.count ? RETRY_RESUME : RETRY_ENGINE_LOST);
+		return;
+	}
+	rq_fail(r, r->head_sent ? REF_STREAM_LOST : REF_ENGINE_FAILED, "the backend server broke off");
+}
+
+static void stream_done(struct leg *l, const struct hp_head *head)
+{
+	struct rq *r = l->rq;
+
+	if (l->evs.part->len) pass_on(l, head, l->evs.part->str, l->evs.part->len);
+	write_stream_head(r, head);
+	rq_stream_end(r);
+}
+
+static void answer_done(struct leg *l, const struct hp_head *head)
+{
+	struct rq *r = l->rq;
+
+	if (head->status < 500) {
+		be_succeeded(l->be, clock_us() - l->sent_us);
+		rq_answer(r, head);
+		return;
+	}
+	be_failed(l->be, "answers with failures");
+	r->runs++;
+	if (repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+		again(r, RETRY_ENGINE_STATUS);
+		return;
+	}
+	rq_answer(r, head);
+}
+
+void leg_on_end(struct hx *x, int err)
+{
+	struct leg *l = x->user;
+	struct rq *r = l->rq;
+
+	l->hx = NULL;
+	if (l == r->next) {
+		log_broke(l, "copy_refused", err);
+		move_refused(r);
+		return;
+	}
+	if (!err && is_stream(l, x)) {
+		stream_done(l, &x->hp.head);
+		return;
+	}
+	if (!err) answer_done(l, &x->hp.head);
+	else if (l->not_run) turned_away(l);
+	else if (!x->up) not_reached(l, err);
+	else broke(l, err);
+}
--- /dev/null
+++ b/src/relay/rq_send.c
@@ -0,0 +1,252 @@
+/* Which backend server a request goes to, and sending it there. */
+#include "clock.h"
+#include "jlog.h"
+#include "mesh.h"
+#include "rq_impl.h"
+#include <errno.h>
+#include <string.h>
+
+#define CONNECT_CALL_US 250000 /* a backend server that is there answers in a few ms */
+#define SENDS_MAX 4            /* of one request, whatever they end in */
+#define SITES_MAX 1024         /* candidates looked at */
+#define RETRY_LATER_US 400000  /* what is missing comes back within about a second */
+#define LEFT_MIN_US 2000       /* with less time left nothing is sent any more */
+#define PRIORITY_STEP 3        /* workspaces before routes: three ranks of routes in each */
+#define PRIORITY_MAX 9
+
+struct budget_rule rq_budget_rule(void)
+{
+	return (struct budget_rule){rq_cfg->retry_window_us, rq_cfg->retry_ratio,
+				    rq_cfg->retry_slack};
+}
+
+struct budget *rq_budget(const char *service)
+{
+	static GHashTable *budgets;
+	struct budget *b;
+
+	if (!budgets) budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b = g_hash_table_lookup(budgets, service);
+	if (b) return b;
+	b = g_new0(struct budget, 1);
+	g_hash_table_insert(budgets, g_strdup(service), b);
+	return b;
+}
+
+int rq_may_repeat(struct rq *r)
+{
+	struct budget_rule rule = rq_budget_rule();
+
+	if (r->sends >= SENDS_MAX) return 0;
+	return budget_take(rq_budget(r->service->name), &rule, mesh_known(), ev_now());
+}
+
+static void fill_site(struct place_site *s, const struct be *b, const struct rq *r, const char *dc,
+		      int64_t now)
+{
+	*s = (struct place_site){
+		.usable = be_usable(b, now),
+		.near = !strcmp(b->zone, dc),
+		.slots = b->slots,
+		.runs = b->own.runs + b->others.runs,
+		.unread = b->own.unread + b->others.unread,
+		.held = b->own.held + b->others.held,
+		.backup = b->own.backup + b->others.backup,
+		.tokens = r->service->tokens,
+		.answer_us = b->answer_us,
+	};
+}
+
+/* Fills sites for the service's backend servers; how many. */
+static int collect(struct rq *r, const char *dc, const struct be *not_this, struct place_site *s)
+{
+	const GPtrArray *list = be_of(r->service->name);
+	int64_t now = clock_us();
+	int i, any = 0, n = list ? MIN((int)list->len, SITES_MAX) : 0;
+
+	for (i = 0; i < n; i++) {
+		const struct be *b = g_ptr_array_index(list, i);
+
+		fill_site(&s[i], b, r, dc, now);
+		if (b == not_this) s[i].usable = 0;
+		any |= s[i].usable;
+	}
+	for (i = 0; i < n && !any; i++) {
+		const struct be *b = g_ptr_array_index(list, i);
+
+		s[i].usable = b != not_this && be_last_resort(b, now);
+	}
+	return n;
+}
+
+struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this)
+{
+	static struct place_site s[SITES_MAX];
+	const char *dc = near ? near->zone : rq_cfg->data_centre;
+	int n = collect(r, dc, not_this, s), i;
+
+	if (r->service->engine) i = place_generation(s, n, &r->job, g_random_int());
+	else i = place_call(s, n, g_random_int());
+	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+}
+
+static struct be *pick_backup(struct rq *r, const struct be *main)
+{
+	static struct place_site s[SITES_MAX];
+	const GPtrArray *list = be_of(r->service->name);
+	int n, i, at = -1;
+
+	if (!r->service->backups || r->route->resumable || r->route->kind != CONF_STREAM)
+		return NULL;
+	n = collect(r, main->zone, main, s);
+	for (i = 0; i < n; i++)
+		if (g_ptr_array_index(list, i) == main) at = i;
+	i = place_backup(s, n, at, &r->job, g_random_int());
+	return i < 0 ? NULL : g_ptr_array_index(list, i);
+}
+
+static void count(struct leg *l, int sign)
+{
+	struct be_load *o = &l->be->own;
+	const struct place_job *j = &l->rq->job;
+
+	o->runs += sign;
+	o->held += sign * (j->prompt + j->growth);
+	if (l->reading) o->unread += sign * j->prompt;
+	mesh_load_changed(l->be);
+	if (!l->backup) return;
+	l->backup->own.backup += sign * (j->prompt + j->growth);
+	mesh_load_changed(l->backup);
+}
+
+void leg_read(struct leg *l)
+{
+	if (!l->reading) return;
+	l->reading = 0;
+	l->be->own.unread -= l->rq->job.prompt;
+	mesh_load_changed(l->be);
+}
+
+void leg_free(struct leg *l)
+{
+	if (!l) return;
+	if (l->hx) hx_cancel(l->hx);
+	count(l, -1);
+	be_unref(l->be);
+	be_unref(l->backup);
+	evs_free(&l->evs);
+	ev_free_later(l);
+}
+
+/* Workspaces come before routes in rank. */
+static int priority(const struct rq *r)
+{
+	int group = r->group && r->group->priority >= 0 ? r->group->priority : PRIORITY_STEP - 1;
+
+	if (!r->service->engine) return -1;
+	return MIN(group * PRIORITY_STEP + MIN(r->route->priority, PRIORITY_STEP - 1), PRIORITY_MAX);
+}
+
+static GString *write_request(const struct leg *l, const char *copy_at, const char *copy)
+{
+	const struct rq *r = l->rq;
+	GString *out = g_string_sized_new(1024 + r->h->body->len);
+	struct dl_send s = {
+		.backend = l->be->id,
+		.group = r->group ? r->group->name : NULL,
+		.deadline_us = r->end_us - clock_us(),
+		.priority = copy ? 0 : priority(r),
+		.backup_at = l->backup ? l->backup->address : NULL,
+		.copy_at = copy_at,
+		.copy = copy,
+		.resume_after = r->seen.id[0] ? r->seen.id : NULL,
+	};
+
+	dl_write_request(out, &r->h->hp.head, r->h->body, &s);
+	return out;
+}
+
+static void log_sent(const struct leg *l, const char *copy)
+{
+	const struct rq *r = l->rq;
+	const struct be *b = l->be;
+	GString *g;
+
+	if (!r->service->engine && r->sends < 2) return; /* its end tells as much */
+	g = jlog_begin("relay", "request_sent");
+	jlog_str(g, "request", r->in.id);
+	jlog_str(g, "backend", b->id);
+	jlog_str(g, "backup", l->backup ? l->backup->id : NULL);
+	jlog_str(g, "copy", copy);
+	jlog_str(g, "after_event", r->seen.id[0] ? r->seen.id : NULL);
+	jlog_int(g, "send", r->sends);
+	jlog_int(g, "prompt", r->job.prompt);
+	jlog_int(g, "growth", r->job.growth);
+	jlog_int(g, "unread", b->own.unread + b->others.unread);
+	jlog_int(g, "held", b->own.held + b->others.held);
+	jlog_int(g, "runs", b->own.runs + b->others.runs);
+	jlog_end(g);
+}
+
+struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy)
+{
+	struct leg *l = g_new0(struct leg, 1);
+	int rc;
+
+	l->rq = r;
+	l->be = be_ref(b);
+	l->from_copy = copy != NULL;
+	l->reading = r->service->engine && !copy;
+	l->backup = pick_backup(r, b);
+	if (l->backup) be_ref(l->backup);
+	l->sent_us = clock_us();
+	evs_init(&l->evs);
+	r->sends++;
+	log_sent(l, copy);
+	l->hx = hx_new(l);
+	l->hx->on_head = leg_on_head;
+	l->hx->on_body = leg_on_body;
+	l->hx->on_end = leg_on_end;
+	count(l, 1);
+	rc = hx_start(l->hx, &b->sa, write_request(l, copy_at ? copy_at->address : NULL, copy),
+		      CONNECT_CALL_US);
+	if (!rc) return l;
+	l->hx = NULL;
+	leg_free(l);
+	return NULL;
+}
+
+/* The newest configuration may have moved the route or taken the key since the request came. */
+static int still_allowed(struct rq *r)
+{
+	struct conf *c = board_conf();
+
+	if (c != r->conf && !r->route->open && c->groups->len && !conf_group(c, r->in.key)) {
+		rq_refuse(r, REF_UNAUTHORIZED, 0, "the key was taken away");
+		return 0;
+	}
+	if (rq_confirmed(r)) return 1;
+	rq_refuse(r, REF_PLATFORM_DOWN, RETRY_LATER_US, "the configuration is not confirmed");
+	return 0;
+}
+
+void rq_place(struct rq *r)
+{
+	const struct be *last = r->leg ? r->leg->be : NULL;
+	struct be *b;
+
+	if (!still_allowed(r)) return;
+	b = rq_pick(r, NULL, last);
+	if (!b && last) b = rq_pick(r, NULL, NULL);
+	if (!b) {
+		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US, "no usable backend server is known");
+		return;
+	}
+	if (r->end_us - clock_us() < LEFT_MIN_US) {
+		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "no time is left");
+		return;
+	}
+	leg_free(r->leg);
+	r->leg = leg_start(r, b, NULL, NULL);
+	if (!r->leg) rq_refuse(r, REF_INTERNAL, RETRY_LATER_US, "no connection can be made");
+}
