A stream that goes to its copy by itself no longer kills the process; a platform for tests

The last log line was copy_refused. The timer of a move got its function in move_begin only; a stream whose engine fell silent or broke goes to its copy without it, and a refused copy armed the timer.

Ruled out: a use after free (the exchange that was refused is freed once, by its caller).

Change: the timer is set up with the request; a refused copy is forgotten, and a stream whose engine does not leave just goes on there. test/pw*.c is a small platform for tests (store, backend servers, operator, callers on one loop, entries as real processes on loopback addresses of their own); test_relay has 19 tests. a_silent_engine_whose_backup_refuses_kills_nothing failed without the change (the process died) and passes with it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PKGS = liburcu-memb msgpack json-c popt glib-2.0 libxxhash libcurl
 CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc/internal -Iplatform -Itest $(foreach p,$(PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
 CFLAGS = -std=c11 -O2 -g -Wall -Wextra -pthread $(SAN)
-LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lcunit -lm
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lcivetweb -lcunit -lm
 LDFLAGS = -pthread $(SAN)
 
 LIB_SRC = $(wildcard src/base/*.c src/core/*.c src/link/*.c src/node/*.c)
@@ -49,6 +49,11 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 CHAOS_OBJ = $(patsubst %,$(B)/test/%.o,chaos chaos_caller chaos_fault chaos_check)
 $(B)/test/test_chaos $(B)/test/chaos_main: $(CHAOS_OBJ)
+# Tests of the platform path: a small platform in the test's process, the real program beside it.
+PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_store pw_server pw_conf pw_caller) $(B)/platform/pf_json.o \
+	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
+PW_TESTS = $(B)/test/test_relay
+$(PW_TESTS): $(PW_OBJ)
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/test/fleet.o $(B)/libsaddlehead.a
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -94,6 +94,8 @@
 void leg_free(struct leg *l);
 /* Its prompt is read: the first token came. */
 void leg_read(struct leg *l);
+/* Its running copy is of no use any more. */
+void leg_drop_backup(struct leg *l);
 int rq_may_repeat(struct rq *r);
 struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
 struct budget *rq_budget(const char *service);
@@ -105,6 +107,7 @@
 void leg_on_end(struct hx *x, int err);
 
 /* rq_move.c */
+void move_init(struct rq *r);
 void move_begin(struct rq *r);
 /* The first event came, or another change that may let a move go on. */
 void move_go_on(struct rq *r);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -254,6 +254,7 @@
 	r->began_us = h->arrived_us;
 	r->end_timer.fire = on_end_time;
 	r->stall_timer.fire = on_stall_look;
+	move_init(r);
 	r->index = rq_all->len;
 	g_ptr_array_add(rq_all, r);
 	met_add(MET_REQUESTS, 1);
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -181,6 +181,11 @@
 	}
 }
 
+void move_init(struct rq *r)
+{
+	r->move.timer.fire = on_timer;
+}
+
 void move_begin(struct rq *r)
 {
 	if (!r->service->engine || r->route->resumable) return;
@@ -188,7 +193,6 @@
 	if (!r->service->moves && !r->service->backups) return;
 	r->move.state = MOVE_SETTLE;
 	r->move.tries = 0;
-	r->move.timer.fire = on_timer;
 	move_go_on(r);
 }
 
@@ -327,9 +331,9 @@
 	r->next = NULL;
 	log_move(r, "copy_refused", 0);
 	if (r->leg->hx && !by_handle) {
-		be_unref(r->leg->backup);
-		r->leg->backup = NULL;
-		later(r, AGAIN_US);
+		leg_drop_backup(r->leg);
+		if (r->leg->be->state == BE_READY) move_stop(r);
+		else later(r, AGAIN_US);
 		return;
 	}
 	if (by_handle && m->target != m->source && ++m->tries <= TRIES_MAX) {
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -127,6 +127,17 @@
 	mesh_load_changed(l->be);
 }
 
+void leg_drop_backup(struct leg *l)
+{
+	const struct place_job *j = &l->rq->job;
+
+	if (!l->backup) return;
+	l->backup->own.backup -= j->prompt + j->growth;
+	mesh_load_changed(l->backup);
+	be_unref(l->backup);
+	l->backup = NULL;
+}
+
 void leg_free(struct leg *l)
 {
 	if (!l) return;
--- /dev/null
+++ b/test/pw.h
@@ -0,0 +1,153 @@
+/*
+ * A small platform for tests: its store, its backend servers, its operator and its callers on
+ * one event loop in the test's own process; entries run beside it as real processes, each at a
+ * loopback address of its own. Faults are switched on by the test, never by chance.
+ */
+#ifndef PW_H
+#define PW_H
+#include "cn.h"
+#include "ev.h"
+#include "hs.h"
+#include "hx.h"
+#include <glib.h>
+#include <sys/types.h>
+
+/* ---- pw.c: the loop and the entries ---- */
+#define PW_FRONT 7001
+#define PW_READY 7002
+#define PW_DIRECTORY 7003
+#define PW_PEER 7004
+#define PW_METRICS 7005
+#define PW_STORE 7006
+#define PW_SERVER 7100
+
+struct pw_entry {
+	pid_t pid;
+	char ip[32], settings[64], log[64];
+};
+
+/* Each test begins with it and ends with pw_end. */
+void pw_init(void);
+/* More settings lines for entries that start from now on; NULL: none. */
+void pw_settings(const char *lines);
+struct pw_entry *pw_entry_start(void);
+/* Starts one and waits until it is ready. */
+struct pw_entry *pw_entry_ready(void);
+void pw_entry_kill(struct pw_entry *e, int sig);
+/* The exit status, once it ended within ms; -1: it still runs. */
+int pw_entry_wait(struct pw_entry *e, int ms);
+/* Whether its log holds the text; the log is written with a delay of some 200 ms. */
+int pw_log_has(struct pw_entry *e, const char *text);
+/* The value of a metric, -1 when there is none of that name (labels included). */
+double pw_metric(struct pw_entry *e, const char *name);
+void pw_run(int ms);
+/* Runs until f(arg) or ms are over; what f said last. */
+int pw_until(int (*f)(void *), void *arg, int ms);
+/* Ends what still runs. */
+void pw_end(void);
+
+/* ---- pw_store.c ---- */
+enum pw_store_mode { PW_STORE_OK, PW_STORE_DOWN, PW_STORE_BUSY, PW_STORE_LOST, PW_STORE_SILENT };
+struct pw_store {
+	enum pw_store_mode mode;
+	int watches_silent; /* changes are not told to those who watch */
+	int calls, watches, commits;
+	uint64_t revision;
+};
+extern struct pw_store pw_store;
+void pw_store_start(const char *ip);
+/* Empties it; revisions go on rising. */
+void pw_store_clear(void);
+void pw_store_put(const char *key, const char *value);
+void pw_store_remove(const char *key);
+/* Forgets its history; watches are cut and told so when they come again. */
+void pw_store_compact(void);
+int pw_store_has(const char *prefix);
+
+/* ---- pw_server.c: backend servers ---- */
+enum pw_mode {
+	PW_OK,
+	PW_FULL,        /* 503, not run */
+	PW_STRANGER,    /* 421: another incarnation */
+	PW_HANG,        /* runs, never answers */
+	PW_RESET,       /* runs, resets before an answer */
+	PW_BREAK,       /* resets in the middle of an event or body, after break_after events */
+	PW_WRONG_ID,    /* answers another request */
+	PW_UNSIGNED,    /* a success without a signature */
+	PW_ENCODED,     /* a success in an encoding */
+	PW_FALSE_503,   /* 503 that does not say the request has not run */
+	PW_ERROR,       /* 500, signed */
+	PW_EXTRA,       /* a second answer behind the first */
+	PW_GARBAGE,     /* bytes that are no HTTP */
+	PW_UNTIL_CLOSE, /* no length: the answer ends with the connection */
+	PW_CUT_CLOSE,   /* no length, reset on the way */
+	PW_SILENT,      /* a stream that stops without a word after break_after events */
+};
+
+struct pw_run {
+	char id[64], after[32], copy[96], backup[64], group[64], target[96], expect[64];
+	char body_sum[32];
+	int64_t deadline_ms, began_us, ended_us;
+	int events, cancelled, finished, stopped;
+	struct pw_server *server;
+	struct hs *h;
+	struct ev_timer timer;
+};
+
+struct pw_server {
+	char id[64], service[64], ip[32], address[48];
+	struct hs_listener listener;
+	enum pw_mode mode;
+	int engine;
+	int work_ms, event_ms, events, break_after;
+	int move_status, copy_status; /* what orders and copies are answered; 0: as they should */
+	int arrivals, moves, copies, drops;
+	char last_raw[1024]; /* the head that came last */
+};
+extern GPtrArray *pw_runs; /* of struct pw_run */
+struct pw_server *pw_server_add(const char *service, int engine);
+const char *pw_server_ip(void);
+void pw_servers_end(void);
+/* Writes its entry; state "ready" or "draining". */
+void pw_server_list(struct pw_server *s, const char *state);
+void pw_server_unlist(struct pw_server *s);
+/* Breaks all its connections and listens no more. */
+void pw_server_die(struct pw_server *s);
+/* Runs of a request (its id begins so), started anywhere. */
+int pw_runs_of(const char *id);
+struct pw_run *pw_run_of(const char *id, int nth);
+
+/* ---- pw_conf.c: the operator ---- */
+/* Routes on host test.example: /chat/ (stream, not resumable), /sum/ (stream, resumable),
+ * /safe/, /unsafe/ (keyed), /open/ (needs no key). Key "k1" belongs to workspace "w1". */
+struct pw_conf {
+	int version, timeout_ms, extra_routes, attempts;
+	const char *keys;        /* JSON list of w1's keys */
+	const char *safe_service;
+};
+extern struct pw_conf pw_conf;
+void pw_conf_write(void);
+
+/* ---- pw_caller.c ---- */
+struct pw_call {
+	struct hx *x;
+	int status, ended, err, events;
+	int64_t began_us, first_us, ended_us, gap_us; /* longest pause between events */
+	int64_t event_us;
+	char retry_after[32], id[64], signature[64], connection[32];
+	GString *body;
+};
+/* path with a leading slash; kind of request by path; fields: more head lines or NULL. */
+struct pw_call *pw_call(struct pw_entry *e, const char *method, const char *path,
+			const char *fields, const char *body);
+/* The same with k1, an id, a deadline and a prompt. */
+struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path, int deadline_ms);
+void pw_call_leave(struct pw_call *c);
+int pw_call_wait(struct pw_call *c, int ms);
+/* Whether the body holds the events 1..n of the request, each once and in order. */
+int pw_stream_whole(const struct pw_call *c, int n);
+/* Sends bytes as they are on one connection; what came back until it ended or ms are over. */
+char *pw_raw(struct pw_entry *e, const char *bytes, size_t n, int ms, int *closed);
+/* GET on another port of an entry; the status, body into out. */
+int pw_question(const char *ip, int port, const char *target, GString *out);
+#endif
--- /dev/null
+++ b/test/pw_conf.c
@@ -0,0 +1,46 @@
+#include "pw.h"
+
+struct pw_conf pw_conf;
+
+static void route(GString *s, const char *path, const char *kind, const char *service, int priority,
+		  const char *more)
+{
+	if (s->str[s->len - 1] == '}') g_string_append_c(s, ',');
+	g_string_append_printf(
+		s,
+		"{\"name\":\"r%s\",\"host\":\"test.example\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
+		"\"timeoutMs\":%d,\"targetLatencyMs\":500,\"priority\":%d,\"service\":\"%s\","
+		"\"gap_aim_ms\":100%s}",
+		path, path, kind, pw_conf.timeout_ms, priority, service, more);
+}
+
+void pw_conf_write(void)
+{
+	GString *s = g_string_new(NULL);
+	char safe[64], name[32];
+	int i;
+
+	g_snprintf(safe, sizeof safe, ",\"maxAttempts\":%d", pw_conf.attempts);
+	g_string_printf(s, "{\"version\":%d,\"routes\":[", pw_conf.version);
+	route(s, "chat", "streaming", "llm", 1, ",\"maxAttempts\":1");
+	route(s, "sum", "streaming", "llm", 0, ",\"maxAttempts\":2,\"streamResumption\":true");
+	route(s, "safe", "safe", pw_conf.safe_service, 2, safe);
+	route(s, "unsafe", "unsafe", "app", 2, ",\"maxAttempts\":1");
+	route(s, "open", "safe", "app", 2, ",\"maxAttempts\":2,\"public\":true");
+	for (i = 0; i < pw_conf.extra_routes; i++) {
+		g_snprintf(name, sizeof name, "extra%d", i);
+		route(s, name, "safe", "app", 2, ",\"maxAttempts\":2");
+	}
+	g_string_append_printf(
+		s,
+		"],\"services\":[{\"name\":\"llm\",\"healthCheckPath\":\"/health\",\"maxConnections\":100,"
+		"\"engine\":{\"slots\":48,\"kvCacheTokens\":34000,\"kvTokenBytes\":131072,"
+		"\"linkMbps\":19000.0,\"moves\":true,\"backups\":true,\"handleS\":5.0}},"
+		"{\"name\":\"app\",\"maxConnections\":100},{\"name\":\"app2\",\"maxConnections\":100}],"
+		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,\"headerTimeoutMs\":600,"
+		"\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"w1\",\"apiKeys\":%s,\"priority\":1},"
+		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
+		pw_conf.keys);
+	pw_store_put("op/config", s->str);
+	g_string_free(s, TRUE);
+}
--- /dev/null
+++ b/test/pw_store.c
@@ -0,0 +1,318 @@
+#include "hostport.h"
+#include "pf_json.h"
+#include "pw.h"
+#include <stdlib.h>
+#include <string.h>
+
+struct entry {
+	char *value; /* base64; NULL: gone */
+	uint64_t revision, made, lease;
+};
+
+struct waiting {
+	struct hs *h;
+	char prefix[256];
+	uint64_t after;
+	struct ev_timer timer;
+};
+
+struct pw_store pw_store;
+static struct hs_listener listener;
+static GHashTable *entries;
+static GPtrArray *waiters;
+static uint64_t forgotten, leases;
+
+static void json_item(GString *out, const char *key, const struct entry *e)
+{
+	g_string_append(out, "{\"privateKey\":");
+	jsonw_str(out, key);
+	g_string_append_printf(out, ",\"revision\":%" G_GUINT64_FORMAT, e->revision);
+	if (e->value)
+		g_string_append_printf(out, ",\"value\":\"%s\",\"made\":1,\"lease\":%" G_GUINT64_FORMAT "}",
+				       e->value, e->lease);
+	else
+		g_string_append(out, ",\"gone\":true}");
+}
+
+static int json_items(GString *out, const char *prefix, uint64_t after, int gone_too)
+{
+	GHashTableIter it;
+	gpointer key, e;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, entries);
+	while (g_hash_table_iter_next(&it, &key, &e)) {
+		const struct entry *x = e;
+
+		if (!g_str_has_prefix(key, prefix) || x->revision <= after) continue;
+		if (!x->value && !gone_too) continue;
+		if (n++) g_string_append_c(out, ',');
+		json_item(out, key, x);
+	}
+	return n;
+}
+
+static void answer(struct hs *h, int status, const char *json)
+{
+	if (pw_store.mode == PW_STORE_LOST) {
+		hs_abort(h);
+		return;
+	}
+	hs_answer(h, status, "Content-Type: application/json\r\n", json, strlen(json));
+}
+
+static void drop_waiter(struct waiting *w)
+{
+	ev_stop(&w->timer);
+	w->h->user = NULL;
+	g_ptr_array_remove_fast(waiters, w);
+	ev_free_later(w);
+}
+
+/* 1 when there was something to tell. */
+static int tell(struct waiting *w, int even_nothing)
+{
+	GString *out = g_string_new("{\"events\":[");
+	int n = pw_store.watches_silent ? 0 : json_items(out, w->prefix, w->after, 1);
+	struct hs *h = w->h;
+
+	g_string_append_printf(out, "],\"at\":%" G_GUINT64_FORMAT "}",
+			       pw_store.watches_silent ? w->after : pw_store.revision);
+	if (n || even_nothing) {
+		drop_waiter(w);
+		answer(h, 200, out->str);
+	}
+	g_string_free(out, TRUE);
+	return n > 0;
+}
+
+static void on_wait_over(struct ev_timer *t)
+{
+	tell((struct waiting *)((char *)t - offsetof(struct waiting, timer)), 1);
+}
+
+static void watch(struct hs *h, const char *target)
+{
+	struct waiting *w;
+	char after[32] = "0", wait[32] = "0";
+
+	pw_store.watches++;
+	hp_query(target, "afterRevision", after, sizeof after);
+	hp_query(target, "waitMs", wait, sizeof wait);
+	if (g_ascii_strtoull(after, NULL, 10) < forgotten) {
+		answer(h, 410, "{}");
+		return;
+	}
+	w = g_new0(struct waiting, 1);
+	w->h = h;
+	h->user = w;
+	w->after = g_ascii_strtoull(after, NULL, 10);
+	hp_query(target, "pathPrefix", w->prefix, sizeof w->prefix);
+	w->timer.fire = on_wait_over;
+	g_ptr_array_add(waiters, w);
+	if (!tell(w, 0)) ev_in(&w->timer, atoi(wait) * 1000);
+}
+
+static void tell_all(void)
+{
+	uint32_t i;
+
+	for (i = waiters->len; i-- > 0;) tell(g_ptr_array_index(waiters, i), 0);
+}
+
+static void set(const char *key, char *value, uint64_t lease)
+{
+	struct entry *e = g_hash_table_lookup(entries, key);
+
+	if (!e) {
+		e = g_new0(struct entry, 1);
+		g_hash_table_insert(entries, g_strdup(key), e);
+	}
+	g_free(e->value);
+	e->value = value;
+	e->lease = lease;
+	e->revision = ++pw_store.revision;
+}
+
+void pw_store_put(const char *key, const char *value)
+{
+	set(key, g_base64_encode((const guchar *)value, strlen(value)), 0);
+	tell_all();
+}
+
+void pw_store_remove(const char *key)
+{
+	set(key, NULL, 0);
+	tell_all();
+}
+
+void pw_store_compact(void)
+{
+	GHashTableIter it;
+	gpointer e;
+
+	forgotten = ++pw_store.revision;
+	g_hash_table_iter_init(&it, entries);
+	while (g_hash_table_iter_next(&it, NULL, &e))
+		if (!((struct entry *)e)->value) g_hash_table_iter_remove(&it);
+	while (waiters->len) {
+		struct hs *h = ((struct waiting *)g_ptr_array_index(waiters, 0))->h;
+
+		drop_waiter(g_ptr_array_index(waiters, 0));
+		hs_abort(h);
+	}
+}
+
+void pw_store_clear(void)
+{
+	pw_store.mode = PW_STORE_OK;
+	pw_store.watches_silent = 0;
+	pw_store.calls = pw_store.watches = pw_store.commits = 0;
+	pw_store_compact();
+	g_hash_table_remove_all(entries);
+}
+
+int pw_store_has(const char *prefix)
+{
+	GString *s = g_string_new(NULL);
+	int n = json_items(s, prefix, 0, 0);
+
+	g_string_free(s, TRUE);
+	return n;
+}
+
+static void get(struct hs *h, const char *target)
+{
+	char key[256] = "";
+	struct entry *e;
+	GString *out;
+
+	hp_query(target, "privateKey", key, sizeof key);
+	e = g_hash_table_lookup(entries, key);
+	if (!e || !e->value) {
+		answer(h, 404, "{}");
+		return;
+	}
+	out = g_string_new(NULL);
+	json_item(out, key, e);
+	answer(h, 200, out->str);
+	g_string_free(out, TRUE);
+}
+
+static void range(struct hs *h, const char *target)
+{
+	GString *out = g_string_new("{\"items\":[");
+	char prefix[256] = "";
+
+	hp_query(target, "pathPrefix", prefix, sizeof prefix);
+	json_items(out, prefix, 0, 0);
+	g_string_append_printf(out, "],\"more\":false,\"at\":%" G_GUINT64_FORMAT "}",
+			       pw_store.revision);
+	answer(h, 200, out->str);
+	g_string_free(out, TRUE);
+}
+
+static int condition_holds(struct json_object *o)
+{
+	struct json_object *rows;
+	size_t i, n = pf_array(o, "expectedRevision", &rows);
+
+	for (i = 0; i < n; i++) {
+		struct json_object *r = json_object_array_get_idx(rows, i);
+		const struct entry *e = g_hash_table_lookup(entries, pf_text(r, "privateKey"));
+		uint64_t now = e && e->value ? e->revision : 0;
+
+		if (now != (uint64_t)pf_int(r, "revision", 0)) return 0;
+	}
+	return 1;
+}
+
+static void refuse_commit(struct hs *h, struct json_object *o)
+{
+	GString *out = g_string_new("{\"items\":[");
+	struct json_object *rows;
+
+	pf_array(o, "expectedRevision", &rows);
+	json_items(out, pf_text(json_object_array_get_idx(rows, 0), "privateKey"), 0, 0);
+	g_string_append(out, "]}");
+	answer(h, 412, out->str);
+	g_string_free(out, TRUE);
+}
+
+static void commit(struct hs *h)
+{
+	struct json_object *o = pf_json(h->body->str, h->body->len), *puts;
+	size_t i, n = pf_array(o, "put", &puts);
+	char text[64];
+
+	pw_store.commits++;
+	if (!condition_holds(o)) {
+		refuse_commit(h, o);
+		json_object_put(o);
+		return;
+	}
+	for (i = 0; i < n; i++) {
+		struct json_object *p = json_object_array_get_idx(puts, i);
+
+		set(pf_text(p, "privateKey"), g_strdup(pf_text(p, "value")), pf_int(p, "lease", 0));
+	}
+	json_object_put(o);
+	g_snprintf(text, sizeof text, "{\"revision\":%" G_GUINT64_FORMAT "}", pw_store.revision);
+	answer(h, 200, text);
+	if (n) tell_all();
+}
+
+static void lease(struct hs *h)
+{
+	char text[64];
+
+	g_snprintf(text, sizeof text, "{\"lease\":%" G_GUINT64_FORMAT ",\"ttl_ms\":10000}", ++leases);
+	answer(h, 200, text);
+}
+
+static int turned_away(struct hs *h)
+{
+	switch (pw_store.mode) {
+	case PW_STORE_OK:
+	case PW_STORE_LOST: return 0;
+	case PW_STORE_DOWN: hs_abort(h); return 1;
+	case PW_STORE_BUSY: hs_answer(h, 503, NULL, "", 0); return 1;
+	case PW_STORE_SILENT: return 1;
+	}
+	return 0;
+}
+
+static void on_request(struct hs *h)
+{
+	const char *t = hp_target(&h->hp.head);
+
+	pw_store.calls++;
+	if (turned_away(h)) return;
+	if (g_str_has_prefix(t, "/-/kv-key")) get(h, t);
+	else if (g_str_has_prefix(t, "/-/kv-range")) range(h, t);
+	else if (g_str_has_prefix(t, "/-/kv-watch")) watch(h, t);
+	else if (g_str_has_prefix(t, "/-/kv-txn")) commit(h);
+	else if (g_str_has_prefix(t, "/-/kv-lease")) lease(h);
+	else answer(h, 200, "{}");
+}
+
+static void on_left(struct hs *h)
+{
+	if (h->user) drop_waiter(h->user);
+}
+
+void pw_store_start(const char *ip)
+{
+	struct sockaddr_in at;
+	char text[48];
+
+	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	waiters = g_ptr_array_new();
+	memset(&pw_store, 0, sizeof pw_store);
+	g_snprintf(text, sizeof text, "%s:%d", ip, PW_STORE);
+	hostport_parse(text, &at);
+	listener.limits = (struct hs_limits){65536, 1 << 20, 5000000, 60000000};
+	listener.on_request = on_request;
+	listener.on_left = on_left;
+	hs_listen(&listener, &at);
+}
--- /dev/null
+++ b/test/test_relay.c
@@ -0,0 +1,493 @@
+/* The platform path through the real program: requests, refusals, streams, moves. */
+#include "check.h"
+#include "pw.h"
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- the plain path ---- */
+
+static void a_call_reaches_a_server_of_its_service(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	s = pw_server_add("app", 0);
+	pw_server_add("app2", 0);
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/unsafe/x?q=1", 2000);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	CU_ASSERT(g_str_has_prefix(c->body->str, "answer to "));
+	CU_ASSERT_STRING_EQUAL(pw_run_of(c->id, 0)->server->id, s->id);
+	CU_ASSERT_STRING_EQUAL(pw_run_of(c->id, 0)->group, "w1");
+	CU_ASSERT_STRING_EQUAL(pw_run_of(c->id, 0)->expect, s->id);
+	CU_ASSERT_STRING_EQUAL(pw_run_of(c->id, 0)->target, "/unsafe/x?q=1");
+	CU_ASSERT_STRING_EQUAL(pw_run_of(c->id, 0)->body_sum, "a prompt");
+	CU_ASSERT(pw_run_of(c->id, 0)->deadline_ms <= 2000);
+	CU_ASSERT(pw_run_of(c->id, 0)->deadline_ms > 1500);
+	CU_ASSERT_PTR_NULL(strstr(s->last_raw, "k1"));
+	pw_end();
+}
+
+static void own_fields_of_a_caller_are_not_passed_on(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	s = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	c = pw_call(e, "GET", "/safe/", "X-Request-Id: own1\r\nX-Credential: k1\r\nX-Tenant: evil\r\n"
+		    "X-Target-Instance: evil\r\nHold: evil\r\nPin-Ms: 9\r\nKv-Backup: evil\r\n"
+		    "Kv-From: evil\r\nPriority: 0\r\nConnection: X-Hop\r\nX-Hop: evil\r\n"
+		    "X-Other: kept\r\n", NULL);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	CU_ASSERT_PTR_NULL(strstr(s->last_raw, "evil"));
+	CU_ASSERT_PTR_NULL(strstr(s->last_raw, "Pin-Ms"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(s->last_raw, "X-Other: kept"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(s->last_raw, "X-Tenant: w1"));
+	pw_end();
+}
+
+static int status_of(struct pw_entry *e, const char *path, const char *fields)
+{
+	struct pw_call *c = pw_call(e, "GET", path, fields, NULL);
+
+	pw_call_wait(c, 2000);
+	return c->status;
+}
+
+static void what_no_table_allows_is_refused(void)
+{
+	struct pw_entry *e;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	CU_ASSERT_EQUAL(status_of(e, "/nowhere/", "X-Request-Id: a\r\nX-Credential: k1\r\n"), 404);
+	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Request-Id: b\r\nX-Credential: no\r\n"), 401);
+	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Request-Id: c\r\n"), 401);
+	CU_ASSERT_EQUAL(status_of(e, "/open/", "X-Request-Id: d\r\n"), 200);
+	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Request-Id: e\r\nX-Credential: k1\r\n"
+					       "X-Deadline-Ms: soon\r\n"), 400);
+	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Credential: k1\r\n"), 400);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_refused_total{reason=\"unauthorized\"}"), 2);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_refused_total{reason=\"not_found\"}"), 1);
+	pw_end();
+}
+
+static void check_raw(struct pw_entry *e, const char *bytes, size_t n, const char *status)
+{
+	int closed = 0;
+	char *in = pw_raw(e, bytes, n, 2500, &closed), want[32];
+
+	g_snprintf(want, sizeof want, "HTTP/1.1 %s ", status);
+	if (!g_str_has_prefix(in, want)) fprintf(stderr, "wanted %s, got: %.60s\n", status, in);
+	CU_ASSERT(g_str_has_prefix(in, want));
+	CU_ASSERT(closed);
+	g_free(in);
+}
+
+#define HEAD "POST /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: r\r\nX-Credential: k1\r\n"
+
+static void malformed_requests_are_refused_and_nothing_is_sent_on(void)
+{
+	static const char two[] = HEAD "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+	static const char lengths[] = HEAD "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd";
+	static const char chunked[] = HEAD "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n";
+	static const char large[] = HEAD "Content-Length: 100001\r\n\r\n";
+	static const char slow[] = HEAD;
+	static const char noise[] = "\x16\x03\x01 what is this\r\n\r\n";
+	struct pw_server *s;
+	struct pw_entry *e;
+	GString *long_head;
+
+	pw_init();
+	s = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	check_raw(e, two, sizeof two - 1, "400");
+	check_raw(e, lengths, sizeof lengths - 1, "400");
+	check_raw(e, chunked, sizeof chunked - 1, "400");
+	check_raw(e, large, sizeof large - 1, "413");
+	check_raw(e, slow, sizeof slow - 1, "408");
+	check_raw(e, noise, sizeof noise - 1, "400");
+	long_head = g_string_new(HEAD);
+	while (long_head->len < 5000) g_string_append(long_head, "X-Fill: abcdefghijklmnopqrstuvwxyz\r\n");
+	check_raw(e, long_head->str, long_head->len, "431");
+	g_string_free(long_head, TRUE);
+	CU_ASSERT_EQUAL(s->arrivals, 0);
+	CU_ASSERT_EQUAL(pw_question(e->ip, PW_READY, "/-/readiness", NULL), 200);
+	pw_end();
+}
+
+static void requests_one_behind_the_other_are_answered_in_order(void)
+{
+	static const char two[] = "GET /open/1 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: p1\r\n\r\n"
+				  "GET /open/2 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: p2\r\n"
+				  "Connection: close\r\n\r\n";
+	struct pw_entry *e;
+	char *in, *first;
+	int closed;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	in = pw_raw(e, two, sizeof two - 1, 2000, &closed);
+	first = strstr(in, "answer to p1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+	CU_ASSERT_PTR_NOT_NULL(strstr(first, "answer to p2"));
+	CU_ASSERT(closed);
+	g_free(in);
+	pw_end();
+}
+
+/* ---- backend servers that misbehave ---- */
+
+struct misbehaviour {
+	enum pw_mode mode;
+	const char *path;
+	int status; /* the caller's answer */
+	int runs;   /* at most */
+};
+
+static void one_misbehaviour(const struct misbehaviour *m)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) {
+		s[i] = pw_server_add("app", 0);
+		s[i]->mode = m->mode;
+	}
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", m->path, 700);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	if (c->status != m->status || pw_runs_of(c->id) > m->runs)
+		fprintf(stderr, "mode %d %s: status %d, %d runs\n", m->mode, m->path, c->status,
+			pw_runs_of(c->id));
+	CU_ASSERT_EQUAL(c->status, m->status);
+	CU_ASSERT(pw_runs_of(c->id) <= m->runs);
+	CU_ASSERT(strcmp(c->body->str, "extra") != 0);
+	pw_end();
+}
+
+static void calls_run_as_often_as_they_may(void)
+{
+	static const struct misbehaviour list[] = {
+		{PW_RESET, "/unsafe/", 502, 1},     {PW_RESET, "/safe/", 502, 2},
+		{PW_HANG, "/unsafe/", 504, 1},      {PW_WRONG_ID, "/unsafe/", 502, 1},
+		{PW_UNSIGNED, "/unsafe/", 502, 1},  {PW_ENCODED, "/unsafe/", 502, 1},
+		{PW_FALSE_503, "/unsafe/", 502, 1}, {PW_GARBAGE, "/unsafe/", 502, 1},
+		{PW_CUT_CLOSE, "/unsafe/", 502, 1}, {PW_BREAK, "/unsafe/", 502, 1},
+		{PW_ERROR, "/unsafe/", 500, 1},     {PW_ERROR, "/safe/", 500, 2},
+		{PW_EXTRA, "/unsafe/", 200, 1},     {PW_UNTIL_CLOSE, "/unsafe/", 200, 1},
+		{PW_FULL, "/unsafe/", 503, 0},      {PW_STRANGER, "/unsafe/", 503, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof list / sizeof *list; i++) one_misbehaviour(&list[i]);
+}
+
+static void a_refusal_says_when_to_come_back(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_server_add("app", 0)->mode = PW_FULL;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/unsafe/", 2000);
+	CU_ASSERT(pw_call_wait(c, 500));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(g_ascii_strtod(c->retry_after, NULL) > 0);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	pw_end();
+}
+
+static void what_was_turned_away_goes_elsewhere(void)
+{
+	struct pw_server *full;
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	full = pw_server_add("app", 0);
+	full->mode = PW_FULL;
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	for (i = 0; i < 6; i++) {
+		c = pw_ask(e, "POST", "/unsafe/", 2000);
+		CU_ASSERT(pw_call_wait(c, 1000));
+		CU_ASSERT_EQUAL(c->status, 200);
+		CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	}
+	CU_ASSERT(full->arrivals > 0);
+	pw_end();
+}
+
+static void a_dead_server_costs_no_request(void)
+{
+	struct pw_server *dead;
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	dead = pw_server_add("app", 0);
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_server_die(dead);
+	for (i = 0; i < 8; i++) {
+		c = pw_ask(e, "POST", "/unsafe/", 2000);
+		CU_ASSERT(pw_call_wait(c, 1000));
+		CU_ASSERT_EQUAL(c->status, 200);
+	}
+	pw_end();
+}
+
+static void a_caller_that_leaves_ends_the_work(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	s = pw_server_add("llm", 1);
+	s->events = 1000;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/chat/", 20000);
+	pw_run(200);
+	CU_ASSERT(c->events > 3);
+	pw_call_leave(c);
+	pw_run(200);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	CU_ASSERT(pw_run_of(c->id, 0)->cancelled);
+	pw_end();
+}
+
+static void the_route_s_time_is_kept(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_conf.timeout_ms = 400;
+	pw_conf.version = 2;
+	pw_conf_write();
+	pw_server_add("app", 0)->mode = PW_HANG;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/unsafe/", 5000);
+	CU_ASSERT(pw_call_wait(c, 1000));
+	CU_ASSERT_EQUAL(c->status, 504);
+	CU_ASSERT(c->ended_us - c->began_us < 550000);
+	CU_ASSERT(pw_run_of(c->id, 0)->deadline_ms <= 400);
+	pw_end();
+}
+
+/* ---- streams ---- */
+
+static void a_stream_comes_whole(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_server_add("llm", 1);
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/chat/", 5000);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, 30));
+	CU_ASSERT(c->events > 20); /* passed on as they come */
+	pw_end();
+}
+
+static void a_stream_goes_on_in_a_new_run_where_it_may(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	s[0] = pw_server_add("llm", 1);
+	s[1] = pw_server_add("llm", 1);
+	s[0]->mode = s[1]->mode = PW_BREAK;
+	s[0]->break_after = s[1]->break_after = 7;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/sum/", 5000);
+	pw_run(60);
+	s[0]->mode = s[1]->mode = PW_OK;
+	/* the one that runs breaks off by hand */
+	pw_server_die(pw_run_of(c->id, 0)->server);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, 30));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	CU_ASSERT(atoi(pw_run_of(c->id, 1)->after) > 0);
+	pw_end();
+}
+
+static void a_broken_stream_does_not_look_whole(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	s = pw_server_add("llm", 1);
+	s->mode = PW_BREAK;
+	s->break_after = 5;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/chat/", 5000);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(c->err != 0);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	CU_ASSERT_PTR_NULL(strstr(c->body->str, "id: 99")); /* an event that was cut */
+	CU_ASSERT(pw_log_has(e, "stream_lost") || pw_log_has(e, "broken_off"));
+	pw_end();
+}
+
+/* ---- engines that leave ---- */
+
+static struct pw_server *engines[3];
+
+static struct pw_entry *with_engines(int n, int events)
+{
+	int i;
+
+	pw_init();
+	for (i = 0; i < n; i++) {
+		engines[i] = pw_server_add("llm", 1);
+		engines[i]->events = events;
+	}
+	return pw_entry_ready();
+}
+
+static void a_stream_goes_on_from_its_backup(void)
+{
+	struct pw_entry *e = with_engines(2, 120);
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 9000);
+	struct pw_server *first;
+
+	pw_run(600);
+	first = pw_run_of(c->id, 0)->server;
+	CU_ASSERT(pw_run_of(c->id, 0)->backup[0] != '\0');
+	pw_server_list(first, "draining");
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 120));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	CU_ASSERT(pw_run_of(c->id, 0)->cancelled);
+	CU_ASSERT(strchr(pw_run_of(c->id, 1)->copy, '/') != NULL);
+	CU_ASSERT(c->gap_us < 150000);
+	CU_ASSERT_EQUAL(first->moves, 0);
+	pw_end();
+}
+
+/* The copy can't be used and the engine does not leave: the timer of a move that never began
+ * had no function, and the process died of it. */
+static void a_silent_engine_whose_backup_refuses_kills_nothing(void)
+{
+	struct pw_entry *e = with_engines(2, 300);
+	struct pw_call *c;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		engines[i]->mode = PW_SILENT;
+		engines[i]->break_after = 5;
+		engines[i]->copy_status = 503;
+	}
+	c = pw_ask(e, "POST", "/chat/", 4000);
+	pw_run(2500);
+	CU_ASSERT(engines[0]->copies + engines[1]->copies > 0);
+	CU_ASSERT_EQUAL(pw_entry_wait(e, 100), -1);
+	pw_call_leave(c);
+	pw_end();
+}
+
+static void a_crash_is_survived_with_a_backup(void)
+{
+	struct pw_entry *e = with_engines(2, 120);
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 9000);
+
+	pw_run(600);
+	pw_server_die(pw_run_of(c->id, 0)->server);
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 120));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	pw_end();
+}
+
+static void a_stream_without_a_backup_is_moved(void)
+{
+	struct pw_entry *e = with_engines(2, 120);
+	struct pw_call *c;
+	struct pw_server *first;
+
+	engines[0]->copy_status = engines[1]->copy_status = 0;
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(300);
+	first = pw_run_of(c->id, 0)->server;
+	/* its backup goes first */
+	pw_server_list(first == engines[0] ? engines[1] : engines[0], "draining");
+	pw_run(100);
+	pw_server_add("llm", 1)->events = 120;
+	pw_run(300);
+	pw_server_list(first, "draining");
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 120));
+	CU_ASSERT_EQUAL(first->moves, 2);
+	CU_ASSERT(pw_run_of(c->id, 0)->stopped);
+	pw_end();
+}
+
+static void an_engine_that_leaves_gets_no_new_work(void)
+{
+	struct pw_entry *e = with_engines(2, 5);
+	struct pw_call *c;
+	int i, before;
+
+	pw_server_list(engines[0], "draining");
+	pw_run(100);
+	before = engines[0]->arrivals;
+	for (i = 0; i < 6; i++) {
+		c = pw_ask(e, "POST", "/sum/", 5000);
+		CU_ASSERT(pw_call_wait(c, 2000));
+		CU_ASSERT(pw_stream_whole(c, 5));
+	}
+	CU_ASSERT_EQUAL(engines[0]->arrivals, before);
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"a_call_reaches_a_server_of_its_service", a_call_reaches_a_server_of_its_service},
+	{"own_fields_of_a_caller_are_not_passed_on", own_fields_of_a_caller_are_not_passed_on},
+	{"what_no_table_allows_is_refused", what_no_table_allows_is_refused},
+	{"malformed_requests_are_refused_and_nothing_is_sent_on",
+	 malformed_requests_are_refused_and_nothing_is_sent_on},
+	{"requests_one_behind_the_other_are_answered_in_order",
+	 requests_one_behind_the_other_are_answered_in_order},
+	{"calls_run_as_often_as_they_may", calls_run_as_often_as_they_may},
+	{"a_refusal_says_when_to_come_back", a_refusal_says_when_to_come_back},
+	{"what_was_turned_away_goes_elsewhere", what_was_turned_away_goes_elsewhere},
+	{"a_dead_server_costs_no_request", a_dead_server_costs_no_request},
+	{"a_caller_that_leaves_ends_the_work", a_caller_that_leaves_ends_the_work},
+	{"the_route_s_time_is_kept", the_route_s_time_is_kept},
+	{"a_stream_comes_whole", a_stream_comes_whole},
+	{"a_stream_goes_on_in_a_new_run_where_it_may", a_stream_goes_on_in_a_new_run_where_it_may},
+	{"a_broken_stream_does_not_look_whole", a_broken_stream_does_not_look_whole},
+	{"a_stream_goes_on_from_its_backup", a_stream_goes_on_from_its_backup},
+	{"a_silent_engine_whose_backup_refuses_kills_nothing",
+	 a_silent_engine_whose_backup_refuses_kills_nothing},
+	{"a_crash_is_survived_with_a_backup", a_crash_is_survived_with_a_backup},
+	{"a_stream_without_a_backup_is_moved", a_stream_without_a_backup_is_moved},
+	{"an_engine_that_leaves_gets_no_new_work", an_engine_that_leaves_gets_no_new_work},
+};
+
+CHECK_MAIN(list)
