--- /dev/null
+++ b/include/saddlehead/length.h
@@ -0,0 +1,18 @@
+/* How long generations come to be, learnt from those that ended: nobody knows it ahead. */
+#ifndef SADDLEHEAD_LENGTH_H
+#define SADDLEHEAD_LENGTH_H
+#include <stdint.h>
+
+/* Of one route. Lengths are taken as lognormal, callers' hints as off by a lognormal factor. */
+struct length_stats {
+	double n, mean, var;     /* of ln(tokens) */
+	double hint_n, hint_var; /* of ln(hint / tokens) */
+};
+
+/* A generation ended by itself after so many tokens. hint: the caller's guess, 0: none. */
+void length_observe(struct length_stats *s, uint32_t tokens, uint32_t hint);
+/* Tokens that one is still expected to make which made so many. most: the caller's bound, 0:
+ * none. */
+uint32_t length_remaining(const struct length_stats *s, uint32_t hint, uint32_t most,
+			  uint32_t made);
+#endif
--- a/src/base/jlog.c
+++ b/src/base/jlog.c
@@ -8,12 +8,12 @@
 #include <string.h>
 #include <unistd.h>
 
-#define RING_LINES 1024       /* waiting lines: some 300 KB at most */
-#define LINES_PER_S 400       /* more only cost processor time that requests need */
-#define TAKE 64               /* lines written together */
-#define FLUSH_US 200000       /* lines wait so long for others: each write is a wake-up */
-#define STOP_US 500000        /* for what waits at the end */
-#define STACK_BYTES 65536     /* the thread only copies lines */
+#define RING_LINES 1024   /* waiting lines: some 300 KB at most */
+#define LINES_PER_S 400   /* more only cost processor time that requests need */
+#define TAKE 64           /* lines written together */
+#define FLUSH_US 200000   /* lines wait so long for others: each write is a wake-up */
+#define STOP_US 500000    /* for what waits at the end */
+#define STACK_BYTES 65536 /* the thread only copies lines */
 
 static struct ring ring;
 static pthread_t thread;
@@ -106,7 +106,9 @@
 {
 	GString *g = g_string_sized_new(256);
 
-	g_string_printf(g, "{\"t_ms\":%" G_GINT64_FORMAT ",\"instance\":\"%s\",\"part\":\"%s\",\"event\":\"%s\"",
+	g_string_printf(g,
+			"{\"t_ms\":%" G_GINT64_FORMAT
+			",\"instance\":\"%s\",\"part\":\"%s\",\"event\":\"%s\"",
 			clock_wall_ms(), instance, part, event);
 	return g;
 }
--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -44,7 +44,8 @@
 	double most;
 
 	turn(b, r, now);
-	most = SAFE_PART * (r->ratio * sum(b->first) + r->slack / (instances > 0 ? instances : 1));
+	most = SAFE_PART *
+	       (r->ratio * sum(b->first) + r->slack / (instances > 0 ? instances : 1));
 	if (sum(b->again) + 1 > most) return 0;
 	b->again[b->at]++;
 	return 1;
--- /dev/null
+++ b/src/core/length.c
@@ -0,0 +1,73 @@
+#include <math.h>
+#include <saddlehead/length.h>
+
+#define MEMORY 200.0       /* generations that are remembered: older ones fade */
+#define PRIOR_N 3.0        /* how many observations the first guess is worth */
+#define PRIOR_PART 0.3     /* of the caller's bound: the first guess of a length */
+#define PRIOR_TOKENS 500.0 /* the same where there is no bound */
+#define PRIOR_VAR 0.7      /* of ln(tokens): lengths differ twofold and more */
+#define HINT_VAR 1.0       /* of ln(hint / tokens) until it is learnt */
+
+static double fading(double n)
+{
+	return n < MEMORY ? n : MEMORY;
+}
+
+void length_observe(struct length_stats *s, uint32_t tokens, uint32_t hint)
+{
+	double x, d;
+
+	if (!tokens) return;
+	x = log(tokens);
+	s->n = fading(s->n + 1);
+	d = x - s->mean;
+	s->mean += d / s->n;
+	s->var += (d * (x - s->mean) - s->var) / s->n;
+	if (!hint) return;
+	d = log(hint) - x;
+	s->hint_n = fading(s->hint_n + 1);
+	s->hint_var += (d * d - s->hint_var) / s->hint_n;
+}
+
+static double blend(double known, double n, double guess)
+{
+	return (known * n + guess * PRIOR_N) / (n + PRIOR_N);
+}
+
+/* The normal distribution's upper tail. */
+static double tail(double z)
+{
+	return 0.5 * erfc(z / sqrt(2.0));
+}
+
+/* The mean of a lognormal variable above made. */
+static double mean_above(double mu, double var, double made)
+{
+	double sd = sqrt(var), z, p;
+
+	if (made < 1) return exp(mu + var / 2);
+	z = (log(made) - mu) / sd;
+	p = tail(z);
+	if (p < 1e-6) return made * (1 + sd / 2);
+	return exp(mu + var / 2) * tail(z - sd) / p;
+}
+
+uint32_t length_remaining(const struct length_stats *s, uint32_t hint, uint32_t most,
+			  uint32_t made)
+{
+	double first = most ? most * PRIOR_PART : PRIOR_TOKENS;
+	double mu = blend(s->mean, s->n, log(first + 1)), var = blend(s->var, s->n, PRIOR_VAR);
+	double total;
+
+	if (hint) {
+		double hint_var = blend(s->hint_var, s->hint_n, HINT_VAR);
+		double w = var / (var + hint_var + 1e-9);
+
+		mu += w * (log(hint) - mu);
+		var *= 1 - w;
+	}
+	if (var < 0.01) var = 0.01;
+	total = mean_above(mu, var, made);
+	if (most && total > most) total = most;
+	return total > made ? (uint32_t)(total - made) : 0;
+}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -1,28 +1,30 @@
 #include <saddlehead/place.h>
 
 /* Weights of a generation's cost, in prompt tokens that would delay its first token as much. */
-#define RUN_COST 40        /* each request beside it slows every step a little */
-#define PRESSURE_COST 4    /* each token of memory over the mark risks a preemption */
-#define PRESSURE_PERCENT 85 /* the mark: lengths are guesses */
-#define BACKUP_PERCENT 92  /* copies are made up to here: they give way to requests */
-#define TIE 64             /* costs closer than this are equal: draw among them */
-#define FAR_US 1400        /* a call to another data centre takes about so much longer */
-#define CALL_US 15000      /* a call's time before any was measured */
-
+#define RUN_COST 40           /* each request beside it slows every step a little */
+#define PRESSURE_COST 4       /* each token of memory over the mark risks a preemption */
+#define PRESSURE_PERCENT 85   /* the mark: lengths are guesses */
+#define FULL_PERCENT 95       /* above it a request would soon press another out */
+#define ALL_BACKUP_PERCENT 65 /* of all memory: beyond, copies would press requests out */
+#define TIE 64                /* costs closer than this are equal: draw among them */
+#define FAR_US 1400           /* a call to another data centre takes about so much longer */
+#define CALL_US 15000         /* a call's time before any was measured */
+
+/* Others end while it grows: on the mean half of what it will make is in use. */
 static uint64_t need(const struct place_job *j)
 {
-	return (uint64_t)j->prompt + j->growth;
+	return (uint64_t)j->prompt + j->growth / 2;
 }
 
 int place_fits(const struct place_site *s, const struct place_job *j)
 {
-	if (!s->tokens) return 1;
-	return s->held + need(j) <= s->tokens;
+	if (!s->tokens || !s->used) return 1;
+	return (s->used + need(j)) * 100 <= (uint64_t)s->tokens * FULL_PERCENT;
 }
 
-static uint64_t over_mark(const struct place_site *s, const struct place_job *j, uint32_t copies)
+static uint64_t over_mark(const struct place_site *s, const struct place_job *j)
 {
-	uint64_t all = s->held + copies + need(j);
+	uint64_t all = s->held + s->backup + need(j);
 	uint64_t mark = (uint64_t)s->tokens * PRESSURE_PERCENT / 100;
 
 	return s->tokens && all > mark ? all - mark : 0;
@@ -32,13 +34,14 @@
 {
 	uint64_t cost = s->unread + (uint64_t)s->runs * RUN_COST;
 
-	cost += over_mark(s, j, 0) * PRESSURE_COST;
-	cost += over_mark(s, j, s->backup) / PRESSURE_COST;
+	cost += over_mark(s, j) * PRESSURE_COST;
+	if (!s->near) cost += s->far_cost;
 	if (s->slots && s->runs >= s->slots) cost += (uint64_t)(s->runs - s->slots + 1) * 1000;
 	return cost;
 }
 
-int place_generation(const struct place_site *s, int n, const struct place_job *j, uint32_t draw)
+int place_generation(const struct place_site *s, int n, const struct place_job *j,
+		     uint32_t draw)
 {
 	uint64_t best_cost = UINT64_MAX;
 	int i, ties = 0, best = -1;
@@ -57,17 +60,32 @@
 	return best;
 }
 
+/* Memory in use on all sites together, in percent. */
+static uint64_t percent_used(const struct place_site *s, int n, const struct place_job *j)
+{
+	uint64_t used = need(j), all = 0;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (!s[i].usable) continue;
+		used += s[i].used;
+		all += s[i].tokens;
+	}
+	return all ? used * 100 / all : 100;
+}
+
 int place_backup(const struct place_site *s, int n, int main, const struct place_job *j,
-		 uint32_t draw)
+		 uint32_t percent, uint32_t draw)
 {
 	uint64_t best_used = UINT64_MAX;
 	int i, best = -1;
 
+	if (percent_used(s, n, j) > ALL_BACKUP_PERCENT) return -1;
 	for (i = 0; i < n; i++) {
 		uint64_t used = s[i].held + (uint64_t)s[i].backup;
 
 		if (i == main || !s[i].usable || !s[i].tokens) continue;
-		if ((used + need(j)) * 100 > (uint64_t)s[i].tokens * BACKUP_PERCENT) continue;
+		if ((used + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
 		/* Memory moves between data centres in twice the time. */
 		if (!s[i].near) used += s[i].tokens / 8;
 		used = used * 64 + draw % 64;
@@ -91,7 +109,8 @@
 		draw = draw * 1664525u + 1013904223u;
 		if (!s[i].usable) continue;
 		if (s[i].slots) us += each * s[i].runs / s[i].slots;
-		if (s[i].slots && s[i].runs >= s[i].slots) us += each * (s[i].runs - s[i].slots + 1);
+		if (s[i].slots && s[i].runs >= s[i].slots)
+			us += each * (s[i].runs - s[i].slots + 1);
 		if (!s[i].near) us += FAR_US;
 		us += jitter;
 		if (best >= 0 && us >= best_us) continue;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,17 +13,18 @@
 #include "watch.h"
 #include <string.h>
 
-#define ADDRESSES_MAX 64        /* in one answer of the directory */
-#define TTL_PART 0.4            /* of the longest that callers keep an answer: changes are seen soon */
-#define TTL_HELD 3              /* some callers keep an answer so many times its life */
-#define DRAIN_END_US 400000     /* before the kill: what is left is ended properly */
-#define DRAIN_CLOSE_US 1000000  /* after it, connections at rest are closed: callers know by then */
-#define CONF_HEAD_MAX 16384     /* limits of a request until the configuration tells them */
+#define ADDRESSES_MAX 64 /* in one answer of the directory */
+#define TTL_PART 0.4     /* of the longest that callers keep an answer: changes are seen soon */
+#define TTL_HELD 3       /* some callers keep an answer so many times its life */
+#define DRAIN_END_US 400000 /* before the kill: what is left is ended properly */
+#define DRAIN_CLOSE_US \
+	1000000             /* after it, connections at rest are closed: callers know by then */
+#define CONF_HEAD_MAX 16384 /* limits of a request until the configuration tells them */
 #define CONF_BODY_MAX (4u << 20)
 #define CONF_HEAD_US 5000000
 #define CONF_IDLE_US 15000000
-#define INNER_IDLE_US 10000000  /* connections that ask for readiness, addresses and metrics */
-#define LEAVING_PART 0.9        /* of the time after which nothing may reach a leaving server */
+#define INNER_IDLE_US 10000000 /* connections that ask for readiness, addresses and metrics */
+#define LEAVING_PART 0.9       /* of the time after which nothing may reach a leaving server */
 
 static struct entry_cfg *cfg;
 static struct hs_listener front, ready, directory, metrics;
@@ -58,8 +59,8 @@
 {
 	int now = is_ready();
 
-	hs_answer(h, now ? 200 : 503, "Content-Type: text/plain\r\n", now ? "ready\n" : "not ready\n",
-		  now ? 6 : 10);
+	hs_answer(h, now ? 200 : 503, "Content-Type: text/plain\r\n",
+		  now ? "ready\n" : "not ready\n", now ? 6 : 10);
 }
 
 static void shuffle(const char **a, int n)
@@ -107,8 +108,9 @@
 	int64_t confirmed = board_confirmed_us();
 
 	met_write(out);
-	g_string_append_printf(out, "# TYPE saddlehead_log_lines_dropped_total counter\n"
-				    "saddlehead_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
+	g_string_append_printf(out,
+			       "# TYPE saddlehead_log_lines_dropped_total counter\n"
+			       "saddlehead_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
 			       (guint64)jlog_dropped());
 	if (confirmed != BOARD_NEVER)
 		g_string_append_printf(out,
@@ -141,7 +143,8 @@
 {
 	struct hs_limits inner = {CONF_HEAD_MAX, CONF_HEAD_MAX, CONF_HEAD_US, INNER_IDLE_US};
 
-	front.limits = (struct hs_limits){CONF_HEAD_MAX, CONF_BODY_MAX, CONF_HEAD_US, CONF_IDLE_US};
+	front.limits =
+		(struct hs_limits){CONF_HEAD_MAX, CONF_BODY_MAX, CONF_HEAD_US, CONF_IDLE_US};
 	front.on_request = rq_on_request;
 	front.on_left = rq_on_left;
 	front.on_drain = rq_on_drain;
@@ -158,7 +161,8 @@
 	int rc = hs_listen(l, at);
 
 	if (!rc) return 0;
-	return err_set(e, rc, STEP_SETTINGS, what, "can't listen for %s: %s", what, strerror(-rc));
+	return err_set(e, rc, STEP_SETTINGS, what, "can't listen for %s: %s", what,
+		       strerror(-rc));
 }
 
 static int listen_all(struct err *e)
@@ -167,7 +171,8 @@
 	int rc = listen_at(&front, &cfg->front, "callers", e);
 
 	if (!rc) rc = listen_at(&ready, &cfg->ready, "readiness", e);
-	if (!rc && cfg->has_directory) rc = listen_at(&directory, &cfg->directory, "the directory", e);
+	if (!rc && cfg->has_directory)
+		rc = listen_at(&directory, &cfg->directory, "the directory", e);
 	m.sin_port = htons(cfg->metrics_port);
 	if (!rc && cfg->metrics_port) rc = listen_at(&metrics, &m, "metrics", e);
 	return rc;
@@ -186,7 +191,9 @@
 	rc = listen_all(e);
 	if (rc) return rc;
 	rc = mesh_start(c);
-	if (rc) return err_set(e, rc, STEP_PEER, c->ip, "can't listen for peers: %s", strerror(-rc));
+	if (rc)
+		return err_set(e, rc, STEP_PEER, c->ip, "can't listen for peers: %s",
+			       strerror(-rc));
 	st_init(&c->platform);
 	watch_start();
 	roster_start(c);
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -5,11 +5,11 @@
 #include <errno.h>
 #include <string.h>
 
-#define EJECT_AFTER 3            /* failures in a row: two may be chance */
-#define EJECT_FIRST_US 1000000   /* then doubled each time, up to ... */
-#define EJECT_MAX_US 8000000     /* ... this: real work finds out whether it has recovered */
-#define EJECT_SHARE 2            /* at most one in so many of a service is ejected */
-#define FORGET_US 30000000       /* a gone entry is remembered: late word must not revive it */
+#define EJECT_AFTER 3          /* failures in a row: two may be chance */
+#define EJECT_FIRST_US 1000000 /* then doubled each time, up to ... */
+#define EJECT_MAX_US 8000000   /* ... this: real work finds out whether it has recovered */
+#define EJECT_SHARE 2          /* at most one in so many of a service is ejected */
+#define FORGET_US 30000000     /* a gone entry is remembered: late word must not revive it */
 
 void (*be_on_leaving)(struct be *b);
 int64_t be_need_us;
@@ -88,7 +88,8 @@
 	for (i = all->len; i-- > 0;) {
 		struct be *b = g_ptr_array_index(all, i);
 
-		if (b->state == BE_GONE && b->refs == 1 && now - b->since_us > FORGET_US) forget(b);
+		if (b->state == BE_GONE && b->refs == 1 && now - b->since_us > FORGET_US)
+			forget(b);
 	}
 }
 
@@ -151,8 +152,10 @@
 	if (!b) b = add(i, &sa);
 	b->slots = i->slots;
 	if (i->cold_us) b->cold_until_us = now + i->cold_us;
-	if (i->leaving) set_state(b, BE_LEAVING, "platform");
-	else if (b->state == BE_GONE) set_state(b, BE_READY, "platform");
+	if (i->leaving)
+		set_state(b, BE_LEAVING, "platform");
+	else if (b->state == BE_GONE)
+		set_state(b, BE_READY, "platform");
 	return 0;
 }
 
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -75,7 +75,8 @@
 	jlog_end(g);
 }
 
-/* A configuration that can't be read leaves the one before in force, but no longer confirmed. */
+/* A configuration that can't be read leaves the one before in force, but no longer confirmed.
+ */
 static void take_conf(const struct st_item *i, const char *from)
 {
 	struct err e;
@@ -152,7 +153,8 @@
 		const struct note *n = value;
 
 		if (!n->value || n->revision > at || !g_str_has_prefix(key, prefix)) continue;
-		if (!g_hash_table_contains(listed, key)) g_ptr_array_add(missing, g_strdup(key));
+		if (!g_hash_table_contains(listed, key))
+			g_ptr_array_add(missing, g_strdup(key));
 	}
 	for (i = 0; i < missing->len; i++) {
 		struct st_item gone = {.key = g_ptr_array_index(missing, i), .revision = at};
@@ -174,7 +176,8 @@
 		struct st_item i = {.key = n->key, .revision = n->revision};
 		gsize len = 0;
 
-		if (n->revision <= (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
+		if (n->revision <=
+		    (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
 			continue;
 		if (n->value) i.value = g_bytes_get_data(n->value, &len);
 		i.len = len;
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -11,12 +11,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BEAT_US 400000        /* each instance to each other one */
-#define DEAD_US 1500000       /* three beats missed and some way */
-#define FORGET_US 30000000    /* an instance not heard of for so long is not tried any more */
-#define RECONNECT_US 500000   /* between two tries to connect */
-#define LINK_MAX (6u << 20)   /* bytes that wait for an instance that does not read */
-#define WHOLE_EVERY 5         /* beats between whole load messages: heals what was missed */
+#define BEAT_US 400000      /* each instance to each other one */
+#define DEAD_US 1500000     /* three beats missed and some way */
+#define FORGET_US 30000000  /* an instance not heard of for so long is not tried any more */
+#define RECONNECT_US 500000 /* between two tries to connect */
+#define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
+#define WHOLE_EVERY 5       /* beats between whole load messages: heals what was missed */
 #define MEMBERS_MAX 4096
 
 static const struct entry_cfg *cfg;
@@ -56,7 +56,8 @@
 	uint32_t i;
 
 	for (i = 0; i < members->len; i++)
-		g_strlcpy(ip[i], ((struct member *)g_ptr_array_index(members, i))->ip, sizeof ip[i]);
+		g_strlcpy(ip[i], ((struct member *)g_ptr_array_index(members, i))->ip,
+			  sizeof ip[i]);
 	mesh_write_members(out, ip, members->len);
 	g_free(ip);
 }
@@ -97,7 +98,8 @@
 
 	m->next_connect_us = clock_us() + RECONNECT_US;
 	if (inet_pton(AF_INET, m->ip, &to.sin_addr) != 1) return;
-	m->link = (struct cn){.on_up = on_link_up, .on_data = on_link_data, .on_end = on_link_end};
+	m->link = (struct cn){
+		.on_up = on_link_up, .on_data = on_link_data, .on_end = on_link_end};
 	cn_connect(&m->link, &to);
 }
 
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -17,6 +17,7 @@
 	a->unread += sign * b->unread;
 	a->held += sign * b->held;
 	a->backup += sign * b->backup;
+	a->used += sign * b->used;
 }
 
 static void set_row(struct member *m, const struct mesh_row *r)
--- a/src/fleet/mesh_msg.c
+++ b/src/fleet/mesh_msg.c
@@ -57,12 +57,13 @@
 	msgpack_pack_int(&p, MESH_LOADS);
 	msgpack_pack_int(&p, whole);
 	for (i = 0; i < n; i++) {
-		msgpack_pack_array(&p, 5);
+		msgpack_pack_array(&p, 6);
 		pack_text(&p, row[i].id);
 		msgpack_pack_uint32(&p, row[i].load.runs);
 		msgpack_pack_uint32(&p, row[i].load.unread);
 		msgpack_pack_uint32(&p, row[i].load.held);
 		msgpack_pack_uint32(&p, row[i].load.backup);
+		msgpack_pack_uint32(&p, row[i].load.used);
 	}
 	finish(out, &buf);
 	msgpack_sbuffer_destroy(&buf);
@@ -126,7 +127,8 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
-static void write_texts(GString *out, enum mesh_type type, char (*text)[ENTRY_TEXT_MAX + 1], int n)
+static void write_texts(GString *out, enum mesh_type type, char (*text)[ENTRY_TEXT_MAX + 1],
+			int n)
 {
 	msgpack_sbuffer buf;
 	msgpack_packer p;
@@ -189,12 +191,13 @@
 {
 	const msgpack_object_array *a = &o->via.array;
 
-	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 5) return -EBADMSG;
+	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 6) return -EBADMSG;
 	if (mesh_text(&a->ptr[0], r->id, sizeof r->id)) return -EBADMSG;
 	r->load.runs = mesh_int(&a->ptr[1]);
 	r->load.unread = mesh_int(&a->ptr[2]);
 	r->load.held = mesh_int(&a->ptr[3]);
 	r->load.backup = mesh_int(&a->ptr[4]);
+	r->load.used = mesh_int(&a->ptr[5]);
 	return 0;
 }
 
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -29,7 +29,8 @@
 static void write_key(void)
 {
 	char *key = g_strconcat(PREFIX, cfg->instance, NULL);
-	struct st_change c = {.put_key = key, .value = cfg->ip, .len = strlen(cfg->ip), .lease = lease};
+	struct st_change c = {
+		.put_key = key, .value = cfg->ip, .len = strlen(cfg->ip), .lease = lease};
 
 	st_commit(&c, on_written, NULL);
 	g_free(key);
@@ -60,9 +61,12 @@
 static void on_keep(struct ev_timer *t)
 {
 	(void)t;
-	if (!lease) st_lease(LEASE_MS, on_leased, NULL);
-	else if (!written) write_key();
-	else st_renew(lease, on_renewed, NULL);
+	if (!lease)
+		st_lease(LEASE_MS, on_leased, NULL);
+	else if (!written)
+		write_key();
+	else
+		st_renew(lease, on_renewed, NULL);
 }
 
 static void on_listed(const struct st_reply *r, void *user)
--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -6,12 +6,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define READ_SIZE 16384        /* bytes a read; larger ones only cost stack */
-#define READS_A_TURN 4         /* then others get their turn */
-#define USER_TIMEOUT_MS 3000   /* unacknowledged bytes for so long: the peer is cut off */
-#define KEEPALIVE_IDLE_S 3     /* a silent peer is asked this often ... */
-#define KEEPALIVE_PROBES 3     /* ... and given up after so many questions */
-#define LISTEN_BACKLOG 1024    /* a full queue costs callers seconds */
+#define READ_SIZE 16384      /* bytes a read; larger ones only cost stack */
+#define READS_A_TURN 4       /* then others get their turn */
+#define USER_TIMEOUT_MS 3000 /* unacknowledged bytes for so long: the peer is cut off */
+#define KEEPALIVE_IDLE_S 3   /* a silent peer is asked this often ... */
+#define KEEPALIVE_PROBES 3   /* ... and given up after so many questions */
+#define LISTEN_BACKLOG 1024  /* a full queue costs callers seconds */
 
 int cn_open(const struct cn *c)
 {
@@ -65,7 +65,8 @@
 static int flush(struct cn *c)
 {
 	while (cn_pending(c)) {
-		ssize_t n = send(c->ev.fd, c->out->str + c->out_off, cn_pending(c), MSG_NOSIGNAL);
+		ssize_t n =
+			send(c->ev.fd, c->out->str + c->out_off, cn_pending(c), MSG_NOSIGNAL);
 
 		if (n < 0 && errno == EINTR) continue;
 		if (n < 0) return errno == EAGAIN ? 0 : -errno;
@@ -147,7 +148,8 @@
 
 	if (c->connecting || (events & EPOLLOUT)) on_writable(c);
 	if (c->ev.fd < 0 || c->connecting) return;
-	if (!c->paused && !c->got_eof && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
+	if (!c->paused && !c->got_eof &&
+	    (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
 		on_readable(c);
 	else if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
 		on_hangup(c, events);
--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -57,7 +57,8 @@
 static int on_value(http_parser *p, const char *at, size_t n)
 {
 	struct hp *m = self(p);
-	struct hp_field *f = &g_array_index(m->head.fields, struct hp_field, m->head.fields->len - 1);
+	struct hp_field *f =
+		&g_array_index(m->head.fields, struct hp_field, m->head.fields->len - 1);
 
 	if (m->in_value) {
 		add_text(&m->head, at, n);
@@ -204,15 +205,23 @@
 
 int hp_hop_by_hop(const struct hp_head *h, const char *name)
 {
-	static const char *const known[] = {"connection", "keep-alive", "proxy-connection", "te",
-					    "trailer", "transfer-encoding", "upgrade",
-					    "proxy-authenticate", "proxy-authorization", NULL};
+	static const char *const known[] = {"connection",
+					    "keep-alive",
+					    "proxy-connection",
+					    "te",
+					    "trailer",
+					    "transfer-encoding",
+					    "upgrade",
+					    "proxy-authenticate",
+					    "proxy-authorization",
+					    NULL};
 	uint32_t i;
 
 	for (i = 0; known[i]; i++)
 		if (!strcasecmp(name, known[i])) return 1;
 	for (i = 0; i < hp_count(h); i++)
-		if (!strcasecmp(hp_name(h, i), "connection") && hp_has_token(hp_value(h, i), name))
+		if (!strcasecmp(hp_name(h, i), "connection") &&
+		    hp_has_token(hp_value(h, i), name))
 			return 1;
 	return 0;
 }
--- a/src/http/hs.c
+++ b/src/http/hs.c
@@ -5,9 +5,9 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
-#define ACCEPTS_A_TURN 64       /* then others get their turn */
-#define LINGER_US 1000000       /* after the last answer, for the caller to close first */
-#define BODY_US 20000000        /* for a body to come in whole; heads have their own limit */
+#define ACCEPTS_A_TURN 64 /* then others get their turn */
+#define LINGER_US 1000000 /* after the last answer, for the caller to close first */
+#define BODY_US 20000000  /* for a body to come in whole; heads have their own limit */
 
 static void on_data(struct cn *c, const char *p, size_t n);
 
@@ -56,8 +56,10 @@
 {
 	struct hs *h = (struct hs *)c;
 
-	if (h->closing) close_softly(h);
-	else if (h->busy && h->listener->on_drain) h->listener->on_drain(h);
+	if (h->closing)
+		close_softly(h);
+	else if (h->busy && h->listener->on_drain)
+		h->listener->on_drain(h);
 }
 
 const char *hs_reason(int status)
@@ -246,7 +248,8 @@
 	(void)events;
 	for (i = 0; i < ACCEPTS_A_TURN; i++) {
 		len = sizeof from;
-		fd = accept4(f->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		fd = accept4(f->fd, (struct sockaddr *)&from, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0) return;
 		accept_one(l, fd, &from);
 	}
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -14,8 +14,10 @@
 static void end(struct hx *x, int err)
 {
 	ev_stop(&x->timer);
-	if (err) cn_reset(&x->cn);
-	else cn_close(&x->cn);
+	if (err)
+		cn_reset(&x->cn);
+	else
+		cn_close(&x->cn);
 	x->on_end(x, err);
 	release(x);
 }
@@ -32,8 +34,10 @@
 	struct hx *x = (struct hx *)c;
 
 	x->up = 1;
-	if (x->wait_us) ev_in(&x->timer, x->wait_us);
-	else ev_stop(&x->timer);
+	if (x->wait_us)
+		ev_in(&x->timer, x->wait_us);
+	else
+		ev_stop(&x->timer);
 	cn_write(c, x->request->str, x->request->len);
 	g_string_free(x->request, TRUE);
 	x->request = NULL;
@@ -47,10 +51,14 @@
 	x->reading = 1;
 	used = hp_feed(&x->hp, p, n);
 	x->reading = 0;
-	if (x->cancelled) release(x);
-	else if (used < 0) end(x, (int)used);
-	else if (x->hp.done) end(x, 0);
-	else if (x->wait_us) ev_in(&x->timer, x->wait_us);
+	if (x->cancelled)
+		release(x);
+	else if (used < 0)
+		end(x, (int)used);
+	else if (x->hp.done)
+		end(x, 0);
+	else if (x->wait_us)
+		ev_in(&x->timer, x->wait_us);
 }
 
 static void on_cn_end(struct cn *c, int err)
@@ -60,8 +68,10 @@
 	x->reading = 1;
 	if (!err) err = hp_end(&x->hp);
 	x->reading = 0;
-	if (x->cancelled) release(x);
-	else end(x, err);
+	if (x->cancelled)
+		release(x);
+	else
+		end(x, err);
 }
 
 static void on_timer(struct ev_timer *t)
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -17,7 +17,8 @@
 	uint32_t runs;   /* requests sent and not ended */
 	uint32_t unread; /* prompt tokens of those that made no token yet */
 	uint32_t held;   /* tokens of memory they will come to, as far as foreseen */
-	uint32_t backup; /* tokens of copies kept there for runs elsewhere */
+	uint32_t backup; /* the same of copies kept there for runs elsewhere */
+	uint32_t used;   /* tokens of memory that runs and copies have now */
 };
 
 struct be {
@@ -27,15 +28,15 @@
 	struct sockaddr_in sa;
 	enum be_state state;
 	uint32_t slots;
-	int64_t since_us;     /* monotonic: when state became what it is */
+	int64_t since_us;      /* monotonic: when state became what it is */
 	int64_t cold_until_us; /* slow until then */
 	struct be_load own, others;
 	/* From this instance's own exchanges: */
-	uint32_t failures;       /* in a row */
+	uint32_t failures;        /* in a row */
 	int64_t ejected_until_us; /* gets no work before; 0: sound */
-	int64_t eject_us;        /* how long the last time */
-	double answer_us;        /* moving average of plain answers; 0: none yet */
-	int dirty;               /* own load changed since peers were told */
+	int64_t eject_us;         /* how long the last time */
+	double answer_us;         /* moving average of plain answers; 0: none yet */
+	int dirty;                /* own load changed since peers were told */
 };
 
 struct be_info { /* an entry as the platform lists it */
--- a/src/internal/conf.h
+++ b/src/internal/conf.h
@@ -33,15 +33,17 @@
 
 struct conf_service {
 	char *name;
-	uint32_t connections; /* a backend server takes from all instances together; 0: not told */
+	uint32_t connections; /* a backend server takes from all instances together; 0: not told
+			       */
 	/* Model engines only: */
 	int engine;
 	uint32_t slots;       /* requests at once */
 	uint32_t tokens;      /* memory for them */
 	uint32_t token_bytes; /* memory of one token */
+	uint32_t stride;      /* tokens in one event of a stream; 1 where not told */
 	double link_mbps;     /* over which memory moves */
 	int moves, backups;
-	int64_t handle_us;    /* a copy is kept so long */
+	int64_t handle_us; /* a copy is kept so long */
 };
 
 struct conf_group {
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -1,5 +1,6 @@
 /* What is spoken with callers, backend servers, the directory's callers and the platform's
- * lists, in the product's own types. One adapter implements it; nothing else knows its names. */
+ * lists, in the product's own types. One adapter implements it; nothing else knows its names.
+ */
 #ifndef SH_DIALECT_H
 #define SH_DIALECT_H
 #include "be.h"
@@ -14,12 +15,12 @@
 
 /* What the head of a caller's request says. Texts live as long as the head. */
 struct dl_request {
-	const char *id;       /* of this attempt */
+	const char *id; /* of this attempt */
 	const char *host, *target;
-	const char *key;      /* NULL: none */
-	int64_t deadline_us;  /* how long the caller waits; 0: not told */
+	const char *key;                    /* NULL: none */
+	int64_t deadline_us;                /* how long the caller waits; 0: not told */
 	uint32_t prompt_tokens, output_max; /* 0: not told */
-	uint32_t output_hint; /* the caller's guess; 0: none */
+	uint32_t output_hint;               /* the caller's guess; 0: none */
 	const char *resume_after; /* the last event that the caller has; NULL: from the start */
 };
 
@@ -28,13 +29,14 @@
 
 /* What this instance adds to a request on its way to a backend server. */
 struct dl_send {
-	const char *backend;     /* the incarnation meant: another one refuses */
-	const char *group;       /* the workspace, NULL where the route is open */
-	int64_t deadline_us;     /* what is left */
-	int priority;            /* 0 (most urgent) to 9; -1: not told */
-	const char *backup_at;   /* address of the engine that gets a running copy; or NULL */
-	const char *copy_at, *copy; /* goes on from a copy: the source's address, and its name */
-	const char *resume_after;   /* instead of the caller's; NULL: the caller's */
+	const char *backend;   /* the incarnation meant: another one refuses */
+	const char *group;     /* the workspace, NULL where the route is open */
+	int64_t deadline_us;   /* what is left */
+	int priority;          /* 0 (most urgent) to 9; -1: not told */
+	const char *backup_at; /* address of the engine that gets a running copy; or NULL */
+	const char *copy_at,
+		*copy;            /* goes on from a copy: the source's address, and its name */
+	const char *resume_after; /* instead of the caller's; NULL: the caller's */
 };
 void dl_write_request(GString *out, const struct hp_head *h, const GString *body,
 		      const struct dl_send *s);
@@ -62,6 +64,17 @@
 int dl_read_moved(const char *body, size_t n, struct dl_moved *m);
 void dl_write_drop(GString *out, const struct be *at, const char *handle);
 
+/* An engine's own word on its state; some hundred milliseconds old when it comes. */
+struct dl_report {
+	uint32_t used, total;      /* tokens of memory that can't give way, and all */
+	uint32_t running, waiting; /* requests */
+	int leaving;
+	int64_t leaves_us; /* from now; negative: not told */
+};
+void dl_write_report(GString *out, const struct be *at);
+/* 0 or -EBADMSG. */
+int dl_read_report(const char *body, size_t n, struct dl_report *r);
+
 /* The platform's lists. */
 extern const char *const dl_prefixes[]; /* of the keys to watch, NULL at the end */
 extern const char *const dl_conf_key;
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -14,17 +14,17 @@
 	char ip[ENTRY_TEXT_MAX + 1];
 	char front_text[ENTRY_TEXT_MAX + 1]; /* as callers are told it */
 	struct sockaddr_in front, ready, directory, platform;
-	int has_directory; /* 0: another program answers where to go */
-	uint16_t peer_port, metrics_port; /* 0: no metrics */
+	int has_directory;                        /* 0: another program answers where to go */
+	uint16_t peer_port, metrics_port;         /* 0: no metrics */
 	struct sockaddr_in seed[ENTRY_SEEDS_MAX]; /* some other instances' peer ports */
 	int nseeds;
-	int fail_closed;          /* keyed requests only under a confirmed configuration */
-	int64_t revoke_us;        /* a removed key runs nothing after it */
-	int64_t drain_us;         /* a leaving backend server gets nothing after it */
-	int64_t grace_us;         /* from the signal to stop until the kill */
+	int fail_closed;           /* keyed requests only under a confirmed configuration */
+	int64_t revoke_us;         /* a removed key runs nothing after it */
+	int64_t drain_us;          /* a leaving backend server gets nothing after it */
+	int64_t grace_us;          /* from the signal to stop until the kill */
 	int64_t answer_ttl_max_us; /* callers keep an address at most so long */
 	double retry_ratio, retry_slack; /* repeats in a window: ratio x requests + slack */
 	int64_t retry_window_us;
-	int64_t beat_us;          /* how often backend servers renew their entries */
+	int64_t beat_us; /* how often backend servers renew their entries */
 };
 #endif
--- a/src/internal/hp.h
+++ b/src/internal/hp.h
@@ -13,7 +13,7 @@
 
 struct hp_head {
 	GString *text;
-	GArray *fields; /* of struct hp_field */
+	GArray *fields;  /* of struct hp_field */
 	uint32_t target; /* the request's target as it came */
 	int status;      /* of an answer */
 	enum http_method method;
--- a/src/internal/hs.h
+++ b/src/internal/hs.h
@@ -5,8 +5,8 @@
 #include "hp.h"
 
 struct hs_limits {
-	size_t head_max, body_max;   /* bytes */
-	int64_t head_us, idle_us;    /* to send a head; at rest between requests */
+	size_t head_max, body_max; /* bytes */
+	int64_t head_us, idle_us;  /* to send a head; at rest between requests */
 };
 
 struct hs;
--- a/src/internal/hx.h
+++ b/src/internal/hx.h
@@ -10,8 +10,8 @@
 	struct hp hp;
 	struct ev_timer timer;
 	GString *request;
-	int up;          /* connected: from here on bytes may have reached the peer */
-	int reading;     /* within a callback of the codec */
+	int up;      /* connected: from here on bytes may have reached the peer */
+	int reading; /* within a callback of the codec */
 	int cancelled;
 	int64_t wait_us; /* silence after the request that ends the exchange; 0: none */
 	int (*on_head)(struct hx *x); /* 0 or a negative errno that ends the exchange */
@@ -23,7 +23,8 @@
 };
 
 struct hx *hx_new(void *user);
-/* Takes request over. on_end comes, never from within. 0 or a negative errno: then x is freed. */
+/* Takes request over. on_end comes, never from within. 0 or a negative errno: then x is freed.
+ */
 int hx_start(struct hx *x, const struct sockaddr_in *to, GString *request, int64_t connect_us);
 /* Ends it at once; no callback follows. The peer sees a reset. */
 void hx_cancel(struct hx *x);
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -9,6 +9,7 @@
 #include "hx.h"
 #include "met.h"
 #include "rq.h"
+#include <saddlehead/length.h>
 #include <saddlehead/place.h>
 
 struct rq;
@@ -17,12 +18,16 @@
 struct leg {
 	struct rq *rq;
 	struct be *be;
-	struct hx *hx;     /* NULL once it ended */
-	struct be *backup; /* gets a running copy; or NULL */
-	int from_copy;     /* goes on from memory that was copied there */
-	int reading;       /* its prompt counts as unread there */
-	int not_run;       /* the answer says so */
-	int answered;      /* the head of an answer that counts came */
+	struct hx *hx;      /* NULL once it ended */
+	struct be *backup;  /* is sent a copy of its memory by the engine; or NULL */
+	int from_copy;      /* goes on from memory that was copied there */
+	int copy_freed;     /* the run ended well, or its copy was taken over */
+	int reading;        /* its prompt counts as unread there */
+	uint32_t held;      /* tokens counted on be, foreseen ... */
+	uint32_t used;      /* ... and now; on backup the same */
+	uint64_t recounted; /* at this event */
+	int not_run;        /* the answer says so */
+	int answered;       /* the head of an answer that counts came */
 	int64_t sent_us, first_us;
 	struct evs evs;
 };
@@ -41,7 +46,8 @@
 	struct hx *hx; /* the order under way */
 	GString *body;
 	struct ev_timer timer;
-	char handle[DL_HANDLE_MAX + 1];
+	char handle[DL_HANDLE_MAX + 1]; /* of what was copied */
+	int stopped;                    /* the source has; the copy is all there is */
 	int tries;
 };
 
@@ -53,13 +59,15 @@
 	const struct conf_service *service;
 	struct dl_request in;
 	struct place_job job;
-	int64_t began_us, end_us; /* came; must have its final answer */
+	int64_t began_us, end_us;   /* came; must have its final answer */
 	int64_t first_us, event_us; /* first byte to the caller; last event */
 	struct ev_timer end_timer, stall_timer;
 	struct leg *leg, *next; /* the one that answers; the one that will */
 	struct move move;
-	int sends;    /* exchanges that were begun */
-	int runs;     /* of them, those that may have run */
+	int waiting;     /* for memory: in rq_waiting */
+	int64_t wait_us; /* until when it waits */
+	int sends;       /* exchanges that were begun */
+	int runs;        /* of them, those that may have run */
 	int head_sent;
 	int status;
 	GString *answer; /* of a plain call, until it is whole */
@@ -88,15 +96,27 @@
 /* rq_send.c */
 /* Looks for a backend server and sends; refuses when there is none. */
 void rq_place(struct rq *r);
-/* Sends to b; copy NULL: from the start, or after the last event seen. NULL when not possible. */
+/* Sends to b; copy NULL: from the start, or after the last event seen. NULL when not possible.
+ */
 struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy);
 /* Cancels what is under way and takes its load off. */
 void leg_free(struct leg *l);
 /* Its prompt is read: the first token came. */
 void leg_read(struct leg *l);
+/* Counts its memory anew after it grew. */
+void leg_recount(struct leg *l);
+/* What is known of the lengths of the request's route. */
+struct length_stats *rq_lengths(const struct rq *r);
+/* Tokens that the request has made. */
+uint32_t rq_made(const struct rq *r);
+/* Sends what waits and now fits. */
+void rq_look_at_waiting(void);
+void rq_stop_waiting(struct rq *r);
 /* Its running copy is of no use any more. */
 void leg_drop_backup(struct leg *l);
 int rq_may_repeat(struct rq *r);
+/* Whether the request as it is now fits into b's memory. */
+int rq_fits(const struct rq *r, const struct be *b);
 struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
 struct budget *rq_budget(const char *service);
 struct budget_rule rq_budget_rule(void);
--- a/src/internal/store.h
+++ b/src/internal/store.h
@@ -30,7 +30,7 @@
 
 /* One change, made only if its condition holds. */
 struct st_change {
-	const char *if_key; /* NULL: no condition */
+	const char *if_key;   /* NULL: no condition */
 	uint64_t if_revision; /* 0: the key is absent */
 	const char *put_key;  /* NULL: nothing is written, the condition alone is asked */
 	const char *value;
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -11,9 +11,9 @@
 #define RETRY_LATER_US 400000  /* what is missing comes back within about a second */
 #define RETRY_SPREAD_US 200000 /* so that callers don't come back together */
 #define STALL_LOOK_US 250000   /* how often a stream's silence is looked at */
-#define STALL_GAPS 8           /* silence of so many of the route's pauses is an engine's death */
-#define STALL_MIN_US 1000000   /* never less: long prompts of others hold a stream up */
-#define TOKEN_US 9000          /* a token on a busy engine; only for what a drain still takes */
+#define STALL_GAPS 8         /* silence of so many of the route's pauses is an engine's death */
+#define STALL_MIN_US 1000000 /* never less: long prompts of others hold a stream up */
+#define TOKEN_US 9000        /* a token on a busy engine; only for what a drain still takes */
 
 const struct entry_cfg *rq_cfg;
 GPtrArray *rq_all;
@@ -60,6 +60,7 @@
 	last->index = r->index;
 	g_ptr_array_set_size(rq_all, rq_all->len - 1);
 	met_set(MET_G_REQUESTS, rq_all->len);
+	rq_stop_waiting(r);
 	move_stop(r);
 	ev_stop(&r->end_timer);
 	ev_stop(&r->stall_timer);
@@ -151,6 +152,7 @@
 
 	met_add(MET_ANSWERED, 1);
 	observe(r);
+	length_observe(rq_lengths(r), rq_made(r), r->in.output_hint);
 	rq_log(r, "answered", NULL);
 	h->user = NULL;
 	rq_free(r);
@@ -162,8 +164,10 @@
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, end_timer));
 
-	if (!r->sends) rq_refuse(r, REF_BUSY, RETRY_LATER_US, "the time ran out before it was sent");
-	else rq_fail(r, REF_DEADLINE, "the time ran out");
+	if (!r->sends)
+		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "the time ran out before it was sent");
+	else
+		rq_fail(r, REF_DEADLINE, "the time ran out");
 }
 
 static int64_t stall_us(const struct rq *r)
@@ -184,12 +188,6 @@
 	move_to_backup(r);
 }
 
-static uint32_t growth(const struct dl_request *in)
-{
-	if (in->output_hint) return MIN(in->output_hint, in->output_max ? in->output_max : UINT32_MAX);
-	return in->output_max / 2;
-}
-
 /* 0 while the configuration is too old to tell whether the key still holds. */
 int rq_confirmed(const struct rq *r)
 {
@@ -260,15 +258,17 @@
 	met_add(MET_REQUESTS, 1);
 	if (check(r)) return;
 	r->job.prompt = r->in.prompt_tokens;
-	r->job.growth = growth(&r->in);
+	r->job.growth = length_remaining(rq_lengths(r), r->in.output_hint, r->in.output_max, 0);
 	if (outlasts_drain(r)) {
-		rq_refuse(r, REF_DRAINING, RETRY_SOON_US / 3, "this instance stops before it would end");
+		rq_refuse(r, REF_DRAINING, RETRY_SOON_US / 3,
+			  "this instance stops before it would end");
 		return;
 	}
 	name = conf_pick(r->route, g_random_double());
 	r->service = name ? conf_service(r->conf, name) : NULL;
 	if (!r->service) {
-		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US, "the route's service is not configured");
+		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
+			  "the route's service is not configured");
 		return;
 	}
 	set_times(r);
@@ -314,6 +314,7 @@
 
 void rq_abort_all(void)
 {
-	while (rq_all->len) rq_fail(g_ptr_array_index(rq_all, rq_all->len - 1), REF_DRAINING,
-				    "this instance stops");
+	while (rq_all->len)
+		rq_fail(g_ptr_array_index(rq_all, rq_all->len - 1), REF_DRAINING,
+			"this instance stops");
 }
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -7,7 +7,8 @@
 #include <string.h>
 
 #define ANSWER_MAX (4u << 20) /* bytes of a plain answer: a thousand times one of today */
-#define READ_PAUSE 131072     /* bytes that a slow reader may leave: some 400 events */
+#define RECOUNT_EVENTS 32 /* a stream's memory is told anew after so many: a percent of it */
+#define READ_PAUSE 131072 /* bytes that a slow reader may leave: some 400 events */
 
 /* These statuses promise that the request has not run. */
 static int promises(int status)
@@ -111,6 +112,10 @@
 	}
 	g_string_free(out, TRUE);
 	if (rc || !r->event_us) return rc;
+	if (r->seen.count - l->recounted >= RECOUNT_EVENTS) {
+		l->recounted = r->seen.count;
+		leg_recount(l);
+	}
 	if (!l->first_us) {
 		l->first_us = r->event_us;
 		leg_read(l);
@@ -163,8 +168,10 @@
 
 	log_broke(l, "not_run", 0);
 	leg_read(l);
-	if (rq_may_repeat(r)) again(r, RETRY_ENGINE_STATUS);
-	else rq_refuse(r, REF_BUSY, 300000, "backend servers turned it away");
+	if (rq_may_repeat(r))
+		again(r, RETRY_ENGINE_STATUS);
+	else
+		rq_refuse(r, REF_BUSY, 300000, "backend servers turned it away");
 }
 
 static void not_reached(struct leg *l, int err)
@@ -173,8 +180,10 @@
 
 	log_broke(l, "not_reached", err);
 	be_failed(l->be, "not reached");
-	if (r->sends < 4) again(r, RETRY_CONNECT);
-	else rq_refuse(r, REF_NO_ENGINE, 300000, "backend servers are not reached");
+	if (r->sends < 4)
+		again(r, RETRY_CONNECT);
+	else
+		rq_refuse(r, REF_NO_ENGINE, 300000, "backend servers are not reached");
 }
 
 static void broke(struct leg *l, int err)
@@ -190,13 +199,15 @@
 		again(r, r->seen.count ? RETRY_RESUME : RETRY_ENGINE_LOST);
 		return;
 	}
-	rq_fail(r, r->head_sent ? REF_STREAM_LOST : REF_ENGINE_FAILED, "the backend server broke off");
+	rq_fail(r, r->head_sent ? REF_STREAM_LOST : REF_ENGINE_FAILED,
+		"the backend server broke off");
 }
 
 static void stream_done(struct leg *l, const struct hp_head *head)
 {
 	struct rq *r = l->rq;
 
+	l->copy_freed = 1;
 	if (l->evs.part->len) pass_on(l, head, l->evs.part->str, l->evs.part->len);
 	write_stream_head(r, head);
 	rq_stream_end(r);
@@ -235,8 +246,12 @@
 		stream_done(l, &x->hp.head);
 		return;
 	}
-	if (!err) answer_done(l, &x->hp.head);
-	else if (l->not_run) turned_away(l);
-	else if (!x->up) not_reached(l, err);
-	else broke(l, err);
+	if (!err)
+		answer_done(l, &x->hp.head);
+	else if (l->not_run)
+		turned_away(l);
+	else if (!x->up)
+		not_reached(l, err);
+	else
+		broke(l, err);
 }
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -1,8 +1,8 @@
 /*
- * Running streams leave an engine that goes away. Either a running copy of the memory is kept at
- * another engine already (a backup), or the memory is moved on request: first while the source
- * runs, then the rest with the source stopped. The reader's stream goes on with the event after
- * the last one that it has.
+ * Running streams leave an engine that goes away. Either a running copy of the memory is kept
+ * at another engine already (a backup), or the memory is moved on request: first while the
+ * source runs, then the rest with the source stopped. The reader's stream goes on with the
+ * event after the last one that it has.
  */
 #include "clock.h"
 #include "jlog.h"
@@ -15,7 +15,7 @@
 #define SETTLE_US 400000     /* a prompt's memory crosses a link in 0.2 to 0.4 s */
 #define AGAIN_US 40000       /* an order that came too early or too soon after another */
 #define SOURCE_END_US 100000 /* the source's last events are under way */
-#define ORDER_US 4000000     /* moves queue on their links; the source lives two seconds or so */
+#define ORDER_US 4000000 /* moves queue on their links; the source lives two seconds or so */
 #define CONNECT_US 250000
 #define TRIES_MAX 12
 
@@ -46,18 +46,21 @@
 	(void)err;
 }
 
-static void drop_handle(struct move *m)
+static void copy_drop(struct be *at, const char *name)
 {
-	GString *out;
-	struct hx *x;
+	GString *out = g_string_new(NULL);
+	struct hx *x = hx_new(NULL);
 
-	if (!m->handle[0] || !m->source) return;
-	out = g_string_new(NULL);
-	dl_write_drop(out, m->source, m->handle);
-	x = hx_new(NULL);
+	dl_write_drop(out, at, name);
 	x->on_end = ignore_end;
 	x->wait_us = ORDER_US;
-	hx_start(x, &m->source->sa, out, CONNECT_US);
+	hx_start(x, &at->sa, out, CONNECT_US);
+}
+
+/* What was copied for a move that did not come to its end takes memory until it is dropped. */
+static void drop_made(struct move *m)
+{
+	if (m->handle[0] && m->target) copy_drop(m->target, m->handle);
 	m->handle[0] = '\0';
 }
 
@@ -68,8 +71,8 @@
 	ev_stop(&m->timer);
 	if (m->hx) hx_cancel(m->hx);
 	m->hx = NULL;
-	if (m->state != MOVE_NEXT) drop_handle(m);
-	m->handle[0] = '\0';
+	drop_made(m);
+	m->stopped = 0;
 	if (m->body) g_string_free(m->body, TRUE);
 	m->body = NULL;
 	forget_ends(m);
@@ -138,7 +141,10 @@
 		later(r, AGAIN_US);
 		return;
 	}
-	if (++m->tries > TRIES_MAX) return;
+	if (++m->tries > TRIES_MAX) {
+		m->state = MOVE_NONE;
+		return;
+	}
 	forget_ends(m);
 	m->source = be_ref(r->leg->be);
 	m->target = rq_pick(r, m->source, m->source);
@@ -161,8 +167,10 @@
 	if (!r->leg || !r->leg->hx || !r->leg->first_us) return;
 	if (backup_usable(r)) {
 		whole_us = r->leg->first_us + SETTLE_US;
-		if (clock_us() >= whole_us) move_to_backup(r);
-		else ev_at(&m->timer, whole_us);
+		if (clock_us() >= whole_us)
+			move_to_backup(r);
+		else
+			ev_at(&m->timer, whole_us);
 		return;
 	}
 	if (r->service->moves) begin_copy(r);
@@ -188,6 +196,7 @@
 
 void move_begin(struct rq *r)
 {
+
 	if (!r->service->engine || r->route->resumable) return;
 	if (r->route->kind != CONF_STREAM || r->move.state != MOVE_NONE) return;
 	if (!r->service->moves && !r->service->backups) return;
@@ -212,8 +221,16 @@
 	rq_fail(r, REF_STREAM_LOST, why);
 }
 
-static void on_copied(struct rq *r, int status)
+/* An engine names a copy anew, or goes on with the one that it has named. */
+static void drop_unless_same(struct move *m, const struct dl_moved *moved)
+{
+	if (strcmp(m->handle, moved->handle)) drop_made(m);
+	g_strlcpy(m->handle, moved->handle, sizeof m->handle);
+}
+
+static void on_copied(struct rq *r, int status, const struct dl_moved *moved)
 {
+	drop_unless_same(&r->move, moved);
 	switch (status) {
 	case 200:
 		r->move.state = MOVE_LAST;
@@ -227,39 +244,48 @@
 {
 	struct move *m = &r->move;
 
-	if (moved->handle[0]) g_strlcpy(m->handle, moved->handle, sizeof m->handle);
-	if (status == 200 && m->handle[0]) {
-		if (r->leg->hx) ev_in(&m->timer, SOURCE_END_US);
-		else use_handle(r);
+	if (moved->handle[0]) {
+		g_strlcpy(m->handle, moved->handle, sizeof m->handle);
+		m->stopped = 1;
+	}
+	if (status == 200 && m->stopped) {
+		if (r->leg->hx)
+			ev_in(&m->timer, SOURCE_END_US);
+		else
+			use_handle(r);
 		return;
 	}
 	if (status == 409 && ++m->tries <= TRIES_MAX) {
 		ev_in(&m->timer, AGAIN_US);
 		return;
 	}
-	if (m->handle[0]) {
+	if (m->stopped) {
 		/* No room there: the memory is kept at the source, which may go on with it. */
 		be_unref(m->target);
 		m->target = be_ref(m->source);
 		use_handle(r);
 		return;
 	}
-	if (r->leg->hx) later(r, AGAIN_US);
-	else lost(r, "the source stopped and its memory was not moved");
+	if (r->leg->hx)
+		later(r, AGAIN_US);
+	else
+		lost(r, "the source stopped and its memory was not moved");
 }
 
 static void on_order_end(struct hx *x, int err)
 {
 	struct rq *r = x->user;
 	struct move *m = &r->move;
-	struct dl_moved moved = {.events = -1};
+	struct dl_moved moved = {.handle = "", .events = -1};
 	int status = err ? 0 : x->hp.head.status;
 
 	m->hx = NULL;
 	if (!err) dl_read_moved(m->body->str, m->body->len, &moved);
 	log_move(r, m->state == MOVE_COPY ? "move_copied" : "move_stopped", err ? err : status);
-	if (m->state == MOVE_COPY) on_copied(r, status);
-	else on_last(r, status, &moved);
+	if (m->state == MOVE_COPY)
+		on_copied(r, status, &moved);
+	else
+		on_last(r, status, &moved);
 }
 
 static int on_order_body(struct hx *x, const char *p, size_t n)
@@ -276,8 +302,10 @@
 	struct move *m = &r->move;
 	GString *out = g_string_new(NULL);
 
-	if (m->body) g_string_truncate(m->body, 0);
-	else m->body = g_string_new(NULL);
+	if (m->body)
+		g_string_truncate(m->body, 0);
+	else
+		m->body = g_string_new(NULL);
 	dl_write_move(out, m->source, r->in.id, m->target->address, last);
 	m->hx = hx_new(r);
 	m->hx->on_body = on_order_body;
@@ -296,7 +324,7 @@
 	case MOVE_NEXT: return 1;
 	case MOVE_LAST:
 		if (m->hx) return 1;
-		if (!m->handle[0]) break;
+		if (!m->stopped) break;
 		ev_stop(&m->timer);
 		use_handle(r);
 		return 1;
@@ -314,6 +342,7 @@
 
 	r->leg = r->next;
 	r->next = NULL;
+	if (old->backup == r->leg->be) old->copy_freed = 1; /* the copy was taken over */
 	leg_free(old);
 	log_move(r, "stream_went_on", 0);
 	r->move.handle[0] = '\0';
@@ -325,15 +354,17 @@
 void move_refused(struct rq *r)
 {
 	struct move *m = &r->move;
-	int by_handle = m->handle[0] != '\0';
+	int by_handle = m->stopped;
 
 	leg_free(r->next);
 	r->next = NULL;
 	log_move(r, "copy_refused", 0);
 	if (r->leg->hx && !by_handle) {
 		leg_drop_backup(r->leg);
-		if (r->leg->be->state == BE_READY) move_stop(r);
-		else later(r, AGAIN_US);
+		if (r->leg->be->state == BE_READY)
+			move_stop(r);
+		else
+			later(r, AGAIN_US);
 		return;
 	}
 	if (by_handle && m->target != m->source && ++m->tries <= TRIES_MAX) {
--- a/test/pw.c
+++ b/test/pw.c
@@ -26,8 +26,10 @@
 
 static void on_look(struct ev_timer *t)
 {
-	if ((condition && condition(condition_arg)) || ev_now() >= until_us) stop = 1;
-	else ev_in(t, LOOK_US);
+	if ((condition && condition(condition_arg)) || ev_now() >= until_us)
+		stop = 1;
+	else
+		ev_in(t, LOOK_US);
 }
 
 int pw_until(int (*f)(void *), void *arg, int ms)
@@ -76,8 +78,11 @@
 	more_settings = "";
 	first_ip += nentries;
 	nentries = 0;
-	pw_conf = (struct pw_conf){.version = 1, .timeout_ms = 5000, .attempts = 2,
-				   .keys = "[\"k1\"]", .safe_service = "app"};
+	pw_conf = (struct pw_conf){.version = 1,
+				   .timeout_ms = 5000,
+				   .attempts = 2,
+				   .keys = "[\"k1\"]",
+				   .safe_service = "app"};
 	pw_conf_write();
 }
 
@@ -95,11 +100,13 @@
 		"nodeName=e%d\nipAddress=%s\nzone=a\nregion=r\nlistenAddresses.front=%s:%d\n"
 		"listenAddresses.ready=%s:%d\nlistenAddresses.directory=%s:%d\n"
 		"internalPortRange=%d,%d\nseedNodes=%s.%d:1\nplatform.address=%s.200:%d\n"
-		"bounds.failClosed=true\nbounds.revokeMs=5000\nbounds.drainMs=2000\nbounds.graceS=3\n"
+		"bounds.failClosed=true\nbounds.revokeMs=5000\nbounds.drainMs=2000\nbounds."
+		"graceS=3\n"
 		"bounds.ttl_max_s=1\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=40\n"
 		"bounds.budgetWindowS=10\n%s",
-		first_ip + nentries, e->ip, e->ip, PW_FRONT, e->ip, PW_READY, e->ip, PW_DIRECTORY, PW_PEER,
-		PW_PEER, net, first_ip + 1, net, PW_STORE, more_settings);
+		first_ip + nentries, e->ip, e->ip, PW_FRONT, e->ip, PW_READY, e->ip,
+		PW_DIRECTORY, PW_PEER, PW_PEER, net, first_ip + 1, net, PW_STORE,
+		more_settings);
 	fclose(f);
 }
 
@@ -181,7 +188,8 @@
 	char *line = g_strdup_printf("\n%s ", name), *at;
 	double v = -1;
 
-	if (pw_question(e->ip, PW_METRICS, "/metrics", out) == 200 && (at = strstr(out->str, line)))
+	if (pw_question(e->ip, PW_METRICS, "/metrics", out) == 200 &&
+	    (at = strstr(out->str, line)))
 		v = g_ascii_strtod(at + strlen(line), NULL);
 	g_free(line);
 	g_string_free(out, TRUE);
--- a/test/pw.h
+++ b/test/pw.h
@@ -47,7 +47,13 @@
 void pw_end(void);
 
 /* ---- pw_store.c ---- */
-enum pw_store_mode { PW_STORE_OK, PW_STORE_DOWN, PW_STORE_BUSY, PW_STORE_LOST, PW_STORE_SILENT };
+enum pw_store_mode {
+	PW_STORE_OK,
+	PW_STORE_DOWN,
+	PW_STORE_BUSY,
+	PW_STORE_LOST,
+	PW_STORE_SILENT
+};
 struct pw_store {
 	enum pw_store_mode mode;
 	int watches_silent; /* changes are not told to those who watch */
@@ -100,7 +106,8 @@
 	enum pw_mode mode;
 	int engine;
 	int work_ms, event_ms, events, break_after;
-	int move_status, copy_status; /* what orders and copies are answered; 0: as they should */
+	int move_status,
+		copy_status; /* what orders and copies are answered; 0: as they should */
 	int arrivals, moves, copies, drops;
 	char last_raw[1024]; /* the head that came last */
 };
@@ -122,7 +129,7 @@
  * /safe/, /unsafe/ (keyed), /open/ (needs no key). Key "k1" belongs to workspace "w1". */
 struct pw_conf {
 	int version, timeout_ms, extra_routes, attempts;
-	const char *keys;        /* JSON list of w1's keys */
+	const char *keys; /* JSON list of w1's keys */
 	const char *safe_service;
 };
 extern struct pw_conf pw_conf;
@@ -141,7 +148,8 @@
 struct pw_call *pw_call(struct pw_entry *e, const char *method, const char *path,
 			const char *fields, const char *body);
 /* The same with k1, an id, a deadline and a prompt. */
-struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path, int deadline_ms);
+struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path,
+		       int deadline_ms);
 void pw_call_leave(struct pw_call *c);
 int pw_call_wait(struct pw_call *c, int ms);
 /* Whether the body holds the events 1..n of the request, each once and in order. */
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -75,7 +75,8 @@
 	return c;
 }
 
-struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path, int deadline_ms)
+struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path,
+		       int deadline_ms)
 {
 	char id[64], fields[512];
 	struct pw_call *c;
@@ -83,7 +84,8 @@
 	g_snprintf(id, sizeof id, "t%d", ++serial);
 	g_snprintf(fields, sizeof fields,
 		   "X-Request-Id: %s\r\nX-Credential: k1\r\nX-Deadline-Ms: %d\r\nX-Model: m\r\n"
-		   "X-Token-Usage: 1000,400\r\nLength-Hint: 200\r\nX-Prompt-Prefix: aa:500,bb:500\r\n",
+		   "X-Token-Usage: 1000,400\r\nLength-Hint: 200\r\nX-Prompt-Prefix: "
+		   "aa:500,bb:500\r\n",
 		   id, deadline_ms);
 	c = pw_call(e, method, path, fields, !strcmp(method, "GET") ? NULL : "a prompt");
 	g_strlcpy(c->id, id, sizeof c->id);
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -2,13 +2,14 @@
 
 struct pw_conf pw_conf;
 
-static void route(GString *s, const char *path, const char *kind, const char *service, int priority,
-		  const char *more)
+static void route(GString *s, const char *path, const char *kind, const char *service,
+		  int priority, const char *more)
 {
 	if (s->str[s->len - 1] == '}') g_string_append_c(s, ',');
 	g_string_append_printf(
 		s,
-		"{\"name\":\"r%s\",\"host\":\"test.example\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
+		"{\"name\":\"r%s\",\"host\":\"test.example\",\"pathPrefix\":\"/%s/"
+		"\",\"kind\":\"%s\","
 		"\"timeoutMs\":%d,\"targetLatencyMs\":500,\"priority\":%d,\"service\":\"%s\","
 		"\"gap_aim_ms\":100%s}",
 		path, path, kind, pw_conf.timeout_ms, priority, service, more);
@@ -33,12 +34,16 @@
 	}
 	g_string_append_printf(
 		s,
-		"],\"services\":[{\"name\":\"llm\",\"healthCheckPath\":\"/health\",\"maxConnections\":100,"
+		"],\"services\":[{\"name\":\"llm\",\"healthCheckPath\":\"/"
+		"health\",\"maxConnections\":100,"
 		"\"engine\":{\"slots\":48,\"kvCacheTokens\":34000,\"kvTokenBytes\":131072,"
 		"\"linkMbps\":19000.0,\"moves\":true,\"backups\":true,\"handleS\":5.0}},"
-		"{\"name\":\"app\",\"maxConnections\":100},{\"name\":\"app2\",\"maxConnections\":100}],"
-		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,\"headerTimeoutMs\":600,"
-		"\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"w1\",\"apiKeys\":%s,\"priority\":1},"
+		"{\"name\":\"app\",\"maxConnections\":100},{\"name\":\"app2\","
+		"\"maxConnections\":100}],"
+		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
+		"\"headerTimeoutMs\":600,"
+		"\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"w1\",\"apiKeys\":%s,"
+		"\"priority\":1},"
 		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
 		pw_conf.keys);
 	pw_store_put("op/config", s->str);
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -22,7 +22,8 @@
 	GString *g = g_string_new(NULL);
 	uint32_t i;
 
-	g_string_printf(g, "%s %s\n", http_method_str(h->hp.head.method), hp_target(&h->hp.head));
+	g_string_printf(g, "%s %s\n", http_method_str(h->hp.head.method),
+			hp_target(&h->hp.head));
 	for (i = 0; i < hp_count(&h->hp.head); i++)
 		g_string_append_printf(g, "%s: %s\n", hp_name(&h->hp.head, i),
 				       hp_value(&h->hp.head, i));
@@ -74,8 +75,10 @@
 	r->finished = 1;
 	run_over(r);
 	h->keep = 0;
-	if (cut) hs_abort(h);
-	else hs_finish(h);
+	if (cut)
+		hs_abort(h);
+	else
+		hs_finish(h);
 }
 
 static void chunk(struct hs *h, const char *p, size_t n)
@@ -109,7 +112,8 @@
 	}
 	if (s->mode == PW_SILENT && r->events >= s->break_after) return;
 	if (!r->events || r->events == atoi(r->after))
-		head(r, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+		head(r, 200,
+		     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
 	r->events++;
 	g_snprintf(text, sizeof text, "id: %d\ndata: %s-%d\n\n", r->events, r->id, r->events);
 	chunk(h, text, strlen(text));
@@ -154,8 +158,10 @@
 	}
 	default: break;
 	}
-	if (r->server->engine && r->server->mode != PW_ERROR) next_event(r);
-	else plain_answer(r);
+	if (r->server->engine && r->server->mode != PW_ERROR)
+		next_event(r);
+	else
+		plain_answer(r);
 }
 
 /* A run that may be gone on with: by its own id (a backup), or by a handle of a move. */
@@ -221,7 +227,9 @@
 
 	s->moves++;
 	if (!r) status = 404;
-	if (r) g_snprintf(body, sizeof body, "{\"handle\":\"handle-%s\",\"made\":%d}", r->id, r->events);
+	if (r)
+		g_snprintf(body, sizeof body, "{\"handle\":\"handle-%s\",\"made\":%d}", r->id,
+			   r->events);
 	if (r && last && status != 409) {
 		struct hs *stream = r->h;
 
@@ -265,9 +273,12 @@
 	}
 	s->arrivals++;
 	keep_raw(s, h);
-	if (s->mode == PW_FULL) hs_answer(h, 503, "X-Not-Executed: 1\r\n", "", 0);
-	else if (s->mode == PW_STRANGER) hs_answer(h, 421, "X-Instance-Id: other\r\n", "", 0);
-	else generate(s, h);
+	if (s->mode == PW_FULL)
+		hs_answer(h, 503, "X-Not-Executed: 1\r\n", "", 0);
+	else if (s->mode == PW_STRANGER)
+		hs_answer(h, 421, "X-Instance-Id: other\r\n", "", 0);
+	else
+		generate(s, h);
 }
 
 static void on_left(struct hs *h)
@@ -338,7 +349,8 @@
 {
 	uint32_t i;
 
-	for (i = 0; servers && i < servers->len; i++) pw_server_die(g_ptr_array_index(servers, i));
+	for (i = 0; servers && i < servers->len; i++)
+		pw_server_die(g_ptr_array_index(servers, i));
 	if (servers) g_ptr_array_set_size(servers, 0);
 }
 
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -28,8 +28,9 @@
 	jsonw_str(out, key);
 	g_string_append_printf(out, ",\"revision\":%" G_GUINT64_FORMAT, e->revision);
 	if (e->value)
-		g_string_append_printf(out, ",\"value\":\"%s\",\"made\":1,\"lease\":%" G_GUINT64_FORMAT "}",
-				       e->value, e->lease);
+		g_string_append_printf(
+			out, ",\"value\":\"%s\",\"made\":1,\"lease\":%" G_GUINT64_FORMAT "}",
+			e->value, e->lease);
 	else
 		g_string_append(out, ",\"gone\":true}");
 }
@@ -254,10 +255,12 @@
 	for (i = 0; i < n; i++) {
 		struct json_object *p = json_object_array_get_idx(puts, i);
 
-		set(pf_text(p, "privateKey"), g_strdup(pf_text(p, "value")), pf_int(p, "lease", 0));
+		set(pf_text(p, "privateKey"), g_strdup(pf_text(p, "value")),
+		    pf_int(p, "lease", 0));
 	}
 	json_object_put(o);
-	g_snprintf(text, sizeof text, "{\"revision\":%" G_GUINT64_FORMAT "}", pw_store.revision);
+	g_snprintf(text, sizeof text, "{\"revision\":%" G_GUINT64_FORMAT "}",
+		   pw_store.revision);
 	answer(h, 200, text);
 	if (n) tell_all();
 }
@@ -266,7 +269,8 @@
 {
 	char text[64];
 
-	g_snprintf(text, sizeof text, "{\"lease\":%" G_GUINT64_FORMAT ",\"ttl_ms\":10000}", ++leases);
+	g_snprintf(text, sizeof text, "{\"lease\":%" G_GUINT64_FORMAT ",\"ttl_ms\":10000}",
+		   ++leases);
 	answer(h, 200, text);
 }
 
@@ -288,12 +292,18 @@
 
 	pw_store.calls++;
 	if (turned_away(h)) return;
-	if (g_str_has_prefix(t, "/-/kv-key")) get(h, t);
-	else if (g_str_has_prefix(t, "/-/kv-range")) range(h, t);
-	else if (g_str_has_prefix(t, "/-/kv-watch")) watch(h, t);
-	else if (g_str_has_prefix(t, "/-/kv-txn")) commit(h);
-	else if (g_str_has_prefix(t, "/-/kv-lease")) lease(h);
-	else answer(h, 200, "{}");
+	if (g_str_has_prefix(t, "/-/kv-key"))
+		get(h, t);
+	else if (g_str_has_prefix(t, "/-/kv-range"))
+		range(h, t);
+	else if (g_str_has_prefix(t, "/-/kv-watch"))
+		watch(h, t);
+	else if (g_str_has_prefix(t, "/-/kv-txn"))
+		commit(h);
+	else if (g_str_has_prefix(t, "/-/kv-lease"))
+		lease(h);
+	else
+		answer(h, 200, "{}");
 }
 
 static void on_left(struct hs *h)
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -41,10 +41,12 @@
 	pw_init();
 	s = pw_server_add("app", 0);
 	e = pw_entry_ready();
-	c = pw_call(e, "GET", "/safe/", "X-Request-Id: own1\r\nX-Credential: k1\r\nX-Tenant: evil\r\n"
+	c = pw_call(e, "GET", "/safe/",
+		    "X-Request-Id: own1\r\nX-Credential: k1\r\nX-Tenant: evil\r\n"
 		    "X-Target-Instance: evil\r\nHold: evil\r\nPin-Ms: 9\r\nKv-Backup: evil\r\n"
 		    "Kv-From: evil\r\nPriority: 0\r\nConnection: X-Hop\r\nX-Hop: evil\r\n"
-		    "X-Other: kept\r\n", NULL);
+		    "X-Other: kept\r\n",
+		    NULL);
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 200);
 	CU_ASSERT_PTR_NULL(strstr(s->last_raw, "evil"));
@@ -69,12 +71,15 @@
 	pw_init();
 	pw_server_add("app", 0);
 	e = pw_entry_ready();
-	CU_ASSERT_EQUAL(status_of(e, "/nowhere/", "X-Request-Id: a\r\nX-Credential: k1\r\n"), 404);
+	CU_ASSERT_EQUAL(status_of(e, "/nowhere/", "X-Request-Id: a\r\nX-Credential: k1\r\n"),
+			404);
 	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Request-Id: b\r\nX-Credential: no\r\n"), 401);
 	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Request-Id: c\r\n"), 401);
 	CU_ASSERT_EQUAL(status_of(e, "/open/", "X-Request-Id: d\r\n"), 200);
-	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Request-Id: e\r\nX-Credential: k1\r\n"
-					       "X-Deadline-Ms: soon\r\n"), 400);
+	CU_ASSERT_EQUAL(status_of(e, "/safe/",
+				  "X-Request-Id: e\r\nX-Credential: k1\r\n"
+				  "X-Deadline-Ms: soon\r\n"),
+			400);
 	CU_ASSERT_EQUAL(status_of(e, "/safe/", "X-Credential: k1\r\n"), 400);
 	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_refused_total{reason=\"unauthorized\"}"), 2);
 	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_refused_total{reason=\"not_found\"}"), 1);
@@ -93,11 +98,14 @@
 	g_free(in);
 }
 
-#define HEAD "POST /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: r\r\nX-Credential: k1\r\n"
+#define HEAD                                                                              \
+	"POST /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: r\r\nX-Credential: " \
+	"k1\r\n"
 
 static void malformed_requests_are_refused_and_nothing_is_sent_on(void)
 {
-	static const char two[] = HEAD "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+	static const char two[] =
+		HEAD "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
 	static const char lengths[] = HEAD "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd";
 	static const char chunked[] = HEAD "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n";
 	static const char large[] = HEAD "Content-Length: 100001\r\n\r\n";
@@ -117,7 +125,8 @@
 	check_raw(e, slow, sizeof slow - 1, "408");
 	check_raw(e, noise, sizeof noise - 1, "400");
 	long_head = g_string_new(HEAD);
-	while (long_head->len < 5000) g_string_append(long_head, "X-Fill: abcdefghijklmnopqrstuvwxyz\r\n");
+	while (long_head->len < 5000)
+		g_string_append(long_head, "X-Fill: abcdefghijklmnopqrstuvwxyz\r\n");
 	check_raw(e, long_head->str, long_head->len, "431");
 	g_string_free(long_head, TRUE);
 	CU_ASSERT_EQUAL(s->arrivals, 0);
@@ -127,9 +136,10 @@
 
 static void requests_one_behind_the_other_are_answered_in_order(void)
 {
-	static const char two[] = "GET /open/1 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: p1\r\n\r\n"
-				  "GET /open/2 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: p2\r\n"
-				  "Connection: close\r\n\r\n";
+	static const char two[] =
+		"GET /open/1 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: p1\r\n\r\n"
+		"GET /open/2 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: p2\r\n"
+		"Connection: close\r\n\r\n";
 	struct pw_entry *e;
 	char *in, *first;
 	int closed;
@@ -480,7 +490,8 @@
 	{"a_caller_that_leaves_ends_the_work", a_caller_that_leaves_ends_the_work},
 	{"the_route_s_time_is_kept", the_route_s_time_is_kept},
 	{"a_stream_comes_whole", a_stream_comes_whole},
-	{"a_stream_goes_on_in_a_new_run_where_it_may", a_stream_goes_on_in_a_new_run_where_it_may},
+	{"a_stream_goes_on_in_a_new_run_where_it_may",
+	 a_stream_goes_on_in_a_new_run_where_it_may},
 	{"a_broken_stream_does_not_look_whole", a_broken_stream_does_not_look_whole},
 	{"a_stream_goes_on_from_its_backup", a_stream_goes_on_from_its_backup},
 	{"a_silent_engine_whose_backup_refuses_kills_nothing",
