Moves off one engine take turns; a server that turned a request away is asked last

A refused copy was taken off the count of memory although it stays.

Change: instances tell how much memory of streams without a copy each has on an engine, and work out the same order of turns from it. A refused copy stays counted. A server that turned a request away is left out for 0.1 s.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -5,7 +5,7 @@
 #define PRESSURE_COST 4       /* each token of memory over the mark risks a preemption */
 #define PRESSURE_PERCENT 85   /* the mark: lengths are guesses */
 #define FULL_PERCENT 95       /* above it a request would soon press another out */
-#define ALL_BACKUP_PERCENT 65 /* of all memory: beyond, copies would press requests out */
+#define ALL_BACKUP_PERCENT 60 /* of all memory: beyond, copies would press requests out */
 #define TIE 64                /* costs closer than this are equal: draw among them */
 #define FAR_US 1400           /* a call to another data centre takes about so much longer */
 #define CALL_US 15000         /* a call's time before any was measured */
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -9,6 +9,7 @@
 #define EJECT_FIRST_US 1000000 /* then doubled each time, up to ... */
 #define EJECT_MAX_US 8000000   /* ... this: real work finds out whether it has recovered */
 #define EJECT_SHARE 2          /* at most one in so many of a service is ejected */
+#define BUSY_US 100000         /* places of plain calls are free again after some tens of ms */
 #define FORGET_US 30000000     /* a gone entry is remembered: late word must not revive it */
 
 void (*be_on_leaving)(struct be *b);
@@ -201,6 +202,11 @@
 	return (out + 1) * EJECT_SHARE <= usable;
 }
 
+void be_turned_away(struct be *b)
+{
+	b->busy_until_us = clock_us() + BUSY_US;
+}
+
 void be_failed(struct be *b, const char *why)
 {
 	int64_t now = clock_us();
@@ -220,7 +226,7 @@
 
 int be_usable(const struct be *b, int64_t now)
 {
-	return b->state == BE_READY && b->ejected_until_us <= now;
+	return b->state == BE_READY && b->ejected_until_us <= now && b->busy_until_us <= now;
 }
 
 int be_last_resort(const struct be *b, int64_t now)
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -31,6 +31,11 @@
 	return cfg;
 }
 
+const GPtrArray *mesh_members(void)
+{
+	return members;
+}
+
 void mesh_set_state(int ready, int draining)
 {
 	self_ready = ready;
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -18,6 +18,7 @@
 	a->held += sign * b->held;
 	a->backup += sign * b->backup;
 	a->used += sign * b->used;
+	a->bare += sign * b->bare;
 }
 
 static void set_row(struct member *m, const struct mesh_row *r)
@@ -97,6 +98,29 @@
 	write_rows(out, 1);
 }
 
+/* All instances work out the same order for a backend server, another one for each. */
+static uint32_t turn_of(const char *instance, const struct be *b)
+{
+	char *text = g_strconcat(b->id, "/", instance, NULL);
+	uint32_t turn = g_str_hash(text);
+
+	g_free(text);
+	return turn;
+}
+
+uint32_t mesh_bare_before(const struct be *b)
+{
+	uint32_t i, sum = 0, mine = turn_of(mesh_cfg()->instance, b);
+
+	for (i = 0; i < mesh_members()->len; i++) {
+		struct member *m = g_ptr_array_index(mesh_members(), i);
+		const struct be_load *l = g_hash_table_lookup(m->loads, b->id);
+
+		if (l && m->alive && turn_of(m->said.name, b) < mine) sum += l->bare;
+	}
+	return sum;
+}
+
 static void on_tell(struct ev_timer *t)
 {
 	GString *out = g_string_new(NULL);
--- a/src/fleet/mesh_msg.c
+++ b/src/fleet/mesh_msg.c
@@ -57,13 +57,14 @@
 	msgpack_pack_int(&p, MESH_LOADS);
 	msgpack_pack_int(&p, whole);
 	for (i = 0; i < n; i++) {
-		msgpack_pack_array(&p, 6);
+		msgpack_pack_array(&p, 7);
 		pack_text(&p, row[i].id);
 		msgpack_pack_uint32(&p, row[i].load.runs);
 		msgpack_pack_uint32(&p, row[i].load.unread);
 		msgpack_pack_uint32(&p, row[i].load.held);
 		msgpack_pack_uint32(&p, row[i].load.backup);
 		msgpack_pack_uint32(&p, row[i].load.used);
+		msgpack_pack_uint32(&p, row[i].load.bare);
 	}
 	finish(out, &buf);
 	msgpack_sbuffer_destroy(&buf);
@@ -191,13 +192,14 @@
 {
 	const msgpack_object_array *a = &o->via.array;
 
-	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 6) return -EBADMSG;
+	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 7) return -EBADMSG;
 	if (mesh_text(&a->ptr[0], r->id, sizeof r->id)) return -EBADMSG;
 	r->load.runs = mesh_int(&a->ptr[1]);
 	r->load.unread = mesh_int(&a->ptr[2]);
 	r->load.held = mesh_int(&a->ptr[3]);
 	r->load.backup = mesh_int(&a->ptr[4]);
 	r->load.used = mesh_int(&a->ptr[5]);
+	r->load.bare = mesh_int(&a->ptr[6]);
 	return 0;
 }
 
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -8,14 +8,15 @@
 #include <errno.h>
 #include <stddef.h>
 
-#define WATCH_MS 20000           /* a call that waits: each return is paid for */
-#define RETRY_FIRST_US 100000    /* after a failed call, doubled up to ... */
-#define RETRY_MAX_US 800000      /* ... this: the store's return must be seen within a second */
-#define CONFIRM_US 900000        /* the age at which the configuration is confirmed anew ... */
-#define CONFIRM_SPREAD_US 900000 /* ... and as much more by chance, so that one asks for all \
-				  */
-#define CONFIRM_TICK_US 100000   /* how often its age is looked at */
-#define UP_US 2500000            /* without an answer for so long the store counts as away */
+#define WATCH_MS 20000        /* a call that waits: each return is paid for */
+#define RETRY_FIRST_US 100000 /* after a failed call, doubled up to ... */
+#define RETRY_MAX_US 800000   /* ... this: the store's return must be seen within a second */
+#define CONFIRM_US 900000     /* the age at which the configuration is confirmed anew ... */
+#define CONFIRM_SPREAD_US                                                                  \
+	900000                 /* ... and as much more by chance, so that one asks for all \
+				*/
+#define CONFIRM_TICK_US 100000 /* how often its age is looked at */
+#define UP_US 2500000          /* without an answer for so long the store counts as away */
 
 enum phase { LISTING, WATCHING };
 
--- a/src/http/ev.c
+++ b/src/http/ev.c
@@ -7,10 +7,11 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#define BATCH 64            /* events fetched at once: more only delay timers */
-#define WAIT_MAX_MS 1000    /* longest sleep: signals are looked at that often at least */
-#define TIMER_SLACK_US 1000 /* timers due within it fire together: epoll counts milliseconds \
-			     */
+#define BATCH 64         /* events fetched at once: more only delay timers */
+#define WAIT_MAX_MS 1000 /* longest sleep: signals are looked at that often at least */
+#define TIMER_SLACK_US                                                        \
+	1000 /* timers due within it fire together: epoll counts milliseconds \
+	      */
 
 static int ep = -1;
 static int64_t now_us;
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -19,6 +19,7 @@
 	uint32_t held;   /* tokens of memory they will come to, as far as foreseen */
 	uint32_t backup; /* the same of copies kept there for runs elsewhere */
 	uint32_t used;   /* tokens of memory that runs and copies have now */
+	uint32_t bare;   /* of these, those of streams without a copy elsewhere */
 };
 
 struct be {
@@ -32,6 +33,7 @@
 	int64_t cold_until_us; /* slow until then */
 	struct be_load own, others;
 	/* From this instance's own exchanges: */
+	int64_t busy_until_us;    /* it turned a request away */
 	uint32_t failures;        /* in a row */
 	int64_t ejected_until_us; /* gets no work before; 0: sound */
 	int64_t eject_us;         /* how long the last time */
@@ -63,6 +65,8 @@
 /* An exchange went well or not; failures in a row eject it for a while, within a cap. */
 void be_succeeded(struct be *b, int64_t took_us);
 void be_failed(struct be *b, const char *why);
+/* It turned a request away: others are asked first for a moment. */
+void be_turned_away(struct be *b);
 /* May get new work now. */
 int be_usable(const struct be *b, int64_t now);
 /* Entries that lapsed all together are better than nothing for a moment. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -65,6 +65,7 @@
 void mesh_heard(struct member *m, const struct mesh_beat *b);
 void mesh_send(struct member *m, const GString *frame);
 const struct entry_cfg *mesh_cfg(void);
+const GPtrArray *mesh_members(void);
 /* mesh_loads.c */
 void mesh_take_loads(struct member *m, const msgpack_object_array *a);
 void mesh_drop_loads(struct member *m);
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -18,13 +18,15 @@
 struct leg {
 	struct rq *rq;
 	struct be *be;
-	struct hx *hx;      /* NULL once it ended */
-	struct be *backup;  /* is sent a copy of its memory by the engine; or NULL */
-	int from_copy;      /* goes on from memory that was copied there */
-	int copy_freed;     /* the run ended well, or its copy was taken over */
-	int reading;        /* its prompt counts as unread there */
-	uint32_t held;      /* tokens counted on be, foreseen ... */
-	uint32_t used;      /* ... and now; on backup the same */
+	struct hx *hx;     /* NULL once it ended */
+	struct be *backup; /* is sent a copy of its memory by the engine; or NULL */
+	int from_copy;     /* goes on from memory that was copied there */
+	int copy_bad;      /* it was refused; it takes memory all the same */
+	int copy_freed;    /* the run ended well, or its copy was taken over */
+	int reading;       /* its prompt counts as unread there */
+	uint32_t held;     /* tokens counted on be, foreseen ... */
+	uint32_t used;     /* ... and now; on backup the same */
+	uint32_t bare; /* the same while it has no copy and is to be moved with its engine */
 	uint64_t recounted; /* at this event */
 	int not_run;        /* the answer says so */
 	int answered;       /* the head of an answer that counts came */
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -303,7 +303,9 @@
 
 		if (i >= rq_all->len) continue; /* some ended meanwhile */
 		r = g_ptr_array_index(rq_all, i);
-		if (r->leg && r->leg->be == b) move_begin(r);
+		if (!r->leg) continue;
+		if (r->leg->backup == b) leg_drop_backup(r->leg);
+		if (r->leg->be == b) move_begin(r);
 	}
 }
 
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -167,6 +167,7 @@
 	struct rq *r = l->rq;
 
 	log_broke(l, "not_run", 0);
+	be_turned_away(l->be);
 	leg_read(l);
 	if (rq_may_repeat(r))
 		again(r, RETRY_ENGINE_STATUS);
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -17,6 +17,7 @@
 #define SOURCE_END_US 100000 /* the source's last events are under way */
 #define ORDER_US 4000000 /* moves queue on their links; the source lives two seconds or so */
 #define CONNECT_US 250000
+#define TURN_MAX_US 1000000 /* engines leave some two seconds after their notice */
 #define TRIES_MAX 12
 
 static void log_move(const struct rq *r, const char *event, int status)
@@ -93,7 +94,7 @@
 {
 	const struct be *b = r->leg->backup;
 
-	return b && r->leg->first_us && be_usable(b, clock_us());
+	return b && !r->leg->copy_bad && r->leg->first_us && be_usable(b, clock_us());
 }
 
 int move_to_backup(struct rq *r)
@@ -194,6 +195,16 @@
 	r->move.timer.fire = on_timer;
 }
 
+/* How long the moves of other instances that come first will take on the engine's link. */
+static int64_t turn_us(const struct rq *r)
+{
+	uint64_t bits = (uint64_t)mesh_bare_before(r->leg->be) * r->service->token_bytes * 8;
+	int64_t us = r->service->link_mbps > 0 ? (int64_t)(bits / r->service->link_mbps) : 0;
+
+	us += us / 2; /* some of them go to other data centres and take twice as long */
+	return MIN(us, TURN_MAX_US);
+}
+
 void move_begin(struct rq *r)
 {
 
@@ -202,6 +213,7 @@
 	if (!r->service->moves && !r->service->backups) return;
 	r->move.state = MOVE_SETTLE;
 	r->move.tries = 0;
+	if (!r->leg->backup || r->leg->copy_bad) ev_in(&r->move.timer, turn_us(r));
 	move_go_on(r);
 }
 
@@ -360,7 +372,8 @@
 	r->next = NULL;
 	log_move(r, "copy_refused", 0);
 	if (r->leg->hx && !by_handle) {
-		leg_drop_backup(r->leg);
+		r->leg->copy_bad = 1;
+		leg_recount(r->leg);
 		if (r->leg->be->state == BE_READY)
 			move_stop(r);
 		else
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -11,13 +11,14 @@
 #define SITES_MAX 1024         /* candidates looked at */
 #define RETRY_LATER_US 400000  /* what is missing comes back within about a second */
 #define LEFT_MIN_US 2000       /* with less time left nothing is sent any more */
-#define GROWTH_PART 1      /* of what is expected: on the mean others free as much meanwhile */
-#define GROWTH_MAX 100000  /* tokens: what grows beyond is seen when it is there */
-#define MOVE_FAR_COST 1500 /* prompt tokens that a move to another data centre is worth less \
-			    */
-#define WAIT_PART 4        /* of the aim: a refusal that comes later helps nobody */
-#define WAIT_SAFE_US 20000 /* before it: for the refusal to arrive */
-#define WAIT_LOOK_US 10000 /* how often what waits is looked at */
+#define GROWTH_PART 1     /* of what is expected: on the mean others free as much meanwhile */
+#define GROWTH_MAX 100000 /* tokens: what grows beyond is seen when it is there */
+#define MOVE_FAR_COST                                                                          \
+	1500                 /* prompt tokens that a move to another data centre is worth less \
+			      */
+#define WAIT_PART 4          /* of the aim: a refusal that comes later helps nobody */
+#define WAIT_SAFE_US 20000   /* before it: for the refusal to arrive */
+#define WAIT_LOOK_US 10000   /* how often what waits is looked at */
 #define COME_BACK_US 1200000 /* memory for one more is free again after about so long */
 #define BACKUP_PERCENT 90    /* of an engine's memory: copies don't give way to requests */
 #define PRIORITY_STEP 3      /* workspaces before routes: three ranks of routes in each */
@@ -153,11 +154,21 @@
 	return i < 0 ? NULL : g_ptr_array_index(list, i);
 }
 
+static int is_bare(const struct leg *l)
+{
+	return l->rq->route->kind == CONF_STREAM && !l->rq->route->resumable &&
+	       (!l->backup || l->copy_bad);
+}
+
 /* Counts its memory as so much from now on, where it runs and where its copy is. */
 static void count_memory(struct leg *l, uint32_t held, uint32_t used)
 {
+	uint32_t bare = is_bare(l) ? used : 0;
+
 	l->be->own.held += held - l->held;
 	l->be->own.used += used - l->used;
+	l->be->own.bare += bare - l->bare;
+	l->bare = bare;
 	mesh_load_changed(l->be);
 	if (l->backup) {
 		l->backup->own.backup += held - l->held;
@@ -204,8 +215,10 @@
 	if (!l->backup) return;
 	l->backup->own.backup -= l->held;
 	l->backup->own.used -= l->used;
+	mesh_load_changed(l->backup);
 	be_unref(l->backup);
 	l->backup = NULL;
+	count_memory(l, l->held, l->used);
 }
 
 /* The copy of a run that did not end well stays for a while and can't be dropped: it is counted
