--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -201,7 +201,6 @@
 	uint64_t bits = (uint64_t)mesh_bare_before(r->leg->be) * r->service->token_bytes * 8;
 	int64_t us = r->service->link_mbps > 0 ? (int64_t)(bits / r->service->link_mbps) : 0;
 
-	us += us / 2; /* some of them go to other data centres and take twice as long */
 	return MIN(us, TURN_MAX_US);
 }
 
