--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 # Tests of the platform path: a small platform in the test's process, the real program beside it.
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_store pw_server pw_conf pw_caller) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
-PW_TESTS = $(B)/test/test_relay
+PW_TESTS = $(B)/test/test_relay $(B)/test/test_entry
 $(PW_TESTS): $(PW_OBJ)
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
--- a/test/pw.c
+++ b/test/pw.c
@@ -57,6 +57,14 @@
 	return ip;
 }
 
+const char *pw_second_ip(void)
+{
+	static char ip[32];
+
+	g_snprintf(ip, sizeof ip, "%s.202", net);
+	return ip;
+}
+
 /* Each test program has a loopback network of its own. */
 static void init_once(void)
 {
--- a/test/pw.h
+++ b/test/pw.h
@@ -20,6 +20,7 @@
 #define PW_METRICS 7005
 #define PW_STORE 7006
 #define PW_SERVER 7100
+#define PW_SECOND_STORE "platform.address=%s:7006\n" /* with pw_second_ip() */
 
 struct pw_entry {
 	pid_t pid;
@@ -56,7 +57,8 @@
 };
 struct pw_store {
 	enum pw_store_mode mode;
-	int watches_silent; /* changes are not told to those who watch */
+	enum pw_store_mode second_mode; /* of its second address, which an entry may be given */
+	int watches_silent;             /* changes are not told to those who watch */
 	int calls, watches, commits;
 	uint64_t revision;
 };
@@ -114,6 +116,7 @@
 extern GPtrArray *pw_runs; /* of struct pw_run */
 struct pw_server *pw_server_add(const char *service, int engine);
 const char *pw_server_ip(void);
+const char *pw_second_ip(void);
 void pw_servers_end(void);
 /* Writes its entry; state "ready" or "draining". */
 void pw_server_list(struct pw_server *s, const char *state);
@@ -156,6 +159,7 @@
 int pw_stream_whole(const struct pw_call *c, int n);
 /* Sends bytes as they are on one connection; what came back until it ended or ms are over. */
 char *pw_raw(struct pw_entry *e, const char *bytes, size_t n, int ms, int *closed);
+char *pw_raw_at(const char *ip, int port, const char *bytes, size_t n, int ms, int *closed);
 /* GET on another port of an entry; the status, body into out. */
 int pw_question(const char *ip, int port, const char *target, GString *out);
 #endif
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -154,12 +154,17 @@
 }
 
 char *pw_raw(struct pw_entry *e, const char *bytes, size_t n, int ms, int *closed)
+{
+	return pw_raw_at(e->ip, PW_FRONT, bytes, n, ms, closed);
+}
+
+char *pw_raw_at(const char *ip, int port, const char *bytes, size_t n, int ms, int *closed)
 {
 	struct raw *r = g_new0(struct raw, 1);
 	struct sockaddr_in at;
 	char text[48], *in;
 
-	g_snprintf(text, sizeof text, "%s:%d", e->ip, PW_FRONT);
+	g_snprintf(text, sizeof text, "%s:%d", ip, port);
 	hostport_parse(text, &at);
 	r->in = g_string_new(NULL);
 	r->bytes = bytes;
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -17,7 +17,7 @@
 };
 
 struct pw_store pw_store;
-static struct hs_listener listener;
+static struct hs_listener listener, second;
 static GHashTable *entries;
 static GPtrArray *waiters;
 static uint64_t forgotten, leases;
@@ -166,7 +166,7 @@
 
 void pw_store_clear(void)
 {
-	pw_store.mode = PW_STORE_OK;
+	pw_store.mode = pw_store.second_mode = PW_STORE_OK;
 	pw_store.watches_silent = 0;
 	pw_store.calls = pw_store.watches = pw_store.commits = 0;
 	pw_store_compact();
@@ -276,7 +276,7 @@
 
 static int turned_away(struct hs *h)
 {
-	switch (pw_store.mode) {
+	switch (h->listener == &second ? pw_store.second_mode : pw_store.mode) {
 	case PW_STORE_OK:
 	case PW_STORE_LOST: return 0;
 	case PW_STORE_DOWN: hs_abort(h); return 1;
@@ -311,18 +311,25 @@
 	if (h->user) drop_waiter(h->user);
 }
 
-void pw_store_start(const char *ip)
+static void listen_at(struct hs_listener *l, const char *ip)
 {
 	struct sockaddr_in at;
 	char text[48];
 
+	g_snprintf(text, sizeof text, "%s:%d", ip, PW_STORE);
+	hostport_parse(text, &at);
+	l->limits = (struct hs_limits){65536, 1 << 20, 5000000, 60000000};
+	l->on_request = on_request;
+	l->on_left = on_left;
+	hs_listen(l, &at);
+}
+
+void pw_store_start(const char *ip)
+{
+
 	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	waiters = g_ptr_array_new();
 	memset(&pw_store, 0, sizeof pw_store);
-	g_snprintf(text, sizeof text, "%s:%d", ip, PW_STORE);
-	hostport_parse(text, &at);
-	listener.limits = (struct hs_limits){65536, 1 << 20, 5000000, 60000000};
-	listener.on_request = on_request;
-	listener.on_left = on_left;
-	hs_listen(&listener, &at);
+	listen_at(&listener, ip);
+	listen_at(&second, pw_second_ip());
 }
--- /dev/null
+++ b/test/test_entry.c
@@ -0,0 +1,518 @@
+/* Beliefs of an entry on the platform: configuration, backend servers, other instances; its
+ * end. */
+#include "check.h"
+#include "clock.h"
+#include "pw.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+static int status_of_key(struct pw_entry *e, const char *key)
+{
+	char fields[128];
+	struct pw_call *c;
+	static int n;
+
+	g_snprintf(fields, sizeof fields, "X-Request-Id: key%d\r\nX-Credential: %s\r\n", ++n,
+		   key);
+	c = pw_call(e, "GET", "/safe/", fields, NULL);
+	pw_call_wait(c, 2000);
+	return c->status;
+}
+
+/* ---- the configuration ---- */
+
+static void a_key_that_is_taken_away_runs_nothing(void)
+{
+	struct pw_entry *e;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_conf.keys = "[\"other\"]";
+	pw_conf.version = 5;
+	pw_conf_write();
+	pw_run(200);
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 401);
+	CU_ASSERT_EQUAL(status_of_key(e, "other"), 200);
+	pw_end();
+}
+
+static void without_a_confirmed_configuration_keyed_requests_are_refused(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	int ran;
+
+	pw_init();
+	pw_settings("bounds.revokeMs=1500\n");
+	s = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_store.mode = PW_STORE_SILENT;
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_run(1900);
+	ran = s->arrivals;
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 503);
+	CU_ASSERT_EQUAL(s->arrivals, ran);
+	CU_ASSERT_EQUAL(pw_question(e->ip, PW_READY, "/-/readiness", NULL), 503);
+	pw_store.mode = PW_STORE_OK;
+	pw_run(2000);
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_end();
+}
+
+/* It wakes with beliefs that look fresh by what it last saw. */
+static void a_process_that_was_frozen_runs_nothing_on_old_keys(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_settings("bounds.revokeMs=1500\n");
+	s = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	kill(e->pid, SIGSTOP);
+	pw_conf.keys = "[\"other\"]";
+	pw_conf.version = 2;
+	pw_conf_write();
+	pw_store.mode = PW_STORE_SILENT;
+	pw_run(2000);
+	s->arrivals = 0;
+	c = pw_ask(e, "GET", "/safe/", 3000);
+	pw_run(100);
+	kill(e->pid, SIGCONT);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT(c->status == 503 || c->status == 401);
+	CU_ASSERT_EQUAL(s->arrivals, 0);
+	pw_end();
+}
+
+/* Watches hear nothing while a key goes; then the history is forgotten. */
+static void a_silent_watch_hides_no_key_that_is_taken_away(void)
+{
+	struct pw_entry *e;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_store.watches_silent = 1;
+	pw_conf.keys = "[\"other\"]";
+	pw_conf.version = 2;
+	pw_conf_write();
+	pw_run(2300);
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 401);
+	pw_store.watches_silent = 0;
+	pw_end();
+}
+
+static void a_history_that_is_forgotten_loses_no_change(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	s[0] = pw_server_add("app", 0);
+	s[1] = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_store.watches_silent = 1;
+	pw_server_unlist(s[0]);
+	pw_conf.version = 2;
+	pw_conf.extra_routes = 3;
+	pw_conf_write();
+	pw_store_compact();
+	pw_store.watches_silent = 0;
+	pw_run(500);
+	s[0]->arrivals = 0;
+	for (i = 0; i < 6; i++) CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_table_version"), 2);
+	pw_end();
+}
+
+static void a_configuration_never_goes_back(void)
+{
+	struct pw_entry *e;
+
+	pw_init();
+	pw_server_add("app", 0);
+	pw_conf.version = 7;
+	pw_conf_write();
+	e = pw_entry_ready();
+	pw_conf.version = 6;
+	pw_conf.keys = "[\"old\"]";
+	pw_conf_write();
+	pw_run(200);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_table_version"), 7);
+	CU_ASSERT_EQUAL(status_of_key(e, "old"), 401);
+	CU_ASSERT(pw_log_has(e, "an older version under a newer revision"));
+	pw_end();
+}
+
+static void a_configuration_that_can_t_be_read_changes_nothing(void)
+{
+	static const char *const bad[] = {"{", "[]",
+					  "{\"version\":9,\"routes\":[{\"host\":3}]}",
+					  "{\"version\":9,\"routes\":[],\"tenants\":[{}]}",
+					  "{\"version\":9,\"x\":\"\xff\xfe\"}"};
+	struct pw_entry *e;
+	size_t i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	for (i = 0; i < sizeof bad / sizeof *bad; i++) {
+		pw_store_put("op/config", bad[i]);
+		pw_store_put("servers/i-odd", bad[i]);
+		pw_run(60);
+		CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	}
+	CU_ASSERT(pw_log_has(e, "entry_unreadable"));
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_table_version"), 1);
+	pw_end();
+}
+
+static void many_routes_come_into_force(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_conf.version = 2;
+	pw_conf.extra_routes = 2000;
+	pw_conf_write();
+	pw_run(1000);
+	c = pw_ask(e, "GET", "/extra1999/x", 2000);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	pw_end();
+}
+
+/* ---- backend servers ---- */
+
+static void entries_that_lapse_together_are_used_for_a_moment(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	for (i = 0; i < 2; i++) pw_server_unlist(s[i]);
+	pw_run(100);
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_run(1900);
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 503);
+	for (i = 0; i < 2; i++) pw_server_list(s[i], "ready");
+	pw_run(100);
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_end();
+}
+
+static void another_incarnation_at_an_address_is_left_alone(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	int i, before;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	s[0]->mode = PW_STRANGER;
+	s[1]->work_ms = 60; /* so that the stranger is asked */
+	for (i = 0; i < 4; i++) CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	before = s[0]->arrivals;
+	CU_ASSERT_EQUAL(before, 1);
+	for (i = 0; i < 4; i++) CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	CU_ASSERT_EQUAL(s[0]->arrivals, before);
+	pw_end();
+}
+
+static void a_server_that_fails_is_left_out_for_a_while(void)
+{
+	struct pw_server *s[3];
+	struct pw_entry *e;
+	int i, before;
+
+	pw_init();
+	for (i = 0; i < 3; i++) s[i] = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	s[0]->mode = PW_RESET;
+	s[1]->work_ms = s[2]->work_ms = 50;
+	for (i = 0; i < 8; i++) status_of_key(e, "k1");
+	CU_ASSERT(pw_log_has(e, "backend_ejected"));
+	before = s[0]->arrivals;
+	for (i = 0; i < 4; i++) CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	CU_ASSERT(s[0]->arrivals - before <= 1);
+	pw_end();
+}
+
+/* ---- other instances ---- */
+
+static int where_has(struct pw_entry *asked, const struct pw_entry *other)
+{
+	GString *out = g_string_new(NULL);
+	char text[64];
+	int has;
+
+	pw_question(asked->ip, PW_DIRECTORY, "/-/resolution?name=test.example&region=r&zone=a",
+		    out);
+	g_snprintf(text, sizeof text, "\"%s:%d\"", other->ip, PW_FRONT);
+	has = strstr(out->str, text) != NULL;
+	g_string_free(out, TRUE);
+	return has;
+}
+
+static void the_directory_names_who_takes_callers(void)
+{
+	struct pw_entry *a, *b;
+
+	pw_init();
+	pw_server_add("app", 0);
+	a = pw_entry_ready();
+	b = pw_entry_ready();
+	pw_run(900);
+	CU_ASSERT(where_has(a, a));
+	CU_ASSERT(where_has(a, b));
+	CU_ASSERT(where_has(b, a));
+	pw_entry_kill(b, SIGTERM);
+	pw_run(700);
+	CU_ASSERT(!where_has(a, b)); /* it drains: told at its next heartbeat */
+	pw_entry_kill(b, SIGKILL);
+	pw_end();
+}
+
+static void a_dead_instance_leaves_the_directory(void)
+{
+	struct pw_entry *a, *b;
+
+	pw_init();
+	pw_server_add("app", 0);
+	a = pw_entry_ready();
+	b = pw_entry_ready();
+	pw_run(900);
+	pw_entry_kill(b, SIGKILL);
+	pw_run(2200);
+	CU_ASSERT(where_has(a, a));
+	CU_ASSERT(!where_has(a, b));
+	pw_end();
+}
+
+/* The store turns one instance away: it lives on what the other passes on, and its age. */
+static void peers_pass_on_what_the_store_does_not_tell(void)
+{
+	char settings[128];
+	struct pw_entry *a, *b;
+
+	pw_init();
+	g_snprintf(settings, sizeof settings, "bounds.revokeMs=2500\n" PW_SECOND_STORE,
+		   pw_second_ip());
+	pw_server_add("app", 0);
+	a = pw_entry_ready();
+	pw_settings(settings);
+	b = pw_entry_ready();
+	pw_run(800);
+	pw_store.second_mode = PW_STORE_BUSY;
+	pw_run(3500);
+	CU_ASSERT_EQUAL(status_of_key(b, "k1"), 200);
+	pw_conf.keys = "[\"other\"]";
+	pw_conf.version = 2;
+	pw_conf_write();
+	pw_run(900);
+	CU_ASSERT_EQUAL(status_of_key(b, "k1"), 401);
+	CU_ASSERT_EQUAL(status_of_key(b, "other"), 200);
+	CU_ASSERT(pw_log_has(b, "store_lost"));
+	pw_entry_kill(a, SIGKILL);
+	pw_run(3000);
+	CU_ASSERT_EQUAL(status_of_key(b, "other"), 503); /* nobody confirms it any more */
+	pw_end();
+}
+
+static void an_instance_starts_while_the_store_turns_it_away(void)
+{
+	char settings[64];
+	struct pw_entry *b;
+
+	pw_init();
+	g_snprintf(settings, sizeof settings, PW_SECOND_STORE, pw_second_ip());
+	pw_server_add("app", 0);
+	pw_entry_ready();
+	pw_store.second_mode = PW_STORE_DOWN;
+	pw_settings(settings);
+	b = pw_entry_ready();
+	CU_ASSERT_EQUAL(status_of_key(b, "k1"), 200);
+	pw_end();
+}
+
+static void instances_know_each_other_s_load(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *a, *b;
+	struct pw_call *c[4];
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) {
+		s[i] = pw_server_add("llm", 1);
+		s[i]->work_ms = 400; /* a prompt that is long read */
+	}
+	a = pw_entry_ready();
+	b = pw_entry_ready();
+	pw_run(900);
+	for (i = 0; i < 4; i++) {
+		c[i] = pw_ask(i % 2 ? b : a, "POST", "/sum/", 5000);
+		pw_run(40);
+	}
+	CU_ASSERT_EQUAL(s[0]->arrivals, 2);
+	CU_ASSERT_EQUAL(s[1]->arrivals, 2);
+	for (i = 0; i < 4; i++) CU_ASSERT(pw_call_wait(c[i], 3000));
+	pw_end();
+}
+
+static void instances_find_each_other_without_seeds(void)
+{
+	struct pw_entry *a, *b;
+
+	pw_init();
+	pw_settings("seedNodes=127.0.0.9:1\n");
+	pw_server_add("app", 0);
+	a = pw_entry_ready();
+	b = pw_entry_ready();
+	pw_run(3000);
+	CU_ASSERT(where_has(a, b));
+	CU_ASSERT(where_has(b, a));
+	pw_end();
+}
+
+static void noise_on_the_peer_port_harms_nothing(void)
+{
+	static const char *const noise[] = {"\xff\xff\xff\xff rubbish", "\0\0\0\2\x92\x01",
+					    "\0\0\0\1\xc0", "GET / HTTP/1.1\r\n\r\n"};
+	static const size_t len[] = {11, 6, 5, 18};
+	struct pw_entry *e, at;
+	size_t i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	at = *e;
+	for (i = 0; i < sizeof len / sizeof *len; i++)
+		g_free(pw_raw_at(at.ip, PW_PEER, noise[i], len[i], 200, NULL));
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_end();
+}
+
+/* ---- the end, and settings ---- */
+
+static void a_planned_stop_finishes_what_runs(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c, *late;
+	int64_t began;
+	int status;
+
+	pw_init();
+	pw_server_add("llm", 1)->events = 100;
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(200);
+	began = clock_us();
+	pw_entry_kill(e, SIGTERM);
+	pw_run(150);
+	CU_ASSERT_EQUAL(pw_question(e->ip, PW_READY, "/-/readiness", NULL), 503);
+	late = pw_ask(e, "POST", "/unsafe/", 2000);
+	CU_ASSERT(pw_call_wait(late, 1000));
+	CU_ASSERT_EQUAL(late->status, 200);
+	CU_ASSERT_STRING_EQUAL(late->connection, "close");
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, 100));
+	status = pw_entry_wait(e, 3000);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	CU_ASSERT(clock_us() - began < 3000000);
+	pw_end();
+}
+
+static void settings_are_checked(void)
+{
+	struct pw_entry *e;
+	int status;
+
+	pw_init();
+	pw_settings("platform.address=nowhere\n");
+	e = pw_entry_start();
+	status = pw_entry_wait(e, 1000);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
+	CU_ASSERT(pw_log_has(e, "platform.address is no IP:PORT"));
+	pw_settings("bounds.graceS=soon\n");
+	e = pw_entry_start();
+	status = pw_entry_wait(e, 1000);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
+	pw_end();
+}
+
+static void settings_are_read_again(void)
+{
+	struct pw_entry *e;
+	FILE *f;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	f = fopen(e->settings, "a");
+	fputs("bounds.drainMs=700\n", f);
+	fclose(f);
+	kill(e->pid, SIGHUP);
+	CU_ASSERT(pw_log_has(e, "settings_reloaded"));
+	f = fopen(e->settings, "a");
+	fputs("bounds.drainMs=many\n", f);
+	fclose(f);
+	kill(e->pid, SIGHUP);
+	CU_ASSERT(pw_log_has(e, "settings_refused"));
+	CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"a_key_that_is_taken_away_runs_nothing", a_key_that_is_taken_away_runs_nothing},
+	{"without_a_confirmed_configuration_keyed_requests_are_refused",
+	 without_a_confirmed_configuration_keyed_requests_are_refused},
+	{"a_process_that_was_frozen_runs_nothing_on_old_keys",
+	 a_process_that_was_frozen_runs_nothing_on_old_keys},
+	{"a_silent_watch_hides_no_key_that_is_taken_away",
+	 a_silent_watch_hides_no_key_that_is_taken_away},
+	{"a_history_that_is_forgotten_loses_no_change",
+	 a_history_that_is_forgotten_loses_no_change},
+	{"a_configuration_never_goes_back", a_configuration_never_goes_back},
+	{"a_configuration_that_can_t_be_read_changes_nothing",
+	 a_configuration_that_can_t_be_read_changes_nothing},
+	{"many_routes_come_into_force", many_routes_come_into_force},
+	{"entries_that_lapse_together_are_used_for_a_moment",
+	 entries_that_lapse_together_are_used_for_a_moment},
+	{"another_incarnation_at_an_address_is_left_alone",
+	 another_incarnation_at_an_address_is_left_alone},
+	{"a_server_that_fails_is_left_out_for_a_while",
+	 a_server_that_fails_is_left_out_for_a_while},
+	{"the_directory_names_who_takes_callers", the_directory_names_who_takes_callers},
+	{"a_dead_instance_leaves_the_directory", a_dead_instance_leaves_the_directory},
+	{"peers_pass_on_what_the_store_does_not_tell",
+	 peers_pass_on_what_the_store_does_not_tell},
+	{"an_instance_starts_while_the_store_turns_it_away",
+	 an_instance_starts_while_the_store_turns_it_away},
+	{"instances_know_each_other_s_load", instances_know_each_other_s_load},
+	{"instances_find_each_other_without_seeds", instances_find_each_other_without_seeds},
+	{"noise_on_the_peer_port_harms_nothing", noise_on_the_peer_port_harms_nothing},
+	{"a_planned_stop_finishes_what_runs", a_planned_stop_finishes_what_runs},
+	{"settings_are_checked", settings_are_checked},
+	{"settings_are_read_again", settings_are_read_again},
+};
+
+CHECK_MAIN(list)
