--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -13,11 +13,13 @@
 #define STALL_LOOK_US 250000   /* how often a stream's silence is looked at */
 #define STALL_GAPS 8         /* silence of so many of the route's pauses is an engine's death */
 #define STALL_MIN_US 1000000 /* never less: long prompts of others hold a stream up */
-#define TOKEN_US 9000        /* a token on a busy engine; only for what a drain still takes */
+#define DRAIN_TAKE_US 2000000 /* callers learn of a drain within about so long */
+#define TOKEN_US 9000         /* a token on a busy engine; only for what a drain still takes */
 
 const struct entry_cfg *rq_cfg;
 GPtrArray *rq_all;
 int64_t rq_drain_until_us;
+static int64_t drain_began_us;
 
 void rq_init(const struct entry_cfg *c)
 {
@@ -234,10 +236,13 @@
 	if (r->route->kind == CONF_STREAM) ev_in(&r->stall_timer, STALL_LOOK_US);
 }
 
-/* While this instance drains it takes no stream that would outlast it. */
+/* While this instance drains it takes nothing that would outlast it: at first by what is
+ * expected, later only what must have its final answer before the end. */
 static int outlasts_drain(const struct rq *r)
 {
-	if (!rq_drain_until_us || r->route->kind != CONF_STREAM) return 0;
+	if (!rq_drain_until_us) return 0;
+	if (ev_now() - drain_began_us > DRAIN_TAKE_US) return r->end_us > rq_drain_until_us;
+	if (r->route->kind != CONF_STREAM) return 0;
 	return ev_now() + (int64_t)r->job.growth * TOKEN_US > rq_drain_until_us;
 }
 
@@ -259,11 +264,6 @@
 	if (check(r)) return;
 	r->job.prompt = r->in.prompt_tokens;
 	r->job.growth = length_remaining(rq_lengths(r), r->in.output_hint, r->in.output_max, 0);
-	if (outlasts_drain(r)) {
-		rq_refuse(r, REF_DRAINING, RETRY_SOON_US / 3,
-			  "this instance stops before it would end");
-		return;
-	}
 	name = conf_pick(r->route, g_random_double());
 	r->service = name ? conf_service(r->conf, name) : NULL;
 	if (!r->service) {
@@ -272,6 +272,11 @@
 		return;
 	}
 	set_times(r);
+	if (outlasts_drain(r)) {
+		rq_refuse(r, REF_DRAINING, RETRY_SOON_US / 3,
+			  "this instance stops before it would end");
+		return;
+	}
 	budget_request(rq_budget(name), &rule, ev_now());
 	rq_place(r);
 }
@@ -311,6 +316,7 @@
 
 void rq_drain(int64_t until_us)
 {
+	drain_began_us = ev_now();
 	rq_drain_until_us = until_us;
 }
 
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -441,6 +441,30 @@
 	pw_end();
 }
 
+/* What comes late in a planned stop is taken only if its final answer is due before the end. */
+static void what_may_outlast_a_planned_stop_is_sent_elsewhere(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_settings("bounds.graceS=6\nbounds.ttl_max_s=4\n");
+	pw_server_add("llm", 1)->events = 400;
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_entry_kill(e, SIGTERM);
+	pw_run(2500);
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	CU_ASSERT(pw_call_wait(c, 500));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(g_ascii_strtod(c->retry_after, NULL) > 0);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	c = pw_ask(e, "POST", "/unsafe/", 600);
+	CU_ASSERT(pw_call_wait(c, 500));
+	CU_ASSERT_EQUAL(c->status, 200);
+	pw_end();
+}
+
 static void settings_are_checked(void)
 {
 	struct pw_entry *e;
@@ -511,6 +535,8 @@
 	{"instances_find_each_other_without_seeds", instances_find_each_other_without_seeds},
 	{"noise_on_the_peer_port_harms_nothing", noise_on_the_peer_port_harms_nothing},
 	{"a_planned_stop_finishes_what_runs", a_planned_stop_finishes_what_runs},
+	{"what_may_outlast_a_planned_stop_is_sent_elsewhere",
+	 what_may_outlast_a_planned_stop_is_sent_elsewhere},
 	{"settings_are_checked", settings_are_checked},
 	{"settings_are_read_again", settings_are_read_again},
 };
