--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -5,7 +5,9 @@
 #include <errno.h>
 #include <string.h>
 
-#define EJECT_AFTER 3          /* failures in a row: two may be chance */
+#define FAILING_STEP 0.25 /* weight of the newest exchange: three failures in a row eject */
+#define FAILING_MOST 0.5  /* part of its exchanges that fail: beyond, it is ejected */
+#define FAILING_BACK 0.4  /* after that: one more failure ejects it again */
 #define EJECT_FIRST_US 1000000 /* then doubled each time, up to ... */
 #define EJECT_MAX_US 8000000   /* ... this: real work finds out whether it has recovered */
 #define EJECT_SHARE 2          /* at most one in so many of a service is ejected */
@@ -181,8 +183,8 @@
 
 void be_succeeded(struct be *b, int64_t took_us)
 {
-	b->failures = 0;
-	b->eject_us = 0;
+	b->failing *= 1 - FAILING_STEP;
+	if (b->failing < FAILING_STEP) b->eject_us = 0;
 	b->ejected_until_us = 0;
 	if (took_us) b->answer_us = b->answer_us ? b->answer_us * 0.8 + took_us * 0.2 : took_us;
 }
@@ -212,11 +214,12 @@
 	int64_t now = clock_us();
 	GString *g;
 
-	if (++b->failures < EJECT_AFTER || b->ejected_until_us > now) return;
+	b->failing += FAILING_STEP * (1 - b->failing);
+	if (b->failing <= FAILING_MOST || b->ejected_until_us > now) return;
 	if (!may_eject(b, now)) return;
 	b->eject_us = b->eject_us ? MIN(b->eject_us * 2, EJECT_MAX_US) : EJECT_FIRST_US;
 	b->ejected_until_us = now + b->eject_us;
-	b->failures = EJECT_AFTER - 1; /* one more failure after it ejects it again */
+	b->failing = FAILING_BACK;
 	g = jlog_begin("fleet", "backend_ejected");
 	jlog_str(g, "backend", b->id);
 	jlog_str(g, "why", why);
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -34,7 +34,7 @@
 	struct be_load own, others;
 	/* From this instance's own exchanges: */
 	int64_t busy_until_us;    /* it turned a request away */
-	uint32_t failures;        /* in a row */
+	double failing;           /* part of its exchanges that failed, newest first */
 	int64_t ejected_until_us; /* gets no work before; 0: sound */
 	int64_t eject_us;         /* how long the last time */
 	double answer_us;         /* moving average of plain answers; 0: none yet */
@@ -62,7 +62,8 @@
 struct be *be_ref(struct be *b);
 void be_unref(struct be *b);
 
-/* An exchange went well or not; failures in a row eject it for a while, within a cap. */
+/* An exchange went well or not; one that fails too often is ejected for a while, within a cap.
+ */
 void be_succeeded(struct be *b, int64_t took_us);
 void be_failed(struct be *b, const char *why);
 /* It turned a request away: others are asked first for a moment. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -91,6 +91,8 @@
 void rq_answer(struct rq *r, const struct hp_head *head);
 /* The stream's last event is out. */
 void rq_stream_end(struct rq *r);
+/* Whether it may run more than once. */
+int rq_repeatable(const struct rq *r);
 /* 0 while the configuration is too old to tell whether the request's key still holds. */
 int rq_confirmed(const struct rq *r);
 void rq_log(const struct rq *r, const char *outcome, const char *detail);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -149,12 +149,6 @@
 	jlog_end(g);
 }
 
-static int repeatable(const struct rq *r)
-{
-	if (r->route->kind == CONF_STREAM) return r->route->resumable;
-	return r->route->kind == CONF_SAFE;
-}
-
 static void again(struct rq *r, enum retry why)
 {
 	met_retried(why);
@@ -196,7 +190,7 @@
 	if (move_source_ended(r)) return;
 	r->runs++;
 	if (!move_to_backup(r)) return;
-	if (repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+	if (rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
 		again(r, r->seen.count ? RETRY_RESUME : RETRY_ENGINE_LOST);
 		return;
 	}
@@ -225,7 +219,7 @@
 	}
 	be_failed(l->be, "answers with failures");
 	r->runs++;
-	if (repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+	if (rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
 		again(r, RETRY_ENGINE_STATUS);
 		return;
 	}
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -245,6 +245,33 @@
 	pw_end();
 }
 
+/* A call that may run again is not left with a server that says nothing. */
+static void a_silent_server_is_left_for_another(void)
+{
+	struct pw_server *silent;
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i, twice = 0;
+
+	pw_init();
+	silent = pw_server_add("app", 0);
+	silent->mode = PW_HANG;
+	pw_server_add("app", 0)->work_ms = 60; /* so that the silent one is asked */
+	e = pw_entry_ready();
+	for (i = 0; i < 3; i++) {
+		c = pw_ask(e, "GET", "/safe/", 3000);
+		CU_ASSERT(pw_call_wait(c, 1000));
+		CU_ASSERT_EQUAL(c->status, 200);
+		CU_ASSERT(pw_runs_of(c->id) <= 2);
+		twice += pw_runs_of(c->id) == 2;
+	}
+	CU_ASSERT(twice > 0);
+	c = pw_ask(e, "POST", "/unsafe/", 1500);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	pw_end();
+}
+
 static void a_dead_server_costs_no_request(void)
 {
 	struct pw_server *dead;
@@ -487,6 +514,7 @@
 	{"calls_run_as_often_as_they_may", calls_run_as_often_as_they_may},
 	{"a_refusal_says_when_to_come_back", a_refusal_says_when_to_come_back},
 	{"what_was_turned_away_goes_elsewhere", what_was_turned_away_goes_elsewhere},
+	{"a_silent_server_is_left_for_another", a_silent_server_is_left_for_another},
 	{"a_dead_server_costs_no_request", a_dead_server_costs_no_request},
 	{"a_caller_that_leaves_ends_the_work", a_caller_that_leaves_ends_the_work},
 	{"the_route_s_time_is_kept", the_route_s_time_is_kept},
