Moves wait for quiet links before the source stops; items of gone servers pass between instances

The log of a request's end now tells its longest pause and when it ended. Change: parts are copied with the source running until one takes under 60 ms, or 1.2 s after the notice.

--- a/src/fleet/mesh_msg.c
+++ b/src/fleet/mesh_msg.c
@@ -104,7 +104,7 @@
 	pack_text(p, i->key);
 	msgpack_pack_uint64(p, i->revision);
 	if (!i->value) {
-		msgpack_pack_nil(p);
+		msgpack_pack_int(p, 0); /* gone */
 		return;
 	}
 	msgpack_pack_bin(p, i->len);
@@ -218,7 +218,7 @@
 	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 3) return -EBADMSG;
 	if (mesh_text(&a->ptr[0], key, max)) return -EBADMSG;
 	*i = (struct st_item){.key = key, .revision = mesh_int(&a->ptr[1])};
-	if (a->ptr[2].type == MSGPACK_OBJECT_NIL) return 0;
+	if (a->ptr[2].type == MSGPACK_OBJECT_POSITIVE_INTEGER) return 0;
 	if (a->ptr[2].type != MSGPACK_OBJECT_BIN) return -EBADMSG;
 	i->value = a->ptr[2].via.bin.ptr;
 	i->len = a->ptr[2].via.bin.size;
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -51,6 +51,7 @@
 	char handle[DL_HANDLE_MAX + 1]; /* of what was copied */
 	int stopped;                    /* the source has; the copy is all there is */
 	int tries;
+	int64_t ordered_us; /* when the order under way was given */
 };
 
 struct rq {
@@ -62,6 +63,7 @@
 	struct dl_request in;
 	struct place_job job;
 	int64_t began_us, end_us;   /* came; must have its final answer */
+	int64_t gap_us, gap_at_us;  /* longest pause between events so far, and when it ended */
 	int64_t first_us, event_us; /* first byte to the caller; last event */
 	struct ev_timer end_timer, stall_timer;
 	struct leg *leg, *next; /* the one that answers; the one that will */
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -50,6 +50,10 @@
 	jlog_int(g, "took_ms", (now - r->began_us) / 1000);
 	if (r->first_us) jlog_int(g, "first_ms", (r->first_us - r->began_us) / 1000);
 	if (r->seen.count) jlog_int(g, "events", r->seen.count);
+	if (r->gap_us) {
+		jlog_int(g, "longest_pause_ms", r->gap_us / 1000);
+		jlog_int(g, "pause_ended_ms", (r->gap_at_us - r->began_us) / 1000);
+	}
 	if (r->conf) jlog_int(g, "configuration", r->conf->version);
 	if (board_confirmed_us() != BOARD_NEVER)
 		jlog_int(g, "configuration_age_ms", (now - board_confirmed_us()) / 1000);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -100,6 +100,17 @@
 	}
 }
 
+static void note_event(struct rq *r)
+{
+	int64_t now = clock_us();
+
+	if (r->first_us && now - r->event_us > r->gap_us) {
+		r->gap_us = now - r->event_us;
+		r->gap_at_us = now;
+	}
+	r->event_us = now;
+}
+
 static int on_events(struct leg *l, struct hx *x, const char *p, size_t n)
 {
 	struct rq *r = l->rq;
@@ -107,7 +118,7 @@
 	int rc = evs_feed(&l->evs, &r->seen, p, n, out);
 
 	if (out->len) {
-		r->event_us = clock_us();
+		note_event(r);
 		pass_on(l, &x->hp.head, out->str, out->len);
 	}
 	g_string_free(out, TRUE);
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -17,6 +17,8 @@
 #define SOURCE_END_US 100000 /* the source's last events are under way */
 #define ORDER_US 4000000 /* moves queue on their links; the source lives two seconds or so */
 #define CONNECT_US 250000
+#define CALM_US 60000   /* a part of a few tokens that took longer waited for other copies */
+#define LAST_US 1200000 /* after the notice the source is stopped all the same */
 #define TURN_MAX_US 1000000 /* engines leave some two seconds after their notice */
 #define TRIES_MAX 12
 
@@ -239,11 +241,26 @@
 	g_strlcpy(m->handle, moved->handle, sizeof m->handle);
 }
 
+/* While other copies are before it on the links, the last part would wait for them with the
+ * source stopped: the next part is copied with the source running, until one goes quickly or
+ * the time is short. */
+static int may_copy_again(const struct rq *r)
+{
+	int64_t now = clock_us();
+
+	if (now - r->move.ordered_us < CALM_US) return 0;
+	return now - r->move.source->since_us < LAST_US;
+}
+
 static void on_copied(struct rq *r, int status, const struct dl_moved *moved)
 {
 	drop_unless_same(&r->move, moved);
 	switch (status) {
 	case 200:
+		if (may_copy_again(r)) {
+			order(r, 0);
+			return;
+		}
 		r->move.state = MOVE_LAST;
 		order(r, 1);
 		return;
@@ -318,6 +335,7 @@
 	else
 		m->body = g_string_new(NULL);
 	dl_write_move(out, m->source, r->in.id, m->target->address, last);
+	m->ordered_us = clock_us();
 	m->hx = hx_new(r);
 	m->hx->on_body = on_order_body;
 	m->hx->on_end = on_order_end;
@@ -358,7 +376,6 @@
 	log_move(r, "stream_went_on", 0);
 	r->move.handle[0] = '\0';
 	move_stop(r);
-	r->event_us = clock_us();
 }
 
 /* The copy can't be used: the source goes on if it still runs, or is asked again. */
--- a/test/pw.h
+++ b/test/pw.h
@@ -70,6 +70,8 @@
 void pw_store_remove(const char *key);
 /* Forgets its history; watches are cut and told so when they come again. */
 void pw_store_compact(void);
+/* Breaks the calls that wait at its second address. */
+void pw_store_cut_second(void);
 int pw_store_has(const char *prefix);
 
 /* ---- pw_server.c: backend servers ---- */
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -164,6 +164,19 @@
 	}
 }
 
+void pw_store_cut_second(void)
+{
+	uint32_t i;
+
+	for (i = waiters->len; i-- > 0;) {
+		struct hs *h = ((struct waiting *)g_ptr_array_index(waiters, i))->h;
+
+		if (h->listener != &second) continue;
+		drop_waiter(g_ptr_array_index(waiters, i));
+		hs_abort(h);
+	}
+}
+
 void pw_store_clear(void)
 {
 	pw_store.mode = pw_store.second_mode = PW_STORE_OK;
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -336,6 +336,37 @@
 	pw_end();
 }
 
+/* An entry that is gone has no value: the frame check of the links refused such items, and with
+ * them all that came along. */
+static void peers_pass_on_that_a_server_is_gone(void)
+{
+	char settings[64];
+	struct pw_server *s[3];
+	struct pw_entry *b;
+	int i;
+
+	pw_init();
+	g_snprintf(settings, sizeof settings, PW_SECOND_STORE, pw_second_ip());
+	for (i = 0; i < 3; i++) s[i] = pw_server_add("app", 0);
+	pw_entry_ready();
+	pw_settings(settings);
+	b = pw_entry_ready();
+	pw_run(800);
+	pw_store.second_mode = PW_STORE_DOWN;
+	pw_store_cut_second();
+	pw_run(200);
+	pw_server_unlist(s[0]);
+	pw_conf.keys = "[\"other\"]";
+	pw_conf.version = 2;
+	pw_conf_write();
+	pw_run(1000);
+	s[0]->arrivals = 0;
+	for (i = 0; i < 6; i++) CU_ASSERT_EQUAL(status_of_key(b, "other"), 200);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	CU_ASSERT(!pw_log_has(b, "peer_frame_malformed"));
+	pw_end();
+}
+
 static void an_instance_starts_while_the_store_turns_it_away(void)
 {
 	char settings[64];
@@ -529,6 +560,7 @@
 	{"a_dead_instance_leaves_the_directory", a_dead_instance_leaves_the_directory},
 	{"peers_pass_on_what_the_store_does_not_tell",
 	 peers_pass_on_what_the_store_does_not_tell},
+	{"peers_pass_on_that_a_server_is_gone", peers_pass_on_that_a_server_is_gone},
 	{"an_instance_starts_while_the_store_turns_it_away",
 	 an_instance_starts_while_the_store_turns_it_away},
 	{"instances_know_each_other_s_load", instances_know_each_other_s_load},
