--- a/Makefile
+++ b/Makefile
@@ -53,11 +53,11 @@
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_store pw_server pw_conf pw_caller) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
 PW_TESTS = $(B)/test/test_relay $(B)/test/test_entry
-$(PW_TESTS): $(PW_OBJ)
+$(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/test/fleet.o $(B)/libsaddlehead.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 demo: build
 	scripts/demo
--- a/test/pw.h
+++ b/test/pw.h
@@ -134,6 +134,7 @@
  * /safe/, /unsafe/ (keyed), /open/ (needs no key). Key "k1" belongs to workspace "w1". */
 struct pw_conf {
 	int version, timeout_ms, extra_routes, attempts;
+	int tokens; /* memory of an engine */
 	const char *keys; /* JSON list of w1's keys */
 	const char *safe_service;
 };
@@ -162,6 +163,9 @@
 /* Sends bytes as they are on one connection; what came back until it ended or ms are over. */
 char *pw_raw(struct pw_entry *e, const char *bytes, size_t n, int ms, int *closed);
 char *pw_raw_at(const char *ip, int port, const char *bytes, size_t n, int ms, int *closed);
+void pw_address(const struct pw_entry *e, int port, struct sockaddr_in *at);
+void pw_ignore_data(struct cn *c, const char *p, size_t n);
+void pw_ignore_end(struct cn *c, int err);
 /* GET on another port of an entry; the status, body into out. */
 int pw_question(const char *ip, int port, const char *target, GString *out);
 #endif
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -204,3 +204,24 @@
 	}
 	return c->err ? -1 : c->status;
 }
+
+void pw_address(const struct pw_entry *e, int port, struct sockaddr_in *at)
+{
+	char text[48];
+
+	g_snprintf(text, sizeof text, "%s:%d", e->ip, port);
+	hostport_parse(text, at);
+}
+
+void pw_ignore_data(struct cn *c, const char *p, size_t n)
+{
+	(void)c;
+	(void)p;
+	(void)n;
+}
+
+void pw_ignore_end(struct cn *c, int err)
+{
+	(void)err;
+	cn_close(c);
+}
