--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,8 @@
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
 PW_TESTS = $(B)/test/test_relay $(B)/test/test_entry
 $(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
+PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be.c src/relay/evs.c platform/*.c))
+$(B)/test/test_pure $(B)/test/test_fuzz: $(PURE_OBJ)
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/test/fleet.o $(B)/libsaddlehead.a
@@ -86,7 +88,7 @@
 	clang-format --dry-run -Werror $$(git ls-files -co --exclude-standard '*.c' '*.h')
 lint:
 	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,portability \
-		--inline-suppr --suppress=missingIncludeSystem -D_GNU_SOURCE '-Dg_assert_cmpuint(a,op,b)=assert((a) op (b))' -Iinclude -Isrc/internal src
+		--inline-suppr --suppress=missingIncludeSystem -D_GNU_SOURCE '-Dg_assert_cmpuint(a,op,b)=assert((a) op (b))' -Iinclude -Isrc/internal -Iplatform src platform
 
 clean:
 	rm -rf build build-asan build-tsan
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -11,14 +11,24 @@
 
 static struct ev_timer teller;
 
-static void add(struct be_load *a, const struct be_load *b, int sign)
+static void add(struct be_load *a, const struct be_load *b)
 {
-	a->runs += sign * b->runs;
-	a->unread += sign * b->unread;
-	a->held += sign * b->held;
-	a->backup += sign * b->backup;
-	a->used += sign * b->used;
-	a->bare += sign * b->bare;
+	a->runs += b->runs;
+	a->unread += b->unread;
+	a->held += b->held;
+	a->backup += b->backup;
+	a->used += b->used;
+	a->bare += b->bare;
+}
+
+static void take_off(struct be_load *a, const struct be_load *b)
+{
+	a->runs -= b->runs;
+	a->unread -= b->unread;
+	a->held -= b->held;
+	a->backup -= b->backup;
+	a->used -= b->used;
+	a->bare -= b->bare;
 }
 
 static void set_row(struct member *m, const struct mesh_row *r)
@@ -32,9 +42,9 @@
 		old = g_new0(struct be_load, 1);
 		g_hash_table_insert(m->loads, g_strdup(r->id), old);
 	}
-	add(&b->others, old, -1);
+	take_off(&b->others, old);
 	*old = r->load;
-	add(&b->others, old, 1);
+	add(&b->others, old);
 }
 
 static void drop_row(gpointer id, gpointer load, gpointer user)
@@ -42,7 +52,7 @@
 	struct be *b = be_find(id);
 
 	(void)user;
-	if (b) add(&b->others, load, -1);
+	if (b) take_off(&b->others, load);
 }
 
 void mesh_drop_loads(struct member *m)
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -217,7 +217,7 @@
 {
 	int i;
 
-	for (i = 0; dl_prefixes[i] && i < WATCHERS_MAX; i++) {
+	for (i = 0; i < WATCHERS_MAX && dl_prefixes[i]; i++) {
 		watchers[i] =
 			(struct watcher){.prefix = dl_prefixes[i], .retry.fire = on_retry};
 		watchers[i].listed =
--- a/test/pw.c
+++ b/test/pw.c
@@ -87,7 +87,8 @@
 	first_ip += nentries;
 	nentries = 0;
 	pw_conf = (struct pw_conf){.version = 1,
-				   .timeout_ms = 5000, .tokens = 34000,
+				   .timeout_ms = 5000,
+				   .tokens = 34000,
 				   .attempts = 2,
 				   .keys = "[\"k1\"]",
 				   .safe_service = "app"};
--- a/test/pw.h
+++ b/test/pw.h
@@ -134,7 +134,7 @@
  * /safe/, /unsafe/ (keyed), /open/ (needs no key). Key "k1" belongs to workspace "w1". */
 struct pw_conf {
 	int version, timeout_ms, extra_routes, attempts;
-	int tokens; /* memory of an engine */
+	int tokens;       /* memory of an engine */
 	const char *keys; /* JSON list of w1's keys */
 	const char *safe_service;
 };
--- /dev/null
+++ b/test/test_pure.c
@@ -0,0 +1,312 @@
+/* The pure parts of the platform path: routes, placement, lengths, repeats, events, heads. */
+#include "budget.h"
+#include "check.h"
+#include "conf.h"
+#include "evs.h"
+#include "hostport.h"
+#include "hp.h"
+#include <errno.h>
+#include <saddlehead/length.h>
+#include <saddlehead/place.h>
+#include <math.h>
+#include <string.h>
+
+/* ---- routes ---- */
+
+static void add_route(struct conf *c, const char *host, const char *prefix)
+{
+	struct conf_route *r = g_new0(struct conf_route, 1);
+
+	r->name = g_strdup(prefix);
+	r->host = g_strdup(host);
+	r->prefix = g_strdup(prefix);
+	conf_add_route(c, r);
+}
+
+static const char *route_of(const struct conf *c, const char *host, const char *path)
+{
+	const struct conf_route *r = conf_route(c, host, path);
+
+	return r ? r->name : "none";
+}
+
+static void the_longest_prefix_of_the_host_decides(void)
+{
+	struct conf *c = conf_new();
+
+	add_route(c, "a.example", "/");
+	add_route(c, "a.example", "/x/");
+	add_route(c, "a.example", "/x/y/");
+	add_route(c, "b.example", "/x/");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "a.example", "/x/y/z"), "/x/y/");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "a.example", "/x/y"), "/x/");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "a.example", "/q?to=/x/y/"), "/");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "A.EXAMPLE:8080", "/x/1"), "/x/");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "b.example", "/y/"), "none");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "c.example", "/x/"), "none");
+	CU_ASSERT_STRING_EQUAL(route_of(c, "b.example", ""), "none");
+	conf_unref(c);
+}
+
+static void a_split_is_drawn_by_weight(void)
+{
+	struct conf_route r = {.split = {{"a", 90}, {"b", 10}}, .nsplit = 2};
+
+	CU_ASSERT_STRING_EQUAL(conf_pick(&r, 0.0), "a");
+	CU_ASSERT_STRING_EQUAL(conf_pick(&r, 0.89), "a");
+	CU_ASSERT_STRING_EQUAL(conf_pick(&r, 0.91), "b");
+	CU_ASSERT_STRING_EQUAL(conf_pick(&r, 0.9999999), "b");
+}
+
+/* ---- placement ---- */
+
+static void a_generation_goes_where_least_waits(void)
+{
+	struct place_site s[3] = {
+		{.usable = 1, .near = 1, .tokens = 30000, .unread = 3000, .runs = 1},
+		{.usable = 1, .near = 1, .tokens = 30000, .unread = 0, .runs = 2},
+		{.usable = 0, .near = 1, .tokens = 30000},
+	};
+	struct place_job j = {3000, 800};
+
+	CU_ASSERT_EQUAL(place_generation(s, 3, &j, 7), 1);
+	s[1].held = s[1].used = 29000; /* its memory would run out */
+	CU_ASSERT_EQUAL(place_generation(s, 3, &j, 7), 0);
+	s[0].usable = s[1].usable = 0;
+	CU_ASSERT_EQUAL(place_generation(s, 3, &j, 7), -1);
+}
+
+static void room_is_what_is_left_for_half_of_the_growth(void)
+{
+	struct place_site s = {.usable = 1, .tokens = 10000, .used = 5000};
+	struct place_job fits = {4000, 500}, large = {4500, 1000}, huge = {20000, 0};
+
+	CU_ASSERT(place_fits(&s, &fits));
+	CU_ASSERT(!place_fits(&s, &large));
+	s.used = 0;
+	CU_ASSERT(place_fits(&s, &huge)); /* an empty engine is asked: it knows best */
+	s.tokens = 0;
+	s.used = 1000000;
+	CU_ASSERT(place_fits(&s, &huge)); /* not told: no limit */
+}
+
+static void copies_need_free_memory(void)
+{
+	struct place_site s[3] = {
+		{.usable = 1, .tokens = 10000, .used = 2000, .held = 2500},
+		{.usable = 1, .near = 1, .tokens = 10000, .used = 2000, .held = 2500},
+		{.usable = 1, .tokens = 10000, .used = 2000, .held = 2500}};
+	struct place_job j = {3000, 0};
+
+	CU_ASSERT_EQUAL(place_backup(s, 3, 0, &j, 90, 1), 1); /* near the source */
+	s[1].usable = 0;
+	CU_ASSERT_EQUAL(place_backup(s, 3, 0, &j, 90, 1), 2);
+	s[2].used = s[2].held = 8000;
+	CU_ASSERT_EQUAL(place_backup(s, 3, 0, &j, 90, 1), -1);
+	s[2].used = s[2].held = 2000;
+	s[0].used = 9000; /* too little is free over all */
+	CU_ASSERT_EQUAL(place_backup(s, 3, 0, &j, 90, 1), -1);
+}
+
+static void a_call_goes_to_the_quickest(void)
+{
+	struct place_site s[3] = {
+		{.usable = 1, .near = 1, .slots = 4, .runs = 6, .answer_us = 20000},
+		{.usable = 1, .slots = 4, .runs = 0, .answer_us = 20000},
+		{.usable = 1, .slots = 4, .runs = 0, .answer_us = 90000}};
+	uint32_t draw;
+
+	for (draw = 0; draw < 50; draw++) CU_ASSERT_EQUAL(place_call(s, 3, draw * 7919), 1);
+	s[0].usable = s[1].usable = s[2].usable = 0;
+	CU_ASSERT_EQUAL(place_call(s, 3, 1), -1);
+}
+
+/* ---- lengths ---- */
+
+static void lengths_are_learnt_and_hints_weighed(void)
+{
+	struct length_stats s = {0};
+	uint32_t first = length_remaining(&s, 0, 2000, 0), i;
+
+	CU_ASSERT(first > 100 && first < 2000);
+	for (i = 0; i < 300; i++) length_observe(&s, i % 2 ? 300 : 330, i % 2 ? 1200 : 90);
+	CU_ASSERT(length_remaining(&s, 0, 2000, 0) > 290);
+	CU_ASSERT(length_remaining(&s, 0, 2000, 0) < 350);
+	/* hints that were four times off in both directions change little */
+	CU_ASSERT(length_remaining(&s, 1200, 2000, 0) < 400);
+	/* one that outlived what is usual is expected to go on a little, within the bound */
+	CU_ASSERT(length_remaining(&s, 0, 2000, 900) > 0);
+	CU_ASSERT(length_remaining(&s, 0, 2000, 900) < 600);
+	CU_ASSERT_EQUAL(length_remaining(&s, 0, 2000, 2000), 0);
+	CU_ASSERT_EQUAL(length_remaining(&s, 0, 2000, 5000), 0);
+}
+
+/* ---- repeats ---- */
+
+static void repeats_of_all_instances_keep_within_the_allowance(void)
+{
+	static const struct budget_rule rule = {10000000, 0.2, 54};
+	struct budget b[7] = {0};
+	int64_t now = 1000000, t;
+	int i, window[4000] = {0}, first[4000] = {0}, worst = 0;
+
+	/* 40 s, a request each 100 ms and instance, and as many repeats as are let through */
+	for (t = 0; t < 400; t++, now += 100000) {
+		for (i = 0; i < 7; i++) {
+			budget_request(&b[i], &rule, now);
+			first[t]++;
+			while (budget_take(&b[i], &rule, 7, now)) window[t]++;
+		}
+	}
+	for (t = 100; t < 400; t++) {
+		int repeats = 0, requests = 0;
+
+		for (i = 0; i < 100; i++) {
+			repeats += window[t - i];
+			requests += first[t - i];
+		}
+		worst = MAX(worst, repeats - (int)(0.2 * requests + 54));
+	}
+	CU_ASSERT(worst <= 0);
+	CU_ASSERT(budget_take(&b[0], &rule, 7, now + 30000000)); /* a pause gives it back */
+}
+
+/* ---- events ---- */
+
+static void events_are_whole_and_come_once(void)
+{
+	static const char in[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: "
+				 "2\ndata: b\n\nid: 3\nda";
+	struct evs_seen seen = {0};
+	struct evs e;
+	GString *out;
+	size_t cut;
+
+	for (cut = 0; cut < sizeof in; cut++) {
+		memset(&seen, 0, sizeof seen);
+		out = g_string_new(NULL);
+		evs_init(&e);
+		CU_ASSERT_EQUAL(evs_feed(&e, &seen, in, cut, out), 0);
+		CU_ASSERT_EQUAL(evs_feed(&e, &seen, in + cut,
+					 sizeof in - 1 - MIN(cut, sizeof in - 1), out),
+				0);
+		CU_ASSERT_STRING_EQUAL(out->str,
+				       "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\n");
+		CU_ASSERT_STRING_EQUAL(seen.id, "2");
+		CU_ASSERT_EQUAL(seen.repeated, 1);
+		evs_free(&e);
+		g_string_free(out, TRUE);
+	}
+}
+
+static void an_endless_event_is_an_error(void)
+{
+	struct evs_seen seen = {0};
+	GString *out = g_string_new(NULL);
+	char block[4096];
+	struct evs e;
+	int i, rc = 0;
+
+	memset(block, 'x', sizeof block);
+	evs_init(&e);
+	for (i = 0; i < 100 && !rc; i++) rc = evs_feed(&e, &seen, block, sizeof block, out);
+	CU_ASSERT_EQUAL(rc, -EMSGSIZE);
+	evs_free(&e);
+	g_string_free(out, TRUE);
+}
+
+/* ---- heads ---- */
+
+static ssize_t feed(int request, const char *text, struct hp *p)
+{
+	hp_init(p, request);
+	return hp_feed(p, text, strlen(text));
+}
+
+static void messages_with_two_framings_are_refused(void)
+{
+	struct hp p;
+
+	CU_ASSERT(feed(1,
+		       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+		       "chunked\r\n\r\n",
+		       &p) < 0);
+	hp_free(&p);
+	CU_ASSERT(feed(1, "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+		       &p) < 0);
+	hp_free(&p);
+	CU_ASSERT(feed(1, "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", &p) < 0);
+	hp_free(&p);
+	CU_ASSERT(feed(0,
+		       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: "
+		       "chunked\r\n\r\n",
+		       &p) < 0);
+	hp_free(&p);
+}
+
+static void an_answer_that_is_cut_is_not_whole(void)
+{
+	struct hp p;
+
+	feed(0, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", &p);
+	CU_ASSERT_EQUAL(hp_end(&p), -EPIPE);
+	hp_free(&p);
+	feed(0, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", &p);
+	CU_ASSERT_EQUAL(hp_end(&p), -EPIPE);
+	hp_free(&p);
+	feed(0, "HTTP/1.1 200 OK\r\n\r\nabc", &p);
+	CU_ASSERT_EQUAL(hp_end(&p), 0); /* ends with its connection */
+	hp_free(&p);
+	feed(0, "HTTP/1.1 200 OK\r\nX: y", &p);
+	CU_ASSERT_EQUAL(hp_end(&p), -EPIPE);
+	hp_free(&p);
+}
+
+static void fields_of_one_connection_are_known(void)
+{
+	struct hp p;
+
+	feed(1,
+	     "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nX-Other: 2\r\n\r\n",
+	     &p);
+	CU_ASSERT(hp_hop_by_hop(&p.head, "x-mine"));
+	CU_ASSERT(hp_hop_by_hop(&p.head, "Transfer-Encoding"));
+	CU_ASSERT(!hp_hop_by_hop(&p.head, "X-Other"));
+	CU_ASSERT_STRING_EQUAL(hp_get(&p.head, "x-OTHER"), "2");
+	CU_ASSERT_PTR_NULL(hp_get(&p.head, "X-None"));
+	hp_free(&p);
+}
+
+static void addresses_are_checked(void)
+{
+	struct sockaddr_in a;
+
+	CU_ASSERT_EQUAL(hostport_parse("10.0.0.1:80", &a), 0);
+	CU_ASSERT_EQUAL(hostport_parse("10.0.0.1:0", &a), -EINVAL);
+	CU_ASSERT_EQUAL(hostport_parse("10.0.0.1:65536", &a), -EINVAL);
+	CU_ASSERT_EQUAL(hostport_parse("10.0.0.1", &a), -EINVAL);
+	CU_ASSERT_EQUAL(hostport_parse("10.0.0.1:8x", &a), -EINVAL);
+	CU_ASSERT_EQUAL(hostport_parse("10.0.0.1000000000:80", &a), -EINVAL);
+	CU_ASSERT_EQUAL(hostport_parse("host:80", &a), -EINVAL);
+}
+
+static const struct check list[] = {
+	{"the_longest_prefix_of_the_host_decides", the_longest_prefix_of_the_host_decides},
+	{"a_split_is_drawn_by_weight", a_split_is_drawn_by_weight},
+	{"a_generation_goes_where_least_waits", a_generation_goes_where_least_waits},
+	{"room_is_what_is_left_for_half_of_the_growth",
+	 room_is_what_is_left_for_half_of_the_growth},
+	{"copies_need_free_memory", copies_need_free_memory},
+	{"a_call_goes_to_the_quickest", a_call_goes_to_the_quickest},
+	{"lengths_are_learnt_and_hints_weighed", lengths_are_learnt_and_hints_weighed},
+	{"repeats_of_all_instances_keep_within_the_allowance",
+	 repeats_of_all_instances_keep_within_the_allowance},
+	{"events_are_whole_and_come_once", events_are_whole_and_come_once},
+	{"an_endless_event_is_an_error", an_endless_event_is_an_error},
+	{"messages_with_two_framings_are_refused", messages_with_two_framings_are_refused},
+	{"an_answer_that_is_cut_is_not_whole", an_answer_that_is_cut_is_not_whole},
+	{"fields_of_one_connection_are_known", fields_of_one_connection_are_known},
+	{"addresses_are_checked", addresses_are_checked},
+};
+
+CHECK_MAIN(list)
