Three instances watch the store for all; whoever confirms the configuration lists the servers too

Ruled out: fewer confirmations only (watches were nine in ten of the calls).

Change: the three live instances with the lowest hash that the store answers hold the watches and pass news on; news name what they go on from, so that a lost one is asked for. What is large is pulled when many instances would need it at once. A confirmation is told to all at once, and the one that made it also lists the servers, so that watches which are silent or wait in a cut off instance hide nothing. Leases are renewed every 10 s, members listed once a minute.

Tests: few_watch_for_all_and_others_take_over, silent_watches_hide_no_server_that_is_gone (new).

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -18,12 +18,19 @@
 #define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
 #define WHOLE_EVERY 5       /* beats between whole load messages: heals what was missed */
 #define MEMBERS_MAX 4096
+#define WATCH_INSTANCES 3 /* that watch the store for all: two may be lost at once */
+#define MANY 16       /* instances: beyond, what is large is asked for one after the other */
+#define NEWS_MAX 8192 /* bytes passed on unasked to many: a small link takes 10 Mbit/s */
+#define ASK_SPREAD_US 300000 /* within it many ask for what is large */
+#define ASK_AGAIN_US 500000  /* an answer is under way */
 
 static const struct entry_cfg *cfg;
 static GPtrArray *members;
 static struct ev_timer beat_timer;
 static struct ev_fd listener;
-static int self_ready, self_draining, most_known = 1;
+static int self_ready, self_draining, self_store_up, most_known = 1;
+static struct ev_timer ask_timer;
+static int64_t ask_not_before_us;
 static unsigned beats;
 
 const struct entry_cfg *mesh_cfg(void)
@@ -42,6 +49,11 @@
 	self_draining = draining;
 }
 
+void mesh_set_store_up(int up)
+{
+	self_store_up = up;
+}
+
 static void on_link_end(struct cn *c, int err)
 {
 	(void)err;
@@ -69,7 +81,8 @@
 
 static void write_beat(GString *out, const struct member *to)
 {
-	struct mesh_beat b = {.ready = self_ready, .draining = self_draining};
+	struct mesh_beat b = {
+		.ready = self_ready, .draining = self_draining, .store_up = self_store_up};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
@@ -176,18 +189,50 @@
 	board_confirm(b->revs.conf, b->echo_us + b->echo_held_us - b->confirmed_ago_us);
 }
 
-static void ask_for_newer(struct member *m, const struct mesh_beat *b)
+static int knows_more(const struct member *m)
 {
 	struct board_revs mine = board_revs();
+
+	return m->said.revs.conf > mine.conf || m->said.revs.backends > mine.backends;
+}
+
+void mesh_ask(struct member *m)
+{
 	GString *out;
 
-	if (b->revs.conf <= mine.conf && b->revs.backends <= mine.backends) return;
+	if (clock_us() < ask_not_before_us) return;
+	ask_not_before_us = clock_us() + ASK_AGAIN_US;
 	out = g_string_new(NULL);
-	mesh_write_want(out, mine);
+	mesh_write_want(out, board_revs());
 	mesh_send(m, out);
 	g_string_free(out, TRUE);
 }
 
+/* Any of those who know more: not all ask the same one. */
+static void on_ask(struct ev_timer *t)
+{
+	uint32_t i,
+		from = members->len ? (uint32_t)g_random_int_range(0, (int)members->len) : 0;
+
+	(void)t;
+	for (i = 0; i < members->len; i++) {
+		struct member *m = g_ptr_array_index(members, (from + i) % members->len);
+
+		if (!m->alive || !knows_more(m)) continue;
+		mesh_ask(m);
+		return;
+	}
+}
+
+static void ask_for_newer(struct member *m)
+{
+	if (!knows_more(m) || ask_timer.armed) return;
+	if (members->len <= MANY)
+		mesh_ask(m);
+	else
+		ev_in(&ask_timer, g_random_int_range(0, ASK_SPREAD_US));
+}
+
 void mesh_heard(struct member *m, const struct mesh_beat *b)
 {
 	m->said = *b;
@@ -197,7 +242,7 @@
 		log_member(m, "member_alive");
 	}
 	take_confirmation(b);
-	ask_for_newer(m, b);
+	ask_for_newer(m);
 }
 
 static void check_alive(struct member *m, int64_t now)
@@ -228,6 +273,47 @@
 	g_string_free(out, TRUE);
 }
 
+void mesh_beat_now(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->len; i++) {
+		struct member *m = g_ptr_array_index(members, i);
+		GString *out = g_string_new(NULL);
+
+		write_beat(out, m);
+		mesh_send(m, out);
+		g_string_free(out, TRUE);
+	}
+}
+
+void mesh_pass_on(struct board_revs base)
+{
+	GString *out = g_string_new(NULL);
+
+	mesh_write_news(out, base);
+	if (members->len > MANY && out->len > NEWS_MAX)
+		mesh_beat_now();
+	else if (out->len)
+		mesh_send_all(out);
+	g_string_free(out, TRUE);
+}
+
+/* All work out the same few, from names alone. */
+int mesh_watches(void)
+{
+	guint mine = g_str_hash(cfg->instance);
+	uint32_t i, before = 0;
+
+	for (i = 0; i < members->len; i++) {
+		const struct member *m = g_ptr_array_index(members, i);
+
+		if (!m->alive || !m->said.store_up || m->said.draining) continue;
+		before += g_str_hash(m->said.name) < mine;
+	}
+	return before < WATCH_INSTANCES;
+}
+
 static int forgotten(struct member *m, int64_t now)
 {
 	if (now - MAX(m->heard_us, m->learnt_us) < FORGET_US) return 0;
@@ -255,6 +341,7 @@
 		beat_to(m, now);
 	}
 	met_set(MET_G_MEMBERS, mesh_live());
+	met_set(MET_G_WATCHES, mesh_watches());
 }
 
 int mesh_live(void)
@@ -390,6 +477,7 @@
 		inet_ntop(AF_INET, &c->seed[i].sin_addr, ip, sizeof ip);
 		mesh_learn(ip);
 	}
+	ask_timer.fire = on_ask;
 	beat_timer.fire = on_beat;
 	ev_in(&beat_timer, 0);
 	return listen_for_peers();
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -35,13 +35,26 @@
 	struct st_item i;
 	uint32_t k;
 
-	for (k = 1; k < a->size; k++) {
+	for (k = 3; k < a->size; k++) {
 		if (mesh_read_item(&a->ptr[k], &i, key, sizeof key)) return -EBADMSG;
 		board_apply(&i, in->from->said.name);
 	}
 	return 0;
 }
 
+/* News go on from what the receiver must know already: items between would be missed for good.
+ */
+static int take_news(struct mesh_in *in, const msgpack_object_array *a)
+{
+	struct board_revs after, mine = board_revs();
+
+	if (mesh_read_want(a, &after)) return -EBADMSG;
+	if (mine.conf >= after.conf && mine.backends >= after.backends)
+		return take_items(in, a);
+	mesh_ask(in->from);
+	return 0;
+}
+
 static int take_leaving(struct mesh_in *in, const msgpack_object_array *a)
 {
 	char id[ENTRY_TEXT_MAX + 1];
@@ -73,6 +86,7 @@
 	case MESH_LOADS: mesh_take_loads(in->from, a); return 0;
 	case MESH_WANT: return take_want(in, a);
 	case MESH_ITEMS: return take_items(in, a);
+	case MESH_NEWS: return take_news(in, a);
 	case MESH_LEAVING: return take_leaving(in, a);
 	case MESH_MEMBERS: return take_members(a);
 	case MESH_BEAT: break;
--- a/src/fleet/mesh_msg.c
+++ b/src/fleet/mesh_msg.c
@@ -19,7 +19,7 @@
 	g_string_append_len(out, b->data, b->size);
 }
 
-#define BEAT_FIELDS 12
+#define BEAT_FIELDS 13
 
 void mesh_write_beat(GString *out, const struct mesh_beat *b)
 {
@@ -41,6 +41,7 @@
 	msgpack_pack_int64(&p, b->stamp_us);
 	msgpack_pack_int64(&p, b->echo_us);
 	msgpack_pack_int64(&p, b->echo_held_us);
+	msgpack_pack_int(&p, b->store_up);
 	finish(out, &buf);
 	msgpack_sbuffer_destroy(&buf);
 }
@@ -111,7 +112,7 @@
 	msgpack_pack_bin_body(p, i->value, i->len);
 }
 
-void mesh_write_items(GString *out, struct board_revs after)
+static void write_newer(GString *out, enum mesh_type type, struct board_revs after)
 {
 	msgpack_sbuffer buf;
 	msgpack_packer p;
@@ -121,13 +122,25 @@
 	if (!n) return;
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 1 + n);
-	msgpack_pack_int(&p, MESH_ITEMS);
+	msgpack_pack_array(&p, 3 + n);
+	msgpack_pack_int(&p, type);
+	msgpack_pack_uint64(&p, after.conf);
+	msgpack_pack_uint64(&p, after.backends);
 	board_each_newer(after, pack_item, &p);
 	finish(out, &buf);
 	msgpack_sbuffer_destroy(&buf);
 }
 
+void mesh_write_items(GString *out, struct board_revs after)
+{
+	write_newer(out, MESH_ITEMS, after);
+}
+
+void mesh_write_news(GString *out, struct board_revs after)
+{
+	write_newer(out, MESH_NEWS, after);
+}
+
 static void write_texts(GString *out, enum mesh_type type, char (*text)[ENTRY_TEXT_MAX + 1],
 			int n)
 {
@@ -185,6 +198,7 @@
 	b->stamp_us = mesh_int(&a->ptr[9]);
 	b->echo_us = mesh_int(&a->ptr[10]);
 	b->echo_held_us = mesh_int(&a->ptr[11]);
+	b->store_up = mesh_int(&a->ptr[12]) != 0;
 	return 0;
 }
 
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -7,10 +7,10 @@
 #include <string.h>
 
 #define PREFIX "saddlehead/members/"
-#define LEASE_MS 15000        /* an instance that died is listed no longer than this */
-#define RENEW_US 5000000      /* a third of it */
+#define LEASE_MS 30000        /* an instance that died is listed no longer than this */
+#define RENEW_US 10000000     /* a third of it */
 #define RETRY_US 1000000      /* after a call that failed */
-#define LIST_US 20000000      /* members tell each other of members; this is for those apart */
+#define LIST_US 60000000      /* members tell each other of members; this is for those apart */
 #define LIST_ALONE_US 1500000 /* while no other instance is heard of */
 
 static const struct entry_cfg *cfg;
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -4,6 +4,7 @@
 #include "dialect.h"
 #include "ev.h"
 #include "jlog.h"
+#include "mesh.h"
 #include "met.h"
 #include <errno.h>
 #include <stddef.h>
@@ -16,6 +17,7 @@
 	900000                 /* ... and as much more by chance, so that one asks for all \
 				*/
 #define CONFIRM_TICK_US 100000 /* how often its age is looked at */
+#define IDLE_LOOK_US 100000    /* how often one that does not watch looks whether it must */
 #define UP_US 2500000          /* without an answer for so long the store counts as away */
 
 enum phase { LISTING, WATCHING };
@@ -28,11 +30,13 @@
 	struct ev_timer retry;
 	int64_t wait_us;
 	GHashTable *listed;
+	struct board_revs base; /* what was known before the listing */
+	int once;               /* lists, and does not go on to watch */
 };
 
 #define WATCHERS_MAX 4
 
-static struct watcher watchers[WATCHERS_MAX];
+static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX];
 static int nwatchers;
 static struct st_call *confirming;
 static struct ev_timer confirm_timer;
@@ -59,6 +63,8 @@
 
 	if (up == now_up) return;
 	up = now_up;
+	mesh_set_store_up(up);
+	mesh_beat_now();
 	g = jlog_begin("fleet", up ? "store_regained" : "store_lost");
 	if (!up) jlog_int(g, "error", rc);
 	jlog_end(g);
@@ -89,7 +95,8 @@
 	ev_in(&w->retry, w->wait_us);
 }
 
-static void apply_all(const struct st_reply *r, const char *prefix, int64_t listed_us)
+/* Takes what the store said; listed_us: a listing that was asked for then, else 0. */
+static void apply_all(const struct st_reply *r, int64_t listed_us)
 {
 	size_t i;
 
@@ -98,7 +105,14 @@
 		if (listed_us && dl_item_kind(r->items[i].key) == DL_CONF)
 			board_confirm(r->items[i].revision, listed_us);
 	}
-	(void)prefix;
+}
+
+static void apply_and_pass_on(const struct st_reply *r, int64_t listed_us)
+{
+	struct board_revs base = board_revs();
+
+	apply_all(r, listed_us);
+	mesh_pass_on(base);
 }
 
 static void on_listed(const struct st_reply *r, void *user)
@@ -110,13 +124,14 @@
 	note_reply(r);
 	if (r->rc) {
 		g_hash_table_remove_all(w->listed);
-		try_later(w);
+		if (!w->once) try_later(w);
 		return;
 	}
 	w->wait_us = 0;
+	if (!g_hash_table_size(w->listed)) w->base = board_revs();
 	/* Pages are no snapshot: what changed since the first one is watched from there. */
 	if (!g_hash_table_size(w->listed)) w->at = r->at;
-	apply_all(r, w->prefix, r->sent_us);
+	apply_all(r, r->sent_us);
 	for (i = 0; i < r->n; i++) g_hash_table_add(w->listed, g_strdup(r->items[i].key));
 	if (r->more && r->n) {
 		w->call = st_range(w->prefix, r->items[r->n - 1].key, on_listed, w);
@@ -124,6 +139,8 @@
 	}
 	board_apply_missing(w->prefix, w->listed, w->at);
 	g_hash_table_remove_all(w->listed);
+	mesh_pass_on(w->base);
+	if (w->once) return;
 	w->phase = WATCHING;
 	next(w);
 }
@@ -140,18 +157,33 @@
 		return;
 	}
 	w->wait_us = 0;
-	apply_all(r, w->prefix, 0);
+	apply_and_pass_on(r, 0);
 	if (r->at > w->at) w->at = r->at;
 	next(w);
 }
 
+/* Others have passed on what came since; it is not asked for again. */
+static void catch_up(struct watcher *w)
+{
+	struct board_revs revs = board_revs();
+	int is_conf = dl_item_kind(w->prefix) == DL_CONF;
+
+	w->at = MAX(w->at, is_conf ? revs.conf : revs.backends);
+}
+
 static void next(struct watcher *w)
 {
 	if (w->call) return;
-	if (w->phase == LISTING)
+	if (w->phase == LISTING) {
 		w->call = st_range(w->prefix, NULL, on_listed, w);
-	else
-		w->call = st_watch(w->prefix, w->at, WATCH_MS, on_watched, w);
+		return;
+	}
+	if (!mesh_watches()) {
+		ev_in(&w->retry, IDLE_LOOK_US);
+		return;
+	}
+	catch_up(w);
+	w->call = st_watch(w->prefix, w->at, WATCH_MS, on_watched, w);
 }
 
 static void on_retry(struct ev_timer *t)
@@ -177,6 +209,18 @@
 		if (watchers[i].phase == WATCHING) start_again(&watchers[i]);
 }
 
+/* Whoever confirms the configuration for all also lists the rest for all: watches that are
+ * silent, or waited for by instances that are cut off, hide nothing for long. */
+static void check_lists(void)
+{
+	int i;
+
+	for (i = 0; i < nwatchers; i++) {
+		if (dl_item_kind(watchers[i].prefix) == DL_CONF || checkers[i].call) continue;
+		checkers[i].call = st_range(checkers[i].prefix, NULL, on_listed, &checkers[i]);
+	}
+}
+
 static void on_confirmed(const struct st_reply *r, void *user)
 {
 	int was_up = up;
@@ -185,12 +229,14 @@
 	confirming = NULL;
 	note_reply(r);
 	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
-	if (r->rc == -ECANCELED) apply_all(r, NULL, r->sent_us);
+	if (r->rc == -ECANCELED) apply_and_pass_on(r, r->sent_us);
 	if (r->rc && r->rc != -ECANCELED) {
 		confirm_not_before_us = clock_us() + RETRY_FIRST_US * 3;
 		return;
 	}
 	if (!was_up || r->rc == -ECANCELED) watch_anew();
+	mesh_beat_now();
+	check_lists();
 	confirm_age_us = CONFIRM_US + g_random_int_range(0, CONFIRM_SPREAD_US);
 }
 
@@ -222,6 +268,10 @@
 			(struct watcher){.prefix = dl_prefixes[i], .retry.fire = on_retry};
 		watchers[i].listed =
 			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		checkers[i] = watchers[i];
+		checkers[i].once = 1;
+		checkers[i].listed =
+			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 		nwatchers++;
 		next(&watchers[i]);
 	}
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -3,6 +3,7 @@
 #ifndef SH_MESH_H
 #define SH_MESH_H
 #include "be.h"
+#include "board.h"
 #include "entry_cfg.h"
 #include <stdint.h>
 
@@ -10,6 +11,14 @@
 int mesh_start(const struct entry_cfg *c);
 /* What other instances are told of this one. */
 void mesh_set_state(int ready, int draining);
+/* Whether the store answers this instance; those that it answers watch for all. */
+void mesh_set_store_up(int up);
+/* Whether this instance is one of the few that watch the store for all. */
+int mesh_watches(void);
+/* Passes on what is newer than base, which this instance just heard from the store. */
+void mesh_pass_on(struct board_revs base);
+/* A heartbeat to all, out of turn: something that they should know. */
+void mesh_beat_now(void);
 /* An instance at this IP may exist. */
 void mesh_learn(const char *ip);
 /* Addresses of the instances that take callers, this one included if it does; how many. When
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -6,12 +6,20 @@
 #include "mesh.h"
 #include <msgpack.h>
 
-enum mesh_type { MESH_BEAT = 1, MESH_LOADS, MESH_WANT, MESH_ITEMS, MESH_LEAVING, MESH_MEMBERS };
+enum mesh_type {
+	MESH_BEAT = 1,
+	MESH_LOADS,
+	MESH_WANT,
+	MESH_ITEMS,
+	MESH_LEAVING,
+	MESH_MEMBERS,
+	MESH_NEWS
+};
 
 /* What an instance tells of itself. */
 struct mesh_beat {
 	char name[ENTRY_TEXT_MAX + 1], ip[ENTRY_TEXT_MAX + 1], front[ENTRY_TEXT_MAX + 1];
-	int ready, draining;
+	int ready, draining, store_up;
 	struct board_revs revs;
 	int64_t confirmed_ago_us; /* -1: never */
 	int64_t stamp_us;         /* the sender's clock */
@@ -40,6 +48,8 @@
 void mesh_write_loads(GString *out, const struct mesh_row *row, int n, int whole);
 void mesh_write_want(GString *out, struct board_revs after);
 void mesh_write_items(GString *out, struct board_revs after);
+/* The same unasked: for those who know all up to after. */
+void mesh_write_news(GString *out, struct board_revs after);
 void mesh_write_leaving(GString *out, const char *id);
 void mesh_write_members(GString *out, char (*ip)[ENTRY_TEXT_MAX + 1], int n);
 
@@ -61,6 +71,8 @@
 /* mesh_in.c: dispatches one whole frame. 0 or -EBADMSG. */
 int mesh_dispatch(struct mesh_in *in, const char *p, size_t n);
 /* mesh.c */
+/* Asks m for what this instance lacks; not again while an answer may be under way. */
+void mesh_ask(struct member *m);
 struct member *mesh_member_at(const char *ip);
 void mesh_heard(struct member *m, const struct mesh_beat *b);
 void mesh_send(struct member *m, const GString *frame);
--- a/test/pw.h
+++ b/test/pw.h
@@ -73,6 +73,8 @@
 /* Breaks the calls that wait at its second address. */
 void pw_store_cut_second(void);
 int pw_store_has(const char *prefix);
+/* Calls that wait for changes now. */
+int pw_store_waiting(void);
 
 /* ---- pw_server.c: backend servers ---- */
 enum pw_mode {
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -186,6 +186,11 @@
 	g_hash_table_remove_all(entries);
 }
 
+int pw_store_waiting(void)
+{
+	return (int)waiters->len;
+}
+
 int pw_store_has(const char *prefix)
 {
 	GString *s = g_string_new(NULL);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -370,6 +370,60 @@
 	pw_end();
 }
 
+static void change_keys(const char *keys)
+{
+	pw_conf.keys = keys;
+	pw_conf.version++;
+	pw_conf_write();
+}
+
+/* Each call to the store is paid for: three instances watch for all, others take over. */
+static void few_watch_for_all_and_others_take_over(void)
+{
+	struct pw_entry *e[6];
+	int i, killed = 0;
+
+	pw_init();
+	pw_server_add("app", 0);
+	for (i = 0; i < 6; i++) e[i] = pw_entry_ready();
+	pw_run(21500); /* the first watches of those that started alone run out */
+	CU_ASSERT_EQUAL(pw_store_waiting(), 6); /* two lists each */
+	change_keys("[\"second\"]");
+	pw_run(400);
+	for (i = 0; i < 6; i++) CU_ASSERT_EQUAL(status_of_key(e[i], "second"), 200);
+	for (i = 0; i < 6; i++) {
+		if (pw_metric(e[i], "saddlehead_watches") != 1) continue;
+		pw_entry_kill(e[i], SIGSTOP);
+		killed |= 1 << i;
+	}
+	CU_ASSERT(killed != 0);
+	change_keys("[\"third\"]");
+	pw_run(2000);
+	for (i = 0; i < 6; i++)
+		if (!(killed >> i & 1)) CU_ASSERT_EQUAL(status_of_key(e[i], "third"), 200);
+	pw_end();
+}
+
+/* All watches are silent; somebody's listing shows that a server is gone. */
+static void silent_watches_hide_no_server_that_is_gone(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	pw_store.watches_silent = 1;
+	pw_server_unlist(s[0]);
+	pw_run(2200);
+	s[0]->arrivals = 0;
+	for (i = 0; i < 5; i++) CU_ASSERT_EQUAL(status_of_key(e, "k1"), 200);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	pw_store.watches_silent = 0;
+	pw_end();
+}
+
 static void an_instance_starts_while_the_store_turns_it_away(void)
 {
 	char settings[64];
@@ -568,6 +622,9 @@
 	{"peers_pass_on_what_the_store_does_not_tell",
 	 peers_pass_on_what_the_store_does_not_tell},
 	{"peers_pass_on_that_a_server_is_gone", peers_pass_on_that_a_server_is_gone},
+	{"few_watch_for_all_and_others_take_over", few_watch_for_all_and_others_take_over},
+	{"silent_watches_hide_no_server_that_is_gone",
+	 silent_watches_hide_no_server_that_is_gone},
 	{"an_instance_starts_while_the_store_turns_it_away",
 	 an_instance_starts_while_the_store_turns_it_away},
 	{"instances_know_each_other_s_load", instances_know_each_other_s_load},
