--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -12,6 +12,11 @@
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 
+#define RQ_SENDS_MAX 4          /* of one request, whatever they end in */
+#define RETRY_SOON_US 150000    /* another instance may serve it at once */
+#define RETRY_SERVERS_US 300000 /* servers that were tried: others are asked first */
+#define RETRY_LATER_US 400000   /* what is missing comes back within about a second */
+
 struct rq;
 
 /* One exchange with a backend server on a request's behalf. */
@@ -107,25 +112,42 @@
 struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy);
 /* Cancels what is under way and takes its load off. */
 void leg_free(struct leg *l);
+/* Whether the request as it is now fits into b's memory. */
+int rq_fits(const struct rq *r, const struct be *b);
+struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
+/* 0 (most urgent) to 9, workspaces before routes; -1: of no engine. */
+int rq_priority(const struct rq *r);
+
+/* rq_wait.c */
+/* 1 when r waits for memory from now on. b: where it would go, or NULL. */
+int rq_wait(struct rq *r, const struct be *b);
+void rq_stop_waiting(struct rq *r);
+
+/* rq_load.c */
+void leg_count_in(struct leg *l);
+void leg_count_out(struct leg *l);
 /* Its prompt is read: the first token came. */
 void leg_read(struct leg *l);
 /* Counts its memory anew after it grew. */
 void leg_recount(struct leg *l);
+/* Its running copy is of no use any more. */
+void leg_drop_backup(struct leg *l);
+/* Its running copy stays until the engine lets it go: counted until then. */
+void leg_leave_copy(const struct leg *l);
 /* What is known of the lengths of the request's route. */
 struct length_stats *rq_lengths(const struct rq *r);
 /* Tokens that the request has made. */
 uint32_t rq_made(const struct rq *r);
-/* Sends what waits and now fits. */
-void rq_look_at_waiting(void);
-void rq_stop_waiting(struct rq *r);
-/* Its running copy is of no use any more. */
-void leg_drop_backup(struct leg *l);
-int rq_may_repeat(struct rq *r);
-/* Whether the request as it is now fits into b's memory. */
-int rq_fits(const struct rq *r, const struct be *b);
-struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
-struct budget *rq_budget(const char *service);
-struct budget_rule rq_budget_rule(void);
+/* Tokens of memory that it has, and is still expected to take. */
+uint32_t rq_held(const struct rq *r);
+
+/* rq_budget.c */
+/* A request came for its service. */
+void rq_count_request(const struct rq *r);
+/* It is sent anew, and nothing may hold it back. */
+void rq_count_repeat(const struct rq *r);
+/* 1 and counted as sent anew, or 0: the budget is used up, or it was sent too often. */
+int rq_may_repeat(const struct rq *r);
 
 /* rq_answer.c */
 int leg_on_head(struct hx *x);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -7,8 +7,6 @@
 #include <string.h>
 
 #define HELD_MAX_US 60000000   /* a request whose route and caller name no end */
-#define RETRY_SOON_US 150000   /* another instance may serve it at once */
-#define RETRY_LATER_US 400000  /* what is missing comes back within about a second */
 #define RETRY_SPREAD_US 200000 /* so that callers don't come back together */
 #define PATIENCE_PART 6        /* tenths of the aim: another server still answers within it */
 #define PATIENCE_MIN_US 50000  /* never less: an answer takes some tens of ms */
@@ -291,7 +289,6 @@
 void rq_on_request(struct hs *h)
 {
 	struct rq *r = g_new0(struct rq, 1);
-	struct budget_rule rule = rq_budget_rule();
 	const char *name;
 
 	r->h = h;
@@ -319,7 +316,7 @@
 			  "this instance stops before it would end");
 		return;
 	}
-	budget_request(rq_budget(name), &rule, ev_now());
+	rq_count_request(r);
 	rq_place(r);
 }
 
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -177,7 +177,7 @@
 	if (rq_may_repeat(r))
 		again(r, RETRY_ENGINE_STATUS);
 	else
-		rq_refuse(r, REF_BUSY, 300000, "backend servers turned it away");
+		rq_refuse(r, REF_BUSY, RETRY_SERVERS_US, "backend servers turned it away");
 }
 
 static void not_reached(struct leg *l, int err)
@@ -186,10 +186,11 @@
 
 	log_broke(l, "not_reached", err);
 	be_failed(l->be, "not reached");
-	if (r->sends < 4)
+	if (r->sends < RQ_SENDS_MAX)
 		again(r, RETRY_CONNECT);
 	else
-		rq_refuse(r, REF_NO_ENGINE, 300000, "backend servers are not reached");
+		rq_refuse(r, REF_NO_ENGINE, RETRY_SERVERS_US,
+			  "backend servers are not reached");
 }
 
 static void broke(struct leg *l, int err)
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -84,10 +84,8 @@
 
 static void go_on_at(struct rq *r, struct be *b, const struct be *copy_at, const char *copy)
 {
-	struct budget_rule rule = rq_budget_rule();
-
 	r->move.state = MOVE_NEXT;
-	budget_spend(rq_budget(r->service->name), &rule, ev_now());
+	rq_count_repeat(r);
 	r->next = leg_start(r, b, copy_at, copy);
 	if (!r->next) move_refused(r);
 }
