relay: a request's beginning and its times apart from its end

What decides whether a request may run is now rq_begin.c, its deadline and the watch for silence are rq_time.c; rq.c keeps the log line, the final answers and the callbacks. The end of a drain is private to rq_begin.c, and the shorter time to come back during a drain has a name of its own. Behaviour is the same.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -86,7 +86,6 @@
 
 extern const struct entry_cfg *rq_cfg;
 extern GPtrArray *rq_all;
-extern int64_t rq_drain_until_us;
 
 /* rq.c */
 void rq_free(struct rq *r);
@@ -100,9 +99,15 @@
 void rq_stream_end(struct rq *r);
 /* Whether it may run more than once. */
 int rq_repeatable(const struct rq *r);
+void rq_log(const struct rq *r, const char *outcome, const char *detail);
+
+/* rq_begin.c */
 /* 0 while the configuration is too old to tell whether the request's key still holds. */
 int rq_confirmed(const struct rq *r);
-void rq_log(const struct rq *r, const char *outcome, const char *detail);
+
+/* rq_time.c */
+/* Its route is known: from now on it ends in time, and silence is looked at. */
+void rq_set_times(struct rq *r);
 
 /* rq_send.c */
 /* Looks for a backend server and sends; refuses when there is none. */
--- /dev/null
+++ b/src/relay/rq_begin.c
@@ -0,0 +1,93 @@
+/* A request comes: whether it may run, and what is known of it. */
+#include "clock.h"
+#include "rq_impl.h"
+#include <errno.h>
+
+#define DRAIN_TAKE_US 2000000 /* callers learn of a drain within about so long */
+#define TOKEN_US 9000         /* a token on a busy engine; only for what a drain still takes */
+#define RETRY_DRAIN_US 50000  /* another instance may serve it at once */
+
+static int64_t drain_began_us, drain_until_us; /* 0: no drain */
+
+int rq_confirmed(const struct rq *r)
+{
+	if (r->route->open || !rq_cfg->fail_closed) return 1;
+	return clock_us() - board_confirmed_us() < rq_cfg->revoke_us;
+}
+
+/* 0, or refuses r. */
+static int check(struct rq *r)
+{
+	struct conf *c = board_conf();
+
+	if (dl_read_request(&r->h->hp.head, &r->in)) {
+		rq_refuse(r, REF_BAD_REQUEST, 0, "a field of the head is missing or malformed");
+		return -EINVAL;
+	}
+	if (!c) {
+		rq_refuse(r, REF_NO_TABLE, RETRY_SOON_US, "no configuration is known yet");
+		return -EAGAIN;
+	}
+	r->conf = conf_ref(c);
+	r->route = conf_route(c, r->in.host, r->in.target);
+	if (!r->route) {
+		rq_refuse(r, REF_NOT_FOUND, 0, "no route");
+		return -ENOENT;
+	}
+	if (!r->route->open) r->group = conf_group(c, r->in.key);
+	if (!r->route->open && c->groups->len && !r->group) {
+		rq_refuse(r, REF_UNAUTHORIZED, 0, "unknown key");
+		return -EACCES;
+	}
+	if (rq_confirmed(r)) return 0;
+	rq_refuse(r, REF_PLATFORM_DOWN, RETRY_SOON_US, "the configuration is not confirmed");
+	return -EAGAIN;
+}
+
+/* While this instance drains it takes nothing that would outlast it: at first by what is
+ * expected, later only what must have its final answer before the end. */
+static int outlasts_drain(const struct rq *r)
+{
+	if (!drain_until_us) return 0;
+	if (ev_now() - drain_began_us > DRAIN_TAKE_US) return r->end_us > drain_until_us;
+	if (r->route->kind != CONF_STREAM) return 0;
+	return ev_now() + (int64_t)r->job.growth * TOKEN_US > drain_until_us;
+}
+
+void rq_on_request(struct hs *h)
+{
+	struct rq *r = g_new0(struct rq, 1);
+	const char *name;
+
+	r->h = h;
+	h->user = r;
+	r->began_us = h->arrived_us;
+	move_init(r);
+	r->index = rq_all->len;
+	g_ptr_array_add(rq_all, r);
+	met_add(MET_REQUESTS, 1);
+	if (check(r)) return;
+	r->job.prompt = r->in.prompt_tokens;
+	r->job.growth = length_remaining(rq_lengths(r), r->in.output_hint, r->in.output_max, 0);
+	name = conf_pick(r->route, g_random_double());
+	r->service = name ? conf_service(r->conf, name) : NULL;
+	if (!r->service) {
+		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
+			  "the route's service is not configured");
+		return;
+	}
+	rq_set_times(r);
+	if (outlasts_drain(r)) {
+		rq_refuse(r, REF_DRAINING, RETRY_DRAIN_US,
+			  "this instance stops before it would end");
+		return;
+	}
+	rq_count_request(r);
+	rq_place(r);
+}
+
+void rq_drain(int64_t until_us)
+{
+	drain_began_us = ev_now();
+	drain_until_us = until_us;
+}
--- /dev/null
+++ b/src/relay/rq_time.c
@@ -0,0 +1,81 @@
+/* A request's times: when it must have its answer, and how long silence is borne. */
+#include "clock.h"
+#include "rq_impl.h"
+#include <stddef.h>
+
+#define HELD_MAX_US 60000000  /* a request whose route and caller name no end */
+#define PATIENCE_PART 6       /* tenths of the aim: another server still answers within it */
+#define PATIENCE_MIN_US 50000 /* never less: an answer takes some tens of ms */
+#define STALL_LOOK_US 250000  /* how often a stream's silence is looked at */
+#define STALL_GAPS 8         /* silence of so many of the route's pauses is an engine's death */
+#define STALL_MIN_US 1000000 /* never less: long prompts of others hold a stream up */
+
+static void on_end_time(struct ev_timer *t)
+{
+	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, end_timer));
+
+	if (!r->sends) {
+		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "the time ran out before it was sent");
+		return;
+	}
+	if (r->leg && r->leg->hx && !r->leg->answered)
+		be_failed(r->leg->be, "no answer in time");
+	rq_fail(r, REF_DEADLINE, "the time ran out");
+}
+
+/* How long a server that may be left for another one is waited for. */
+static int64_t patience_us(const struct rq *r)
+{
+	if (r->route->kind == CONF_STREAM) return r->route->aim_us;
+	return MAX(r->route->aim_us * PATIENCE_PART / 10, PATIENCE_MIN_US);
+}
+
+static int64_t stall_us(const struct rq *r)
+{
+	return MAX(r->route->gap_us * STALL_GAPS, STALL_MIN_US);
+}
+
+/* Nothing came of a request that may run again: another server may be quicker. */
+static void look_at_silence(struct rq *r)
+{
+	struct leg *l = r->leg;
+
+	if (!l || !l->hx || l->answered || r->runs + 1 >= r->route->attempts) return;
+	if (clock_us() - l->sent_us < patience_us(r) || !rq_may_repeat(r)) return;
+	be_failed(l->be, "silent");
+	met_retried(RETRY_FIRST_BYTE);
+	r->runs++;
+	rq_place(r);
+}
+
+/* A stream whose engine fell silent goes on from its running copy, where there is one. */
+static void on_stall_look(struct ev_timer *t)
+{
+	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, stall_timer));
+
+	ev_in(t, STALL_LOOK_US);
+	if (rq_repeatable(r)) {
+		look_at_silence(r);
+		return;
+	}
+	if (!r->event_us || r->move.state != MOVE_NONE || cn_pending(&r->h->cn)) return;
+	if (clock_us() - r->event_us < stall_us(r)) return;
+	r->event_us = clock_us();
+	be_failed(r->leg->be, "silent");
+	move_to_backup(r);
+}
+
+void rq_set_times(struct rq *r)
+{
+	int64_t most = r->route->timeout_us ? r->route->timeout_us : HELD_MAX_US;
+
+	if (r->in.deadline_us) most = MIN(most, r->in.deadline_us);
+	r->end_timer.fire = on_end_time;
+	r->stall_timer.fire = on_stall_look;
+	r->end_us = r->began_us + most;
+	ev_at(&r->end_timer, r->end_us);
+	if (r->route->kind == CONF_STREAM)
+		ev_in(&r->stall_timer, STALL_LOOK_US);
+	else if (rq_repeatable(r))
+		ev_in(&r->stall_timer, patience_us(r));
+}
