relay: copying a stream's memory on order apart from the move's states

Going on at the source was written out twice and is one function; the limit of a connection attempt stood in two files and is one constant. Constants say their unit and reason. Behaviour is the same.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -12,10 +12,13 @@
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 
+#define RQ_CONNECT_US 250000    /* a backend server that is there answers in a few ms */
 #define RQ_SENDS_MAX 4          /* of one request, whatever they end in */
 #define RETRY_SOON_US 150000    /* another instance may serve it at once */
 #define RETRY_SERVERS_US 300000 /* servers that were tried: others are asked first */
 #define RETRY_LATER_US 400000   /* what is missing comes back within about a second */
+#define MOVE_AGAIN_US 40000     /* an order that came too early or too soon after another */
+#define MOVE_TRIES_MAX 12       /* orders of one move */
 
 struct rq;
 
@@ -172,4 +175,20 @@
 void move_stop(struct rq *r);
 /* The engine is silent or broke: goes on from the running copy. 0, or -ENOENT without one. */
 int move_to_backup(struct rq *r);
+/* Of a move that is under way: */
+void move_log(const struct rq *r, const char *event, int status);
+void move_later(struct rq *r, int64_t in_us);
+void move_forget_ends(struct move *m);
+/* The source has stopped and its memory is at the target: the stream goes on there. */
+void move_use_handle(struct rq *r);
+/* The same where the memory is kept at the source, which may go on with it. */
+void move_use_source(struct rq *r);
+void move_lost(struct rq *r, const char *why);
+
+/* rq_move_copy.c */
+void move_copy_begin(struct rq *r);
+/* Orders a copy of the next part; last: the source stops first. */
+void move_order(struct rq *r, int last);
+/* What was copied for a move that did not come to its end takes memory until it is dropped. */
+void move_drop_copy(struct move *m);
 #endif
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -10,19 +10,11 @@
 #include "rq_impl.h"
 #include <errno.h>
 #include <stddef.h>
-#include <string.h>
 
-#define SETTLE_US 400000     /* a prompt's memory crosses a link in 0.2 to 0.4 s */
-#define AGAIN_US 40000       /* an order that came too early or too soon after another */
-#define SOURCE_END_US 100000 /* the source's last events are under way */
-#define ORDER_US 4000000 /* moves queue on their links; the source lives two seconds or so */
-#define CONNECT_US 250000
-#define CALM_US 60000   /* a part of a few tokens that took longer waited for other copies */
-#define LAST_US 1200000 /* after the notice the source is stopped all the same */
+#define SETTLE_US 400000    /* a prompt's memory crosses a link in 0.2 to 0.4 s */
 #define TURN_MAX_US 1000000 /* engines leave some two seconds after their notice */
-#define TRIES_MAX 12
 
-static void log_move(const struct rq *r, const char *event, int status)
+void move_log(const struct rq *r, const char *event, int status)
 {
 	const struct move *m = &r->move;
 	GString *g = jlog_begin("relay", event);
@@ -36,37 +28,13 @@
 	jlog_end(g);
 }
 
-static void forget_ends(struct move *m)
+void move_forget_ends(struct move *m)
 {
 	be_unref(m->source);
 	be_unref(m->target);
 	m->source = m->target = NULL;
 }
 
-static void ignore_end(struct hx *x, int err)
-{
-	(void)x; /* a copy that was not dropped runs out by itself */
-	(void)err;
-}
-
-static void copy_drop(struct be *at, const char *name)
-{
-	GString *out = g_string_new(NULL);
-	struct hx *x = hx_new(NULL);
-
-	dl_write_drop(out, at, name);
-	x->on_end = ignore_end;
-	x->wait_us = ORDER_US;
-	hx_start(x, &at->sa, out, CONNECT_US);
-}
-
-/* What was copied for a move that did not come to its end takes memory until it is dropped. */
-static void drop_made(struct move *m)
-{
-	if (m->handle[0] && m->target) copy_drop(m->target, m->handle);
-	m->handle[0] = '\0';
-}
-
 void move_stop(struct rq *r)
 {
 	struct move *m = &r->move;
@@ -74,11 +42,11 @@
 	ev_stop(&m->timer);
 	if (m->hx) hx_cancel(m->hx);
 	m->hx = NULL;
-	drop_made(m);
+	move_drop_copy(m);
 	m->stopped = 0;
 	if (m->body) g_string_free(m->body, TRUE);
 	m->body = NULL;
-	forget_ends(m);
+	move_forget_ends(m);
 	m->state = MOVE_NONE;
 }
 
@@ -107,58 +75,17 @@
 	b = r->leg->backup;
 	r->move.source = be_ref(r->leg->be);
 	r->move.target = be_ref(b);
-	log_move(r, "stream_to_backup", 0);
+	move_log(r, "stream_to_backup", 0);
 	go_on_at(r, b, r->leg->be, r->in.id);
 	return 0;
 }
 
-/* One move at a time from each engine: they share its link, and the first should be whole. */
-static int source_busy(const struct rq *r)
-{
-	uint32_t i;
-
-	for (i = 0; i < rq_all->len; i++) {
-		const struct rq *o = g_ptr_array_index(rq_all, i);
-
-		if (o == r || !o->leg || o->leg->be != r->leg->be) continue;
-		if (o->move.state == MOVE_COPY || o->move.state == MOVE_LAST) return 1;
-	}
-	return 0;
-}
-
-static void order(struct rq *r, int last);
-
-static void later(struct rq *r, int64_t in_us)
+void move_later(struct rq *r, int64_t in_us)
 {
 	r->move.state = MOVE_SETTLE;
 	ev_in(&r->move.timer, in_us);
 }
 
-static void begin_copy(struct rq *r)
-{
-	struct move *m = &r->move;
-
-	if (source_busy(r)) {
-		later(r, AGAIN_US);
-		return;
-	}
-	if (++m->tries > TRIES_MAX) {
-		m->state = MOVE_NONE;
-		return;
-	}
-	forget_ends(m);
-	m->source = be_ref(r->leg->be);
-	m->target = rq_pick(r, m->source, m->source);
-	if (!m->target) {
-		later(r, AGAIN_US);
-		return;
-	}
-	be_ref(m->target);
-	log_move(r, "stream_move", 0);
-	m->state = MOVE_COPY;
-	order(r, 0);
-}
-
 void move_go_on(struct rq *r)
 {
 	struct move *m = &r->move;
@@ -174,7 +101,7 @@
 			ev_at(&m->timer, whole_us);
 		return;
 	}
-	if (r->service->moves) begin_copy(r);
+	if (r->service->moves) move_copy_begin(r);
 }
 
 static void on_timer(struct ev_timer *t)
@@ -183,7 +110,7 @@
 
 	switch (r->move.state) {
 	case MOVE_SETTLE: move_go_on(r); return;
-	case MOVE_LAST: order(r, 1); return;
+	case MOVE_LAST: move_order(r, 1); return;
 	case MOVE_NONE:
 	case MOVE_COPY:
 	case MOVE_NEXT: return;
@@ -206,7 +133,6 @@
 
 void move_begin(struct rq *r)
 {
-
 	if (!r->service->engine || r->route->resumable) return;
 	if (r->route->kind != CONF_STREAM || r->move.state != MOVE_NONE) return;
 	if (!r->service->moves && !r->service->backups) return;
@@ -216,131 +142,28 @@
 	move_go_on(r);
 }
 
-/* The source has stopped and its memory is at the target, or still at the source. */
-static void use_handle(struct rq *r)
+void move_use_handle(struct rq *r)
 {
 	struct move *m = &r->move;
 
 	go_on_at(r, m->target, m->source, m->handle);
 }
 
-static void lost(struct rq *r, const char *why)
-{
-	move_stop(r);
-	if (r->leg->hx) return; /* the source still runs: nothing is lost yet */
-	r->runs++;
-	rq_fail(r, REF_STREAM_LOST, why);
-}
-
-/* An engine names a copy anew, or goes on with the one that it has named. */
-static void drop_unless_same(struct move *m, const struct dl_moved *moved)
-{
-	if (strcmp(m->handle, moved->handle)) drop_made(m);
-	g_strlcpy(m->handle, moved->handle, sizeof m->handle);
-}
-
-/* While other copies are before it on the links, the last part would wait for them with the
- * source stopped: the next part is copied with the source running, until one goes quickly or
- * the time is short. */
-static int may_copy_again(const struct rq *r)
-{
-	int64_t now = clock_us();
-
-	if (now - r->move.ordered_us < CALM_US) return 0;
-	return now - r->move.source->since_us < LAST_US;
-}
-
-static void on_copied(struct rq *r, int status, const struct dl_moved *moved)
-{
-	drop_unless_same(&r->move, moved);
-	switch (status) {
-	case 200:
-		if (may_copy_again(r)) {
-			order(r, 0);
-			return;
-		}
-		r->move.state = MOVE_LAST;
-		order(r, 1);
-		return;
-	default: later(r, AGAIN_US);
-	}
-}
-
-static void on_last(struct rq *r, int status, const struct dl_moved *moved)
-{
-	struct move *m = &r->move;
-
-	if (moved->handle[0]) {
-		g_strlcpy(m->handle, moved->handle, sizeof m->handle);
-		m->stopped = 1;
-	}
-	if (status == 200 && m->stopped) {
-		if (r->leg->hx)
-			ev_in(&m->timer, SOURCE_END_US);
-		else
-			use_handle(r);
-		return;
-	}
-	if (status == 409 && ++m->tries <= TRIES_MAX) {
-		ev_in(&m->timer, AGAIN_US);
-		return;
-	}
-	if (m->stopped) {
-		/* No room there: the memory is kept at the source, which may go on with it. */
-		be_unref(m->target);
-		m->target = be_ref(m->source);
-		use_handle(r);
-		return;
-	}
-	if (r->leg->hx)
-		later(r, AGAIN_US);
-	else
-		lost(r, "the source stopped and its memory was not moved");
-}
-
-static void on_order_end(struct hx *x, int err)
+void move_use_source(struct rq *r)
 {
-	struct rq *r = x->user;
 	struct move *m = &r->move;
-	struct dl_moved moved = {.handle = "", .events = -1};
-	int status = err ? 0 : x->hp.head.status;
-
-	m->hx = NULL;
-	if (!err) dl_read_moved(m->body->str, m->body->len, &moved);
-	log_move(r, m->state == MOVE_COPY ? "move_copied" : "move_stopped", err ? err : status);
-	if (m->state == MOVE_COPY)
-		on_copied(r, status, &moved);
-	else
-		on_last(r, status, &moved);
-}
-
-static int on_order_body(struct hx *x, const char *p, size_t n)
-{
-	struct rq *r = x->user;
 
-	if (r->move.body->len + n > 65536) return -EMSGSIZE;
-	g_string_append_len(r->move.body, p, n);
-	return 0;
+	be_unref(m->target);
+	m->target = be_ref(m->source);
+	move_use_handle(r);
 }
 
-static void order(struct rq *r, int last)
+void move_lost(struct rq *r, const char *why)
 {
-	struct move *m = &r->move;
-	GString *out = g_string_new(NULL);
-
-	if (m->body)
-		g_string_truncate(m->body, 0);
-	else
-		m->body = g_string_new(NULL);
-	dl_write_move(out, m->source, r->in.id, m->target->address, last);
-	m->ordered_us = clock_us();
-	m->hx = hx_new(r);
-	m->hx->on_body = on_order_body;
-	m->hx->on_end = on_order_end;
-	m->hx->wait_us = ORDER_US;
-	if (!hx_start(m->hx, &m->source->sa, out, CONNECT_US)) return;
-	m->hx = NULL;
-	later(r, AGAIN_US);
+	move_stop(r);
+	if (r->leg->hx) return; /* the source still runs: nothing is lost yet */
+	r->runs++;
+	rq_fail(r, REF_STREAM_LOST, why);
 }
 
 int move_source_ended(struct rq *r)
@@ -353,7 +176,7 @@
 		if (m->hx) return 1;
 		if (!m->stopped) break;
 		ev_stop(&m->timer);
-		use_handle(r);
+		move_use_handle(r);
 		return 1;
 	case MOVE_NONE:
 	case MOVE_SETTLE:
@@ -371,7 +194,7 @@
 	r->next = NULL;
 	if (old->backup == r->leg->be) old->copy_freed = 1; /* the copy was taken over */
 	leg_free(old);
-	log_move(r, "stream_went_on", 0);
+	move_log(r, "stream_went_on", 0);
 	r->move.handle[0] = '\0';
 	move_stop(r);
 }
@@ -384,21 +207,19 @@
 
 	leg_free(r->next);
 	r->next = NULL;
-	log_move(r, "copy_refused", 0);
+	move_log(r, "copy_refused", 0);
 	if (r->leg->hx && !by_handle) {
 		r->leg->copy_bad = 1;
 		leg_recount(r->leg);
 		if (r->leg->be->state == BE_READY)
 			move_stop(r);
 		else
-			later(r, AGAIN_US);
+			move_later(r, MOVE_AGAIN_US);
 		return;
 	}
-	if (by_handle && m->target != m->source && ++m->tries <= TRIES_MAX) {
-		be_unref(m->target);
-		m->target = be_ref(m->source);
-		use_handle(r);
+	if (by_handle && m->target != m->source && ++m->tries <= MOVE_TRIES_MAX) {
+		move_use_source(r);
 		return;
 	}
-	lost(r, "the copy of its memory could not be used");
+	move_lost(r, "the copy of its memory could not be used");
 }
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -3,17 +3,15 @@
 #include "jlog.h"
 #include "mesh.h"
 #include "rq_impl.h"
-#include <errno.h>
 #include <string.h>
 
-#define CONNECT_CALL_US 250000 /* a backend server that is there answers in a few ms */
-#define SITES_MAX 1024         /* candidates looked at */
-#define LEFT_MIN_US 2000       /* with less time left nothing is sent any more */
-/* Prompt tokens: the way to another data centre makes up for so much less to read there. */
+#define SITES_MAX 1024   /* candidates looked at: the first of the list */
+#define LEFT_MIN_US 2000 /* with less time left nothing is sent any more */
+/* Prompt tokens: what a move to another data centre costs more than one within. */
 #define MOVE_FAR_COST 1500
 #define BACKUP_PERCENT 90 /* of an engine's memory: copies don't give way to requests */
 #define PRIORITY_STEP 3   /* workspaces before routes: three ranks of routes in each */
-#define PRIORITY_MAX 9
+#define PRIORITY_MAX 9    /* the least urgent that engines know */
 
 static void fill_site(struct place_site *s, const struct be *b, const struct rq *r,
 		      const char *dc, int64_t now)
@@ -177,7 +175,7 @@
 	l->hx->on_end = leg_on_end;
 	leg_count_in(l);
 	rc = hx_start(l->hx, &b->sa, write_request(l, copy_at ? copy_at->address : NULL, copy),
-		      CONNECT_CALL_US);
+		      RQ_CONNECT_US);
 	if (!rc) return l;
 	l->hx = NULL;
 	leg_free(l);
