--- a/src/http/hs.c
+++ b/src/http/hs.c
@@ -128,7 +128,6 @@
 static void request_is_whole(struct hs *h)
 {
 	h->busy = 1;
-	h->chunked = 0;
 	h->arrived_us = clock_us();
 	h->keep = http_should_keep_alive(&h->hp.parser);
 	ev_stop(&h->timer);
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -58,23 +58,11 @@
 		   int last);
 struct dl_moved {
 	char handle[DL_HANDLE_MAX + 1];
-	int64_t events; /* made by the source so far; -1: not told */
 };
 /* 0 or -EBADMSG. A failed move may name its handle too. */
 int dl_read_moved(const char *body, size_t n, struct dl_moved *m);
 void dl_write_drop(GString *out, const struct be *at, const char *handle);
 
-/* An engine's own word on its state; some hundred milliseconds old when it comes. */
-struct dl_report {
-	uint32_t used, total;      /* tokens of memory that can't give way, and all */
-	uint32_t running, waiting; /* requests */
-	int leaving;
-	int64_t leaves_us; /* from now; negative: not told */
-};
-void dl_write_report(GString *out, const struct be *at);
-/* 0 or -EBADMSG. */
-int dl_read_report(const char *body, size_t n, struct dl_report *r);
-
 /* The platform's lists. */
 extern const char *const dl_prefixes[]; /* of the keys to watch, NULL at the end */
 extern const char *const dl_conf_key;
--- a/src/internal/hs.h
+++ b/src/internal/hs.h
@@ -35,7 +35,7 @@
 	struct ev_timer timer;
 	int64_t arrived_us; /* the last byte of the request; monotonic */
 	uint32_t index;     /* in the listener's conns */
-	int busy, closing, keep, chunked;
+	int busy, closing, keep;
 	void *user;
 };
 
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -28,7 +28,6 @@
 	struct be *be;
 	struct hx *hx;     /* NULL once it ended */
 	struct be *backup; /* is sent a copy of its memory by the engine; or NULL */
-	int from_copy;     /* goes on from memory that was copied there */
 	int copy_bad;      /* it was refused; it takes memory all the same */
 	int copy_freed;    /* the run ended well, or its copy was taken over */
 	int reading;       /* its prompt counts as unread there */
--- a/src/internal/store.h
+++ b/src/internal/store.h
@@ -40,7 +40,6 @@
 
 struct st_call;
 void st_init(const struct sockaddr_in *at);
-struct st_call *st_get(const char *key, st_done *done, void *user);
 /* The items whose keys begin so, from after the key after (NULL: from the first). */
 struct st_call *st_range(const char *prefix, const char *after, st_done *done, void *user);
 /* Answers when something changed after the revision, or empty after wait_ms. */
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -141,7 +141,7 @@
 {
 	struct rq *r = x->user;
 	struct move *m = &r->move;
-	struct dl_moved moved = {.handle = "", .events = -1};
+	struct dl_moved moved = {.handle = ""};
 	int status = err ? 0 : x->hp.head.status;
 
 	m->hx = NULL;
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -162,7 +162,6 @@
 
 	l->rq = r;
 	l->be = be_ref(b);
-	l->from_copy = copy != NULL;
 	l->reading = r->service->engine && !copy;
 	l->sent_us = clock_us();
 	if (r->service->backups) choose_backup(l);
--- a/test/pw.h
+++ b/test/pw.h
@@ -72,7 +72,6 @@
 void pw_store_compact(void);
 /* Breaks the calls that wait at its second address. */
 void pw_store_cut_second(void);
-int pw_store_has(const char *prefix);
 
 /* ---- pw_server.c: backend servers ---- */
 enum pw_mode {
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -186,15 +186,6 @@
 	g_hash_table_remove_all(entries);
 }
 
-int pw_store_has(const char *prefix)
-{
-	GString *s = g_string_new(NULL);
-	int n = json_items(s, prefix, 0, 0);
-
-	g_string_free(s, TRUE);
-	return n;
-}
-
 static void get(struct hs *h, const char *target)
 {
 	char key[256] = "";
