Each new file says what it is for; constants have a name, a unit and a reason

Each file now begins with one line, the numbers are named constants with the same values, and the generator that breaks ties in placement is written once. Behaviour is the same.

--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -1,3 +1,4 @@
+/* Counts requests and repeats over a window in slots, and holds repeats within the rule. */
 #include "budget.h"
 #include <string.h>
 
--- a/src/core/conf.c
+++ b/src/core/conf.c
@@ -1,3 +1,4 @@
+/* The configuration: kept as read, found by place, key and name. */
 #include "conf.h"
 #include <string.h>
 
@@ -57,7 +58,7 @@
 	g_free(c);
 }
 
-static char *place(const char *host, const char *prefix, size_t n)
+static char *place_key(const char *host, const char *prefix, size_t n)
 {
 	char *lower = g_ascii_strdown(host, -1);
 	char *p = g_strdup_printf("%s %.*s", lower, (int)n, prefix);
@@ -69,7 +70,7 @@
 void conf_add_route(struct conf *c, struct conf_route *r)
 {
 	g_ptr_array_add(c->routes, r);
-	g_hash_table_replace(c->by_place, place(r->host, r->prefix, strlen(r->prefix)), r);
+	g_hash_table_replace(c->by_place, place_key(r->host, r->prefix, strlen(r->prefix)), r);
 }
 
 void conf_add_service(struct conf *c, struct conf_service *s)
@@ -110,7 +111,7 @@
 
 		while (n && path[n - 1] != '/') n--;
 		if (!n) break;
-		key = place(name, path, n);
+		key = place_key(name, path, n);
 		r = g_hash_table_lookup(c->by_place, key);
 		g_free(key);
 		n--;
--- a/src/core/length.c
+++ b/src/core/length.c
@@ -1,3 +1,4 @@
+/* Guesses how long a generation becomes, from those that ended before. */
 #include <math.h>
 #include <saddlehead/length.h>
 
@@ -7,6 +8,8 @@
 #define PRIOR_TOKENS 500.0 /* the same where there is no bound */
 #define PRIOR_VAR 0.7      /* of ln(tokens): lengths differ twofold and more */
 #define HINT_VAR 1.0       /* of ln(hint / tokens) until it is learnt */
+#define VAR_MIN 0.01       /* of ln(tokens): nobody knows a length to a tenth */
+#define TAIL_MIN 1e-6      /* a part so small is computed too roughly to divide by */
 
 static double fading(double n)
 {
@@ -48,7 +51,7 @@
 	if (made < 1) return exp(mu + var / 2);
 	z = (log(made) - mu) / sd;
 	p = tail(z);
-	if (p < 1e-6) return made * (1 + sd / 2);
+	if (p < TAIL_MIN) return made * (1 + sd / 2);
 	return exp(mu + var / 2) * tail(z - sd) / p;
 }
 
@@ -66,7 +69,7 @@
 		mu += w * (log(hint) - mu);
 		var *= 1 - w;
 	}
-	if (var < 0.01) var = 0.01;
+	if (var < VAR_MIN) var = VAR_MIN;
 	total = mean_above(mu, var, made);
 	if (most && total > most) total = most;
 	return total > made ? (uint32_t)(total - made) : 0;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -1,3 +1,4 @@
+/* Costs of backend servers for a request, and the cheapest of them. */
 #include <saddlehead/place.h>
 
 /* Weights of a generation's cost, in prompt tokens that would delay its first token as much. */
@@ -7,8 +8,18 @@
 #define FULL_PERCENT 95       /* above it a request would soon press another out */
 #define ALL_BACKUP_PERCENT 60 /* of all memory: beyond, copies would press requests out */
 #define TIE 64                /* costs closer than this are equal: draw among them */
-#define FAR_US 1400           /* a call to another data centre takes about so much longer */
-#define CALL_US 15000         /* a call's time before any was measured */
+#define QUEUE_COST 1000   /* each request more than an engine runs at once waits for another */
+#define FAR_BACKUP_PART 8 /* of the memory: it moves between data centres in twice the time */
+#define BACKUP_DRAWS 64   /* sites with equal room are drawn among so many places */
+#define FAR_US 1400       /* a call to another data centre takes about so much longer */
+#define DRAW_US 1000      /* calls whose times are closer than this are drawn among */
+#define CALL_US 15000     /* a call's time before any was measured */
+
+/* A linear congruential generator with well-known factors: breaks ties, hides nothing. */
+static uint32_t next_draw(uint32_t draw)
+{
+	return draw * 1664525u + 1013904223u;
+}
 
 /* Others end while it grows: on the mean half of what it will make is in use. */
 static uint64_t need(const struct place_job *j)
@@ -36,7 +47,8 @@
 
 	cost += over_mark(s, j) * PRESSURE_COST;
 	if (!s->near) cost += s->far_cost;
-	if (s->slots && s->runs >= s->slots) cost += (uint64_t)(s->runs - s->slots + 1) * 1000;
+	if (s->slots && s->runs >= s->slots)
+		cost += (uint64_t)(s->runs - s->slots + 1) * QUEUE_COST;
 	return cost;
 }
 
@@ -55,7 +67,7 @@
 		if (cost < best_cost) ties = 0;
 		best_cost = cost;
 		if (draw % (uint32_t)++ties == 0) best = i;
-		draw = draw * 1664525u + 1013904223u;
+		draw = next_draw(draw);
 	}
 	return best;
 }
@@ -86,10 +98,9 @@
 
 		if (i == main || !s[i].usable || !s[i].tokens) continue;
 		if ((used + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
-		/* Memory moves between data centres in twice the time. */
-		if (!s[i].near) used += s[i].tokens / 8;
-		used = used * 64 + draw % 64;
-		draw = draw * 1664525u + 1013904223u;
+		if (!s[i].near) used += s[i].tokens / FAR_BACKUP_PART;
+		used = used * BACKUP_DRAWS + draw % BACKUP_DRAWS;
+		draw = next_draw(draw);
 		if (used >= best_used) continue;
 		best_used = used;
 		best = i;
@@ -104,9 +115,9 @@
 
 	for (i = 0; i < n; i++) {
 		double each = s[i].answer_us > 0 ? s[i].answer_us : CALL_US;
-		double us = each, jitter = (double)(draw % 1000);
+		double us = each, jitter = (double)(draw % DRAW_US);
 
-		draw = draw * 1664525u + 1013904223u;
+		draw = next_draw(draw);
 		if (!s[i].usable) continue;
 		if (s[i].slots) us += each * s[i].runs / s[i].slots;
 		if (s[i].slots && s[i].runs >= s[i].slots)
--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -1,3 +1,4 @@
+/* One TCP connection on the event loop: what the kernel does not take at once is kept. */
 #include "cn.h"
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -9,9 +10,10 @@
 #define READ_SIZE 16384      /* bytes a read; larger ones only cost stack */
 #define READS_A_TURN 4       /* then others get their turn */
 #define USER_TIMEOUT_MS 3000 /* unacknowledged bytes for so long: the peer is cut off */
-#define KEEPALIVE_IDLE_S 3   /* a silent peer is asked this often ... */
+#define KEEPALIVE_IDLE_S 3   /* a peer silent for so long is asked ... */
+#define KEEPALIVE_EVERY_S 1  /* ... this often ... */
 #define KEEPALIVE_PROBES 3   /* ... and given up after so many questions */
-#define LISTEN_BACKLOG 1024  /* a full queue costs callers seconds */
+#define LISTEN_BACKLOG 1024  /* connections: a full queue costs callers seconds */
 
 int cn_open(const struct cn *c)
 {
@@ -158,7 +160,7 @@
 static void set_options(int fd)
 {
 	int on = 1, ms = USER_TIMEOUT_MS, idle = KEEPALIVE_IDLE_S, probes = KEEPALIVE_PROBES;
-	int every = 1;
+	int every = KEEPALIVE_EVERY_S;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
--- a/src/http/ev.c
+++ b/src/http/ev.c
@@ -1,3 +1,4 @@
+/* The event loop: epoll for sockets, a heap for timers, memory freed between rounds. */
 #include "ev.h"
 #include "clock.h"
 #include "heap.h"
@@ -7,11 +8,9 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#define BATCH 64         /* events fetched at once: more only delay timers */
-#define WAIT_MAX_MS 1000 /* longest sleep: signals are looked at that often at least */
-#define TIMER_SLACK_US                                                        \
-	1000 /* timers due within it fire together: epoll counts milliseconds \
-	      */
+#define BATCH 64            /* events fetched at once: more only delay timers */
+#define WAIT_MAX_MS 1000    /* longest sleep: signals are looked at that often at least */
+#define TIMER_SLACK_US 1000 /* due within it fire together: epoll counts milliseconds */
 
 static int ep = -1;
 static int64_t now_us;
--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -1,3 +1,4 @@
+/* Reads one HTTP/1.1 message: the codec's callbacks fill a head and pass the body on. */
 #include "hp.h"
 #include <errno.h>
 #include <string.h>
--- a/src/http/hp_query.c
+++ b/src/http/hp_query.c
@@ -1,3 +1,4 @@
+/* Arguments in the query of a request's target. */
 #include "hp.h"
 #include <errno.h>
 #include <string.h>
--- a/src/http/hs.c
+++ b/src/http/hs.c
@@ -1,3 +1,4 @@
+/* Connections of callers: one whole request at a time, its answer, then the next. */
 #include "hs.h"
 #include "clock.h"
 #include <errno.h>
@@ -6,6 +7,7 @@
 #include <sys/socket.h>
 
 #define ACCEPTS_A_TURN 64 /* then others get their turn */
+#define BODY_KEPT 65536   /* bytes: memory of a larger body is not kept between requests */
 #define LINGER_US 1000000 /* after the last answer, for the caller to close first */
 #define BODY_US 20000000  /* for a body to come in whole; heads have their own limit */
 
@@ -164,7 +166,7 @@
 	hp_again(&h->hp);
 	h->hp.head_max = h->listener->limits.head_max;
 	g_string_truncate(h->body, 0);
-	if (h->body->allocated_len > 65536) {
+	if (h->body->allocated_len > BODY_KEPT) {
 		g_string_free(h->body, TRUE);
 		h->body = g_string_new(NULL);
 	}
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -1,3 +1,4 @@
+/* One exchange with a server on a connection of its own. */
 #include "hx.h"
 #include <errno.h>
 #include <stddef.h>
@@ -82,7 +83,6 @@
 static int on_head(struct hp *p)
 {
 	struct hx *x = p->user;
-
 	int rc = x->on_head ? x->on_head(x) : 0;
 
 	return x->cancelled ? -ECANCELED : rc;
@@ -91,7 +91,6 @@
 static int on_body(struct hp *p, const char *at, size_t n)
 {
 	struct hx *x = p->user;
-
 	int rc = x->on_body ? x->on_body(x, at, n) : 0;
 
 	return x->cancelled ? -ECANCELED : rc;
--- a/src/relay/evs.c
+++ b/src/relay/evs.c
@@ -1,3 +1,4 @@
+/* Cuts a stream of server-sent events into whole ones and drops those already seen. */
 #include "evs.h"
 #include <errno.h>
 #include <string.h>
--- a/test/pw.c
+++ b/test/pw.c
@@ -1,3 +1,4 @@
+/* The small platform's loop, and the entries that run beside it. */
 #include "pw.h"
 #include "hostport.h"
 #include <errno.h>
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -1,3 +1,4 @@
+/* Callers: requests, questions and raw bytes sent to an entry. */
 #include "clock.h"
 #include "hostport.h"
 #include "pw.h"
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -1,3 +1,4 @@
+/* The operator: writes the configuration into the small platform's store. */
 #include "pw.h"
 
 struct pw_conf pw_conf;
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -1,3 +1,4 @@
+/* Backend servers: what they answer, rightly or with a fault the test chose. */
 #include "clock.h"
 #include "hostport.h"
 #include "pf_json.h"
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -1,3 +1,4 @@
+/* The small platform's key-value service, with faults the test chose. */
 #include "hostport.h"
 #include "pf_json.h"
 #include "pw.h"
