Tests' small platform: runs in a file of their own, addresses and limits written once

The text of an address was put together in five places and the limits of its servers in two; each stands once. No check of a test changed; a line that set a zero to zero went.

--- a/test/pw.c
+++ b/test/pw.c
@@ -1,7 +1,6 @@
 /* The small platform's loop, and the entries that run beside it. */
 #include "pw.h"
 #include "hostport.h"
-#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -11,8 +10,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define ENTRIES_MAX 8
-#define LOOK_US 2000
+#define ENTRIES_MAX 8 /* of one test */
+#define LOOK_US 2000  /* how often a condition is looked at */
+
+const struct hs_limits pw_limits = {
+	.head_max = 65536, .body_max = 1 << 20, .head_us = 5000000, .idle_us = 60000000};
 
 static struct pw_entry entries[ENTRIES_MAX];
 static int nentries, first_ip;
@@ -66,6 +68,14 @@
 	return ip;
 }
 
+void pw_address_of(const char *ip, int port, struct sockaddr_in *at)
+{
+	char text[48];
+
+	g_snprintf(text, sizeof text, "%s:%d", ip, port);
+	hostport_parse(text, at);
+}
+
 /* Each test program has a loopback network of its own. */
 static void init_once(void)
 {
--- a/test/pw.h
+++ b/test/pw.h
@@ -46,6 +46,8 @@
 int pw_until(int (*f)(void *), void *arg, int ms);
 /* Ends what still runs. */
 void pw_end(void);
+extern const struct hs_limits pw_limits; /* of the platform's own servers: never the bound */
+void pw_address_of(const char *ip, int port, struct sockaddr_in *at);
 
 /* ---- pw_store.c ---- */
 enum pw_store_mode {
@@ -124,9 +126,20 @@
 void pw_server_unlist(struct pw_server *s);
 /* Breaks all its connections and listens no more. */
 void pw_server_die(struct pw_server *s);
-/* Runs of a request (its id begins so), started anywhere. */
+
+/* ---- pw_run.c: what runs on them ---- */
+/* Runs of a request, started anywhere. */
 int pw_runs_of(const char *id);
 struct pw_run *pw_run_of(const char *id, int nth);
+/* copy: the run goes on from it; empty: from the start. */
+void pw_run_begin(struct pw_server *s, struct hs *h, const char *copy);
+void pw_run_over(struct pw_run *r);
+/* The stream of that id that has begun on s, or NULL. */
+struct pw_run *pw_run_at(struct pw_server *s, const char *id);
+/* A run that may be gone on with: by its own id (a backup), or by a handle of a move. */
+struct pw_run *pw_run_copied(const char *copy);
+/* The field's value, empty where there is none. */
+void pw_field(struct hs *h, const char *name, char *out, size_t max);
 
 /* ---- pw_conf.c: the operator ---- */
 /* Routes on host test.example: /chat/ (stream, not resumable), /sum/ (stream, resumable),
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -1,10 +1,12 @@
 /* Callers: requests, questions and raw bytes sent to an entry. */
 #include "clock.h"
-#include "hostport.h"
 #include "pw.h"
 #include <stdlib.h>
 #include <string.h>
 
+#define CONNECT_US 1000000    /* loopback: longer means that nobody listens or all is stuck */
+#define ASK_CONNECT_US 500000 /* the same of a question, of which many are asked in turn */
+
 static int serial;
 
 static void copy_field(struct hx *x, const char *name, char *out, size_t max)
@@ -54,21 +56,19 @@
 	struct pw_call *c = g_new0(struct pw_call, 1);
 	GString *out = g_string_new(NULL);
 	struct sockaddr_in at;
-	char text[48];
 
 	g_string_printf(out, "%s %s HTTP/1.1\r\nHost: test.example\r\n%s", method, path,
 			fields ? fields : "");
 	if (body) g_string_append_printf(out, "Content-Length: %zu\r\n", strlen(body));
 	g_string_append_printf(out, "\r\n%s", body ? body : "");
-	g_snprintf(text, sizeof text, "%s:%d", e->ip, PW_FRONT);
-	hostport_parse(text, &at);
+	pw_address(e, PW_FRONT, &at);
 	c->body = g_string_new(NULL);
 	c->began_us = clock_us();
 	c->x = hx_new(c);
 	c->x->on_head = on_head;
 	c->x->on_body = on_body;
 	c->x->on_end = on_end;
-	if (hx_start(c->x, &at, out, 1000000)) {
+	if (hx_start(c->x, &at, out, CONNECT_US)) {
 		c->x = NULL;
 		c->ended = 1;
 		c->err = -1;
@@ -163,10 +163,9 @@
 {
 	struct raw *r = g_new0(struct raw, 1);
 	struct sockaddr_in at;
-	char text[48], *in;
+	char *in;
 
-	g_snprintf(text, sizeof text, "%s:%d", ip, port);
-	hostport_parse(text, &at);
+	pw_address_of(ip, port, &at);
 	r->in = g_string_new(NULL);
 	r->bytes = bytes;
 	r->n = n;
@@ -187,17 +186,15 @@
 	struct pw_call *c = g_new0(struct pw_call, 1);
 	GString *q = g_string_new(NULL);
 	struct sockaddr_in at;
-	char text[48];
 
 	g_string_printf(q, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", target);
-	g_snprintf(text, sizeof text, "%s:%d", ip, port);
-	hostport_parse(text, &at);
+	pw_address_of(ip, port, &at);
 	c->body = out ? out : g_string_new(NULL);
 	c->x = hx_new(c);
 	c->x->on_head = on_head;
 	c->x->on_body = on_body;
 	c->x->on_end = on_end;
-	if (hx_start(c->x, &at, q, 500000)) return -1;
+	if (hx_start(c->x, &at, q, ASK_CONNECT_US)) return -1;
 	pw_call_wait(c, 1000);
 	if (!c->ended) {
 		pw_call_leave(c);
@@ -208,10 +205,7 @@
 
 void pw_address(const struct pw_entry *e, int port, struct sockaddr_in *at)
 {
-	char text[48];
-
-	g_snprintf(text, sizeof text, "%s:%d", e->ip, port);
-	hostport_parse(text, at);
+	pw_address_of(e->ip, port, at);
 }
 
 void pw_ignore_data(struct cn *c, const char *p, size_t n)
--- /dev/null
+++ b/test/pw_run.c
@@ -0,0 +1,229 @@
+/* Runs on the backend servers: what each answers, in the mode that its server is in. */
+#include "clock.h"
+#include "pw.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define COPY_MS 5 /* until a run that goes on from a copy answers */
+
+GPtrArray *pw_runs;
+
+void pw_field(struct hs *h, const char *name, char *out, size_t max)
+{
+	const char *v = hp_get(&h->hp.head, name);
+
+	g_strlcpy(out, v ? v : "", max);
+}
+
+void pw_run_over(struct pw_run *r)
+{
+	ev_stop(&r->timer);
+	if (r->h) r->h->user = NULL;
+	r->h = NULL;
+	if (!r->ended_us) r->ended_us = clock_us();
+}
+
+static void head(struct pw_run *r, int status, const char *more)
+{
+	GString *g = g_string_new(NULL);
+	enum pw_mode m = r->server->mode;
+
+	g_string_printf(g, "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n%s%s%s\r\n", status,
+			m == PW_WRONG_ID ? "another" : r->id,
+			m == PW_UNSIGNED ? "" : "X-Response-Signature: sig-of-",
+			m == PW_UNSIGNED ? "" : r->server->id, m == PW_UNSIGNED ? "" : "\r\n");
+	g_string_truncate(g, g->len - 2);
+	if (m == PW_ENCODED) g_string_append(g, "Content-Encoding: gzip\r\n");
+	g_string_append_printf(g, "%s\r\n", more);
+	hs_write(r->h, g->str, g->len);
+	g_string_free(g, TRUE);
+}
+
+static void plain_answer(struct pw_run *r)
+{
+	struct hs *h = r->h;
+	char text[128], more[64];
+	int cut = r->server->mode == PW_CUT_CLOSE || r->server->mode == PW_BREAK;
+
+	g_snprintf(text, sizeof text, "answer to %s", r->id);
+	if (r->server->mode == PW_UNTIL_CLOSE || r->server->mode == PW_CUT_CLOSE)
+		g_snprintf(more, sizeof more, "Connection: close\r\n");
+	else
+		g_snprintf(more, sizeof more, "Content-Length: %zu\r\n", strlen(text));
+	head(r, r->server->mode == PW_ERROR ? 500 : 200, more);
+	hs_write(h, text, cut ? 6 : strlen(text));
+	if (r->server->mode == PW_EXTRA) {
+		head(r, 200, "Content-Length: 5\r\n");
+		hs_write(h, "extra", 5);
+	}
+	r->finished = 1;
+	pw_run_over(r);
+	h->keep = 0;
+	if (cut)
+		hs_abort(h);
+	else
+		hs_finish(h);
+}
+
+static void chunk(struct hs *h, const char *p, size_t n)
+{
+	char size[16];
+
+	g_snprintf(size, sizeof size, "%zx\r\n", n);
+	hs_write(h, size, strlen(size));
+	hs_write(h, p, n);
+	hs_write(h, "\r\n", 2);
+}
+
+static void reset(struct pw_run *r)
+{
+	struct hs *h = r->h;
+
+	pw_run_over(r);
+	hs_abort(h);
+}
+
+static void break_off(struct pw_run *r)
+{
+	chunk(r->h, "id: 99\nda", 9);
+	reset(r);
+}
+
+static void next_event(struct pw_run *r)
+{
+	struct pw_server *s = r->server;
+	struct hs *h = r->h;
+	char text[128];
+
+	if (s->mode == PW_BREAK && r->events >= s->break_after) {
+		break_off(r);
+		return;
+	}
+	if (s->mode == PW_SILENT && r->events >= s->break_after) return;
+	if (!r->events || r->events == atoi(r->after))
+		head(r, 200,
+		     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+	r->events++;
+	g_snprintf(text, sizeof text, "id: %d\ndata: %s-%d\n\n", r->events, r->id, r->events);
+	chunk(h, text, strlen(text));
+	if (r->events < s->events) {
+		ev_in(&r->timer, s->event_ms * 1000);
+		return;
+	}
+	r->finished = 1;
+	pw_run_over(r);
+	hs_write(h, "0\r\n\r\n", 5);
+	hs_finish(h);
+}
+
+static void answer_garbage(struct pw_run *r)
+{
+	struct hs *h = r->h;
+
+	pw_run_over(r);
+	hs_write(h, "what is this\r\n\r\n", 16);
+	h->keep = 0;
+	hs_finish(h);
+}
+
+static void answer_false_503(struct pw_run *r)
+{
+	struct hs *h = r->h;
+	char fields[96];
+
+	g_snprintf(fields, sizeof fields, "X-Request-Id: %s\r\n", r->id);
+	pw_run_over(r);
+	hs_answer(h, 503, fields, "", 0);
+}
+
+static void on_work(struct ev_timer *t)
+{
+	struct pw_run *r = (struct pw_run *)((char *)t - offsetof(struct pw_run, timer));
+
+	switch (r->server->mode) {
+	case PW_HANG: return;
+	case PW_RESET: reset(r); return;
+	case PW_GARBAGE: answer_garbage(r); return;
+	case PW_FALSE_503: answer_false_503(r); return;
+	default: break;
+	}
+	if (r->server->engine && r->server->mode != PW_ERROR)
+		next_event(r);
+	else
+		plain_answer(r);
+}
+
+struct pw_run *pw_run_copied(const char *copy)
+{
+	const char *name = strrchr(copy, '/');
+	uint32_t i;
+
+	for (i = pw_runs->len; name && i-- > 0;) {
+		struct pw_run *r = g_ptr_array_index(pw_runs, i);
+		char handle[80];
+
+		g_snprintf(handle, sizeof handle, "handle-%s", r->id);
+		if (strcmp(name + 1, handle) && strcmp(name + 1, r->id)) continue;
+		if (g_str_has_prefix(copy, r->server->address)) return r;
+	}
+	return NULL;
+}
+
+void pw_run_begin(struct pw_server *s, struct hs *h, const char *copy)
+{
+	struct pw_run *r = g_new0(struct pw_run, 1);
+	char deadline[32];
+
+	pw_field(h, "X-Request-Id", r->id, sizeof r->id);
+	pw_field(h, "Last-Event-Id", r->after, sizeof r->after);
+	pw_field(h, "Kv-Backup", r->backup, sizeof r->backup);
+	pw_field(h, "X-Tenant", r->group, sizeof r->group);
+	pw_field(h, "X-Target-Instance", r->expect, sizeof r->expect);
+	pw_field(h, "X-Deadline-Ms", deadline, sizeof deadline);
+	g_strlcpy(r->copy, copy, sizeof r->copy);
+	g_strlcpy(r->target, hp_target(&h->hp.head), sizeof r->target);
+	g_strlcpy(r->body_sum, h->body->str, sizeof r->body_sum);
+	r->deadline_ms = atoi(deadline);
+	r->events = atoi(r->after);
+	r->server = s;
+	r->h = h;
+	r->began_us = clock_us();
+	r->timer.fire = on_work;
+	h->user = r;
+	g_ptr_array_add(pw_runs, r);
+	ev_in(&r->timer, (*copy ? COPY_MS : s->work_ms) * 1000);
+}
+
+struct pw_run *pw_run_at(struct pw_server *s, const char *id)
+{
+	uint32_t i;
+
+	for (i = pw_runs->len; i-- > 0;) {
+		struct pw_run *r = g_ptr_array_index(pw_runs, i);
+
+		if (r->server == s && !strcmp(r->id, id) && r->h && r->events) return r;
+	}
+	return NULL;
+}
+
+int pw_runs_of(const char *id)
+{
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; pw_runs && i < pw_runs->len; i++)
+		n += !strcmp(((struct pw_run *)g_ptr_array_index(pw_runs, i))->id, id);
+	return n;
+}
+
+struct pw_run *pw_run_of(const char *id, int nth)
+{
+	uint32_t i;
+
+	for (i = 0; pw_runs && i < pw_runs->len; i++) {
+		struct pw_run *r = g_ptr_array_index(pw_runs, i);
+
+		if (!strcmp(r->id, id) && !nth--) return r;
+	}
+	return NULL;
+}
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -1,5 +1,4 @@
 /* The small platform's key-value service, with faults the test chose. */
-#include "hostport.h"
 #include "pf_json.h"
 #include "pw.h"
 #include <stdlib.h>
@@ -319,11 +318,9 @@
 static void listen_at(struct hs_listener *l, const char *ip)
 {
 	struct sockaddr_in at;
-	char text[48];
 
-	g_snprintf(text, sizeof text, "%s:%d", ip, PW_STORE);
-	hostport_parse(text, &at);
-	l->limits = (struct hs_limits){65536, 1 << 20, 5000000, 60000000};
+	pw_address_of(ip, PW_STORE, &at);
+	l->limits = pw_limits;
 	l->on_request = on_request;
 	l->on_left = on_left;
 	hs_listen(l, &at);
@@ -331,7 +328,6 @@
 
 void pw_store_start(const char *ip)
 {
-
 	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	waiters = g_ptr_array_new();
 	memset(&pw_store, 0, sizeof pw_store);
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -469,7 +469,6 @@
 	struct pw_call *c;
 	struct pw_server *first;
 
-	engines[0]->copy_status = engines[1]->copy_status = 0;
 	c = pw_ask(e, "POST", "/chat/", 9000);
 	pw_run(300);
 	first = pw_run_of(c->id, 0)->server;
