Logic that stood twice stands once: letting a request go, running again, keys, loads

Five places freed a request by the same two lines, two asked in the same words whether it may run again, two whether a key holds, and two added up the loads of all instances. Each is one function with a name now, and includes that nothing used went. Behaviour is the same.

--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -1,7 +1,6 @@
 /* The platform path through one real entry: processor time an event and a call, memory a
  * connection and a stream. The world around it is the tests' small platform. */
 #include "pw.h"
-#include "clock.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -2,7 +2,6 @@
 #include "cn.h"
 #include <errno.h>
 #include <netinet/tcp.h>
-#include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
--- a/src/http/hs.c
+++ b/src/http/hs.c
@@ -2,7 +2,6 @@
 #include "hs.h"
 #include "clock.h"
 #include <errno.h>
-#include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
--- a/src/internal/conf.h
+++ b/src/internal/conf.h
@@ -33,8 +33,7 @@
 
 struct conf_service {
 	char *name;
-	uint32_t connections; /* a backend server takes from all instances together; 0: not told
-			       */
+	uint32_t connections; /* one server takes from all instances; 0: not told */
 	/* Model engines only: */
 	int engine;
 	uint32_t slots;       /* requests at once */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -90,7 +90,6 @@
 extern GPtrArray *rq_all;
 
 /* rq.c */
-void rq_free(struct rq *r);
 /* Not run: told so, with a time to come back. */
 void rq_refuse(struct rq *r, enum refusal why, int64_t retry_us, const char *detail);
 /* May have run: the answer promises nothing. */
@@ -104,6 +103,8 @@
 void rq_log(const struct rq *r, const char *outcome, const char *detail);
 
 /* rq_begin.c */
+/* Whether the configuration lets the request's key in; without workspaces it asks for none. */
+int rq_key_known(const struct rq *r, const struct conf *c);
 /* 0 while the configuration is too old to tell whether the request's key still holds. */
 int rq_confirmed(const struct rq *r);
 
@@ -121,6 +122,7 @@
 void leg_free(struct leg *l);
 /* Whether the request as it is now fits into b's memory. */
 int rq_fits(const struct rq *r, const struct be *b);
+/* The best of the service but not_this (NULL: any). near: memory would move from there. */
 struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
 /* 0 (most urgent) to 9, workspaces before routes; -1: of no engine. */
 int rq_priority(const struct rq *r);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -46,7 +46,7 @@
 	jlog_end(g);
 }
 
-void rq_free(struct rq *r)
+static void free_request(struct rq *r)
 {
 	struct rq *last = g_ptr_array_index(rq_all, rq_all->len - 1);
 
@@ -66,14 +66,21 @@
 }
 
 /* The connection may begin with its next request at once: r must be gone by then. */
-static void answer_own(struct rq *r, int status, int64_t retry_us, const char *code)
+static struct hs *let_go(struct rq *r)
 {
 	struct hs *h = r->h;
+
+	h->user = NULL;
+	free_request(r);
+	return h;
+}
+
+static void answer_own(struct rq *r, int status, int64_t retry_us, const char *code)
+{
 	char *fields = dl_retry_fields(r->in.id, retry_us);
 	char *body = g_strdup_printf("{\"code\":\"%s\"}\n", code);
+	struct hs *h = let_go(r);
 
-	h->user = NULL;
-	rq_free(r);
 	hs_answer(h, status, fields, body, strlen(body));
 	g_free(fields);
 	g_free(body);
@@ -94,14 +101,10 @@
 
 void rq_fail(struct rq *r, enum refusal why, const char *detail)
 {
-	struct hs *h = r->h;
-
 	met_refused(why);
 	if (r->head_sent) {
 		rq_log(r, "broken_off", detail);
-		h->user = NULL;
-		rq_free(r);
-		hs_abort(h);
+		hs_abort(let_go(r));
 		return;
 	}
 	r->status = why == REF_DEADLINE ? 504 : 502;
@@ -128,8 +131,7 @@
 	dl_write_head(out, head, r->answer->len, hs_keeps(h));
 	if (h->hp.head.method != HTTP_HEAD)
 		g_string_append_len(out, r->answer->str, r->answer->len);
-	h->user = NULL;
-	rq_free(r);
+	let_go(r);
 	hs_write(h, out->str, out->len);
 	g_string_free(out, TRUE);
 	hs_finish(h);
@@ -137,14 +139,13 @@
 
 void rq_stream_end(struct rq *r)
 {
-	struct hs *h = r->h;
+	struct hs *h;
 
 	met_add(MET_ANSWERED, 1);
 	observe(r);
 	length_observe(rq_lengths(r), rq_made(r), r->in.output_hint);
 	rq_log(r, "answered", NULL);
-	h->user = NULL;
-	rq_free(r);
+	h = let_go(r);
 	hs_write(h, "0\r\n\r\n", 5);
 	hs_finish(h);
 }
@@ -162,8 +163,7 @@
 	if (!r) return;
 	met_add(MET_CALLER_LEFT, 1);
 	rq_log(r, "caller_left", NULL);
-	h->user = NULL;
-	rq_free(r);
+	let_go(r);
 }
 
 void rq_on_drain(struct hs *h)
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -193,6 +193,12 @@
 			  "backend servers are not reached");
 }
 
+/* It may have run: whether it may once more. Counted as sent anew when it may. */
+static int may_run_again(const struct rq *r)
+{
+	return rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r);
+}
+
 static void broke(struct leg *l, int err)
 {
 	struct rq *r = l->rq;
@@ -202,7 +208,7 @@
 	if (move_source_ended(r)) return;
 	r->runs++;
 	if (!move_to_backup(r)) return;
-	if (rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+	if (may_run_again(r)) {
 		again(r, r->seen.count ? RETRY_RESUME : RETRY_ENGINE_LOST);
 		return;
 	}
@@ -231,7 +237,7 @@
 	}
 	be_failed(l->be, "answers with failures");
 	r->runs++;
-	if (rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+	if (may_run_again(r)) {
 		again(r, RETRY_ENGINE_STATUS);
 		return;
 	}
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -15,6 +15,11 @@
 	return clock_us() - board_confirmed_us() < rq_cfg->revoke_us;
 }
 
+int rq_key_known(const struct rq *r, const struct conf *c)
+{
+	return r->route->open || !c->groups->len || conf_group(c, r->in.key);
+}
+
 /* 0, or refuses r. */
 static int check(struct rq *r)
 {
@@ -35,7 +40,7 @@
 		return -ENOENT;
 	}
 	if (!r->route->open) r->group = conf_group(c, r->in.key);
-	if (!r->route->open && c->groups->len && !r->group) {
+	if (!rq_key_known(r, c)) {
 		rq_refuse(r, REF_UNAUTHORIZED, 0, "unknown key");
 		return -EACCES;
 	}
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -1,7 +1,6 @@
 /* Which backend server a request goes to, and sending it there. */
 #include "clock.h"
 #include "jlog.h"
-#include "mesh.h"
 #include "rq_impl.h"
 #include <string.h>
 
@@ -13,18 +12,30 @@
 #define PRIORITY_STEP 3   /* workspaces before routes: three ranks of routes in each */
 #define PRIORITY_MAX 9    /* the least urgent that engines know */
 
+/* Of all instances together. */
+static struct be_load load_of(const struct be *b)
+{
+	return (struct be_load){.runs = b->own.runs + b->others.runs,
+				.unread = b->own.unread + b->others.unread,
+				.held = b->own.held + b->others.held,
+				.backup = b->own.backup + b->others.backup,
+				.used = b->own.used + b->others.used};
+}
+
 static void fill_site(struct place_site *s, const struct be *b, const struct rq *r,
 		      const char *dc, int64_t now)
 {
+	struct be_load all = load_of(b);
+
 	*s = (struct place_site){
 		.usable = be_usable(b, now),
 		.near = !strcmp(b->zone, dc),
 		.slots = b->slots,
-		.runs = b->own.runs + b->others.runs,
-		.unread = b->own.unread + b->others.unread,
-		.held = b->own.held + b->others.held,
-		.backup = b->own.backup + b->others.backup,
-		.used = b->own.used + b->others.used,
+		.runs = all.runs,
+		.unread = all.unread,
+		.held = all.held,
+		.backup = all.backup,
+		.used = all.used,
 		.tokens = r->service->tokens,
 		.far_cost = MOVE_FAR_COST,
 		.answer_us = b->answer_us,
@@ -128,23 +139,24 @@
 static void log_sent(const struct leg *l, const char *copy)
 {
 	const struct rq *r = l->rq;
-	const struct be *b = l->be;
+	struct be_load all;
 	GString *g;
 
 	if (!r->service->engine && r->sends < 2) return; /* its end tells as much */
+	all = load_of(l->be);
 	g = jlog_begin("relay", "request_sent");
 	jlog_str(g, "request", r->in.id);
-	jlog_str(g, "backend", b->id);
+	jlog_str(g, "backend", l->be->id);
 	jlog_str(g, "backup", l->backup ? l->backup->id : NULL);
 	jlog_str(g, "copy", copy);
 	jlog_str(g, "after_event", r->seen.id[0] ? r->seen.id : NULL);
 	jlog_int(g, "send", r->sends);
 	jlog_int(g, "prompt", r->job.prompt);
 	jlog_int(g, "growth", r->job.growth);
-	jlog_int(g, "unread", b->own.unread + b->others.unread);
-	jlog_int(g, "held", b->own.held + b->others.held);
-	jlog_int(g, "copies", b->own.backup + b->others.backup);
-	jlog_int(g, "runs", b->own.runs + b->others.runs);
+	jlog_int(g, "unread", all.unread);
+	jlog_int(g, "held", all.held);
+	jlog_int(g, "copies", all.backup);
+	jlog_int(g, "runs", all.runs);
 	jlog_end(g);
 }
 
@@ -186,7 +198,7 @@
 {
 	struct conf *c = board_conf();
 
-	if (c != r->conf && !r->route->open && c->groups->len && !conf_group(c, r->in.key)) {
+	if (c != r->conf && !rq_key_known(r, c)) {
 		rq_refuse(r, REF_UNAUTHORIZED, 0, "the key was taken away");
 		return 0;
 	}
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -1,7 +1,6 @@
 /* Callers: requests, questions and raw bytes sent to an entry. */
 #include "clock.h"
 #include "pw.h"
-#include <stdlib.h>
 #include <string.h>
 
 #define CONNECT_US 1000000    /* loopback: longer means that nobody listens or all is stuck */
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -8,9 +8,7 @@
 #include "hp.h"
 #include "wire.h"
 #include <msgpack.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #define SECONDS 1 /* each, in the usual run */
 #define CHANGES 8
