Constants and fields of the new headers say their unit or their place

Some bounds in headers, benches and random input had no unit or reason, and two fields named a list and an event that no longer exist under that name. The comments are put right; no value changed.

--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -5,11 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How many of each; the figures are told for one. */
 #define STREAMS 200
 #define STREAM_EVENTS 400
 #define CALLS 3000
 #define CALLS_AT_ONCE 10
-#define IDLE 500
+#define IDLE 500 /* connections */
 
 static double cpu_s(struct pw_entry *e)
 {
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -11,7 +11,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#define DL_HANDLE_MAX 127
+#define DL_HANDLE_MAX 127 /* characters of a copy's name; a longer one is cut */
 
 /* What the head of a caller's request says. Texts live as long as the head. */
 struct dl_request {
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -5,8 +5,8 @@
 #include <netinet/in.h>
 #include <stdint.h>
 
-#define ENTRY_SEEDS_MAX 8
-#define ENTRY_TEXT_MAX 127
+#define ENTRY_SEEDS_MAX 8  /* more are not read */
+#define ENTRY_TEXT_MAX 127 /* characters of a name or address */
 
 struct entry_cfg {
 	char instance[ENTRY_TEXT_MAX + 1];
--- a/src/internal/evs.h
+++ b/src/internal/evs.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#define EVS_ID_MAX 63
+#define EVS_ID_MAX 63        /* characters: what is longer is taken as no id */
 #define EVS_EVENT_MAX 262144 /* bytes: a thousand times an event of today */
 
 struct evs {
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -34,7 +34,7 @@
 	uint32_t held;     /* tokens counted on be, foreseen ... */
 	uint32_t used;     /* ... and now; on backup the same */
 	uint32_t bare; /* the same while it has no copy and is to be moved with its engine */
-	uint64_t recounted; /* at this event */
+	uint64_t recounted; /* its memory, at this count of events */
 	int not_run;        /* the answer says so */
 	int answered;       /* the head of an answer that counts came */
 	int64_t sent_us, first_us;
@@ -69,13 +69,13 @@
 	const struct conf_service *service;
 	struct dl_request in;
 	struct place_job job;
-	int64_t began_us, end_us;   /* came; must have its final answer */
+	int64_t began_us, end_us;   /* came whole; must have its final answer */
 	int64_t gap_us, gap_at_us;  /* longest pause between events so far, and when it ended */
 	int64_t first_us, event_us; /* first byte to the caller; last event */
 	struct ev_timer end_timer, stall_timer;
 	struct leg *leg, *next; /* the one that answers; the one that will */
 	struct move move;
-	int waiting;     /* for memory: in rq_waiting */
+	int waiting;     /* for memory, in the list of rq_wait.c */
 	int64_t wait_us; /* until when it waits */
 	int sends;       /* exchanges that were begun */
 	int runs;        /* of them, those that may have run */
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -7,7 +7,7 @@
 
 #define SOURCE_END_US 100000 /* the source's last events are under way */
 #define ORDER_US 4000000 /* moves queue on their links; the source lives two seconds or so */
-#define ORDER_ANSWER_MAX 65536 /* bytes: hundreds of times an answer of today */
+#define ORDER_ANSWER_MAX 65536 /* bytes: it holds a name and a number */
 #define CALM_US 60000   /* a part of a few tokens that took longer waited for other copies */
 #define LAST_US 1200000 /* after the notice the source is stopped all the same */
 
--- a/test/pw.h
+++ b/test/pw.h
@@ -13,6 +13,7 @@
 #include <sys/types.h>
 
 /* ---- pw.c: the loop and the entries ---- */
+/* Ports: any will do, each address is a test's own. */
 #define PW_FRONT 7001
 #define PW_READY 7002
 #define PW_DIRECTORY 7003
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 
 #define SECONDS 1 /* each, in the usual run */
-#define CHANGES 8
+#define CHANGES 8 /* fewer than that in one input */
 
 static GRand *rnd;
 static char *input;
