--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -1,16 +1,16 @@
 /* The platform path through one real entry: processor time an event and a call, memory a
  * connection and a stream. The world around it is the tests' small platform. */
 #include "pw.h"
-#include "clock.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* How many of each; the figures are told for one. */
 #define STREAMS 200
 #define STREAM_EVENTS 400
 #define CALLS 3000
 #define CALLS_AT_ONCE 10
-#define IDLE 500
+#define IDLE 500 /* connections */
 
 static double cpu_s(struct pw_entry *e)
 {
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -12,6 +12,14 @@
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 
+#define RQ_CONNECT_US 250000    /* a backend server that is there answers in a few ms */
+#define RQ_SENDS_MAX 4          /* of one request, whatever they end in */
+#define RETRY_SOON_US 150000    /* another instance may serve it at once */
+#define RETRY_SERVERS_US 300000 /* servers that were tried: others are asked first */
+#define RETRY_LATER_US 400000   /* what is missing comes back within about a second */
+#define MOVE_AGAIN_US 40000     /* an order that came too early or too soon after another */
+#define MOVE_TRIES_MAX 12       /* orders of one move */
+
 struct rq;
 
 /* One exchange with a backend server on a request's behalf. */
@@ -20,14 +28,13 @@
 	struct be *be;
 	struct hx *hx;     /* NULL once it ended */
 	struct be *backup; /* is sent a copy of its memory by the engine; or NULL */
-	int from_copy;     /* goes on from memory that was copied there */
 	int copy_bad;      /* it was refused; it takes memory all the same */
 	int copy_freed;    /* the run ended well, or its copy was taken over */
 	int reading;       /* its prompt counts as unread there */
 	uint32_t held;     /* tokens counted on be, foreseen ... */
 	uint32_t used;     /* ... and now; on backup the same */
 	uint32_t bare; /* the same while it has no copy and is to be moved with its engine */
-	uint64_t recounted; /* at this event */
+	uint64_t recounted; /* its memory, at this count of events */
 	int not_run;        /* the answer says so */
 	int answered;       /* the head of an answer that counts came */
 	int64_t sent_us, first_us;
@@ -62,13 +69,13 @@
 	const struct conf_service *service;
 	struct dl_request in;
 	struct place_job job;
-	int64_t began_us, end_us;   /* came; must have its final answer */
+	int64_t began_us, end_us;   /* came whole; must have its final answer */
 	int64_t gap_us, gap_at_us;  /* longest pause between events so far, and when it ended */
 	int64_t first_us, event_us; /* first byte to the caller; last event */
 	struct ev_timer end_timer, stall_timer;
 	struct leg *leg, *next; /* the one that answers; the one that will */
 	struct move move;
-	int waiting;     /* for memory: in rq_waiting */
+	int waiting;     /* for memory, in the list of rq_wait.c */
 	int64_t wait_us; /* until when it waits */
 	int sends;       /* exchanges that were begun */
 	int runs;        /* of them, those that may have run */
@@ -81,10 +88,8 @@
 
 extern const struct entry_cfg *rq_cfg;
 extern GPtrArray *rq_all;
-extern int64_t rq_drain_until_us;
 
 /* rq.c */
-void rq_free(struct rq *r);
 /* Not run: told so, with a time to come back. */
 void rq_refuse(struct rq *r, enum refusal why, int64_t retry_us, const char *detail);
 /* May have run: the answer promises nothing. */
@@ -95,9 +100,17 @@
 void rq_stream_end(struct rq *r);
 /* Whether it may run more than once. */
 int rq_repeatable(const struct rq *r);
+void rq_log(const struct rq *r, const char *outcome, const char *detail);
+
+/* rq_begin.c */
+/* Whether the configuration lets the request's key in; without workspaces it asks for none. */
+int rq_key_known(const struct rq *r, const struct conf *c);
 /* 0 while the configuration is too old to tell whether the request's key still holds. */
 int rq_confirmed(const struct rq *r);
-void rq_log(const struct rq *r, const char *outcome, const char *detail);
+
+/* rq_time.c */
+/* Its route is known: from now on it ends in time, and silence is looked at. */
+void rq_set_times(struct rq *r);
 
 /* rq_send.c */
 /* Looks for a backend server and sends; refuses when there is none. */
@@ -107,25 +120,43 @@
 struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy);
 /* Cancels what is under way and takes its load off. */
 void leg_free(struct leg *l);
+/* Whether the request as it is now fits into b's memory. */
+int rq_fits(const struct rq *r, const struct be *b);
+/* The best of the service but not_this (NULL: any). near: memory would move from there. */
+struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
+/* 0 (most urgent) to 9, workspaces before routes; -1: of no engine. */
+int rq_priority(const struct rq *r);
+
+/* rq_wait.c */
+/* 1 when r waits for memory from now on. b: where it would go, or NULL. */
+int rq_wait(struct rq *r, const struct be *b);
+void rq_stop_waiting(struct rq *r);
+
+/* rq_load.c */
+void leg_count_in(struct leg *l);
+void leg_count_out(struct leg *l);
 /* Its prompt is read: the first token came. */
 void leg_read(struct leg *l);
 /* Counts its memory anew after it grew. */
 void leg_recount(struct leg *l);
+/* Its running copy is of no use any more. */
+void leg_drop_backup(struct leg *l);
+/* Its running copy stays until the engine lets it go: counted until then. */
+void leg_leave_copy(const struct leg *l);
 /* What is known of the lengths of the request's route. */
 struct length_stats *rq_lengths(const struct rq *r);
 /* Tokens that the request has made. */
 uint32_t rq_made(const struct rq *r);
-/* Sends what waits and now fits. */
-void rq_look_at_waiting(void);
-void rq_stop_waiting(struct rq *r);
-/* Its running copy is of no use any more. */
-void leg_drop_backup(struct leg *l);
-int rq_may_repeat(struct rq *r);
-/* Whether the request as it is now fits into b's memory. */
-int rq_fits(const struct rq *r, const struct be *b);
-struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
-struct budget *rq_budget(const char *service);
-struct budget_rule rq_budget_rule(void);
+/* Tokens of memory that it has, and is still expected to take. */
+uint32_t rq_held(const struct rq *r);
+
+/* rq_budget.c */
+/* A request came for its service. */
+void rq_count_request(const struct rq *r);
+/* It is sent anew, and nothing may hold it back. */
+void rq_count_repeat(const struct rq *r);
+/* 1 and counted as sent anew, or 0: the budget is used up, or it was sent too often. */
+int rq_may_repeat(const struct rq *r);
 
 /* rq_answer.c */
 int leg_on_head(struct hx *x);
@@ -145,4 +176,20 @@
 void move_stop(struct rq *r);
 /* The engine is silent or broke: goes on from the running copy. 0, or -ENOENT without one. */
 int move_to_backup(struct rq *r);
+/* Of a move that is under way: */
+void move_log(const struct rq *r, const char *event, int status);
+void move_later(struct rq *r, int64_t in_us);
+void move_forget_ends(struct move *m);
+/* The source has stopped and its memory is at the target: the stream goes on there. */
+void move_use_handle(struct rq *r);
+/* The same where the memory is kept at the source, which may go on with it. */
+void move_use_source(struct rq *r);
+void move_lost(struct rq *r, const char *why);
+
+/* rq_move_copy.c */
+void move_copy_begin(struct rq *r);
+/* Orders a copy of the next part; last: the source stops first. */
+void move_order(struct rq *r, int last);
+/* What was copied for a move that did not come to its end takes memory until it is dropped. */
+void move_drop_copy(struct move *m);
 #endif
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -177,7 +177,7 @@
 	if (rq_may_repeat(r))
 		again(r, RETRY_ENGINE_STATUS);
 	else
-		rq_refuse(r, REF_BUSY, 300000, "backend servers turned it away");
+		rq_refuse(r, REF_BUSY, RETRY_SERVERS_US, "backend servers turned it away");
 }
 
 static void not_reached(struct leg *l, int err)
@@ -186,10 +186,17 @@
 
 	log_broke(l, "not_reached", err);
 	be_failed(l->be, "not reached");
-	if (r->sends < 4)
+	if (r->sends < RQ_SENDS_MAX)
 		again(r, RETRY_CONNECT);
 	else
-		rq_refuse(r, REF_NO_ENGINE, 300000, "backend servers are not reached");
+		rq_refuse(r, REF_NO_ENGINE, RETRY_SERVERS_US,
+			  "backend servers are not reached");
+}
+
+/* It may have run: whether it may once more. Counted as sent anew when it may. */
+static int may_run_again(const struct rq *r)
+{
+	return rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r);
 }
 
 static void broke(struct leg *l, int err)
@@ -201,7 +208,7 @@
 	if (move_source_ended(r)) return;
 	r->runs++;
 	if (!move_to_backup(r)) return;
-	if (rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+	if (may_run_again(r)) {
 		again(r, r->seen.count ? RETRY_RESUME : RETRY_ENGINE_LOST);
 		return;
 	}
@@ -230,7 +237,7 @@
 	}
 	be_failed(l->be, "answers with failures");
 	r->runs++;
-	if (rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r)) {
+	if (may_run_again(r)) {
 		again(r, RETRY_ENGINE_STATUS);
 		return;
 	}
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -1,4 +1,4 @@
-#include "hostport.h"
+/* The small platform's key-value service, with faults the test chose. */
 #include "pf_json.h"
 #include "pw.h"
 #include <stdlib.h>
@@ -191,15 +191,6 @@
 	return (int)waiters->len;
 }
 
-int pw_store_has(const char *prefix)
-{
-	GString *s = g_string_new(NULL);
-	int n = json_items(s, prefix, 0, 0);
-
-	g_string_free(s, TRUE);
-	return n;
-}
-
 static void get(struct hs *h, const char *target)
 {
 	char key[256] = "";
@@ -332,11 +323,9 @@
 static void listen_at(struct hs_listener *l, const char *ip)
 {
 	struct sockaddr_in at;
-	char text[48];
 
-	g_snprintf(text, sizeof text, "%s:%d", ip, PW_STORE);
-	hostport_parse(text, &at);
-	l->limits = (struct hs_limits){65536, 1 << 20, 5000000, 60000000};
+	pw_address_of(ip, PW_STORE, &at);
+	l->limits = pw_limits;
 	l->on_request = on_request;
 	l->on_left = on_left;
 	hs_listen(l, &at);
@@ -344,7 +333,6 @@
 
 void pw_store_start(const char *ip)
 {
-
 	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	waiters = g_ptr_array_new();
 	memset(&pw_store, 0, sizeof pw_store);
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -8,12 +8,10 @@
 #include "hp.h"
 #include "wire.h"
 #include <msgpack.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #define SECONDS 1 /* each, in the usual run */
-#define CHANGES 8
+#define CHANGES 8 /* fewer than that in one input */
 
 static GRand *rnd;
 static char *input;
