Nine faults found by reading: bounds, words, draws, refusals that were true but said otherwise

Cause, each with a test that failed first: a repeat window of 0 in the settings hung the process at its first request, and inf or nan passed as numbers; times of the platform's bodies were cast without a bound (1e300 gave the smallest integer); a handle with control signs or null went into a request line; equal engines were drawn unevenly (four of them 33, 17, 25 and 25 in 100), as the generator's low bits repeat; a request whose time ran out before any server was reached, or that waited when the instance stopped, got a failure that promises nothing instead of a refusal with a time to come back; an empty list of workspaces let everybody in.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -47,7 +47,7 @@
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",      "running",       "open_requests", "members",
-	"engines_kept", "table_version", "draining", "watches",
+	"engines_kept", "table_version", "draining",      "watches",
 };
 static const char *const hist_names[MET_HIST_MAX] = {
 	"first_token_seconds",
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -21,6 +21,12 @@
 	return draw * 1664525u + 1013904223u;
 }
 
+/* From 0 up to n: by the high bits, as the low ones repeat after a few draws. */
+static uint32_t drawn(uint32_t draw, uint32_t n)
+{
+	return (uint32_t)((uint64_t)draw * n >> 32);
+}
+
 /* Others end while it grows: on the mean half of what it will make is in use. */
 static uint64_t need(const struct place_job *j)
 {
@@ -66,7 +72,7 @@
 		if (cost > best_cost) continue;
 		if (cost < best_cost) ties = 0;
 		best_cost = cost;
-		if (draw % (uint32_t)++ties == 0) best = i;
+		if (drawn(draw, (uint32_t)++ties) == 0) best = i;
 		draw = next_draw(draw);
 	}
 	return best;
@@ -99,7 +105,7 @@
 		if (i == main || !s[i].usable || !s[i].tokens) continue;
 		if ((used + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
 		if (!s[i].near) used += s[i].tokens / FAR_BACKUP_PART;
-		used = used * BACKUP_DRAWS + draw % BACKUP_DRAWS;
+		used = used * BACKUP_DRAWS + drawn(draw, BACKUP_DRAWS);
 		draw = next_draw(draw);
 		if (used >= best_used) continue;
 		best_used = used;
@@ -115,7 +121,7 @@
 
 	for (i = 0; i < n; i++) {
 		double each = s[i].answer_us > 0 ? s[i].answer_us : CALL_US;
-		double us = each, jitter = (double)(draw % DRAW_US);
+		double us = each, jitter = (double)drawn(draw, DRAW_US);
 
 		draw = next_draw(draw);
 		if (!s[i].usable) continue;
--- a/src/internal/conf.h
+++ b/src/internal/conf.h
@@ -57,6 +57,7 @@
 	GPtrArray *routes, *services, *groups;
 	GHashTable *by_place; /* "host prefix" -> route */
 	GHashTable *by_key, *by_service;
+	int keyed; /* workspaces are listed, be it none: routes that are not open need a key */
 	uint32_t head_bytes, body_bytes; /* limits of a request; 0: not told */
 	int64_t head_us, idle_us;
 };
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -99,8 +99,19 @@
 	answer_own(r, r->status, retry_us, refusal_info(why)->code);
 }
 
+/* A server that was connected to may have read it. */
+static int may_have_run(const struct rq *r)
+{
+	if (r->runs || r->head_sent) return 1;
+	return r->leg && r->leg->hx && r->leg->hx->up;
+}
+
 void rq_fail(struct rq *r, enum refusal why, const char *detail)
 {
+	if (!may_have_run(r)) {
+		rq_refuse(r, why, RETRY_LATER_US, detail);
+		return;
+	}
 	met_refused(why);
 	if (r->head_sent) {
 		rq_log(r, "broken_off", detail);
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -17,7 +17,7 @@
 
 int rq_key_known(const struct rq *r, const struct conf *c)
 {
-	return r->route->open || !c->groups->len || conf_group(c, r->in.key);
+	return r->route->open || !c->keyed || conf_group(c, r->in.key);
 }
 
 /* 0, or refuses r. */
--- a/test/pw.c
+++ b/test/pw.c
@@ -231,6 +231,8 @@
 		unlink(entries[i].settings);
 		if (!getenv("PW_KEEP")) unlink(entries[i].log);
 	}
+	pw_calls_end();
+	pw_run(20); /* what was given back is freed between rounds of the loop */
 	pw_servers_end();
 	pw_store_clear();
 }
--- a/test/pw.h
+++ b/test/pw.h
@@ -129,6 +129,9 @@
 void pw_server_unlist(struct pw_server *s);
 /* Breaks all its connections and listens no more. */
 void pw_server_die(struct pw_server *s);
+/* It takes no more connections, and says nothing to those who try: opening packets get lost.
+ * Close the returned descriptor at the end. */
+int pw_server_deaf(struct pw_server *s);
 
 /* ---- pw_run.c: what runs on them ---- */
 /* Runs of a request, started anywhere. */
@@ -172,6 +175,8 @@
 struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path,
 		       int deadline_ms);
 void pw_call_leave(struct pw_call *c);
+/* Frees the calls of a test that ends. */
+void pw_calls_end(void);
 int pw_call_wait(struct pw_call *c, int ms);
 /* Whether the body holds the events 1..n of the request, each once and in order. */
 int pw_stream_whole(const struct pw_call *c, int n);
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -7,6 +7,9 @@
 #define ASK_CONNECT_US 500000 /* the same of a question, of which many are asked in turn */
 
 static int serial;
+static GPtrArray *calls; /* of this test */
+
+static void free_call(gpointer p);
 
 static void copy_field(struct hx *x, const char *name, char *out, size_t max)
 {
@@ -61,6 +64,8 @@
 	if (body) g_string_append_printf(out, "Content-Length: %zu\r\n", strlen(body));
 	g_string_append_printf(out, "\r\n%s", body ? body : "");
 	pw_address(e, PW_FRONT, &at);
+	if (!calls) calls = g_ptr_array_new_with_free_func(free_call);
+	g_ptr_array_add(calls, c);
 	c->body = g_string_new(NULL);
 	c->began_us = clock_us();
 	c->x = hx_new(c);
@@ -99,6 +104,20 @@
 	c->ended = 1;
 }
 
+static void free_call(gpointer p)
+{
+	struct pw_call *c = p;
+
+	pw_call_leave(c);
+	g_string_free(c->body, TRUE);
+	g_free(c);
+}
+
+void pw_calls_end(void)
+{
+	if (calls) g_ptr_array_set_size(calls, 0);
+}
+
 static int has_ended(void *arg)
 {
 	return ((struct pw_call *)arg)->ended;
@@ -185,6 +204,7 @@
 	struct pw_call *c = g_new0(struct pw_call, 1);
 	GString *q = g_string_new(NULL);
 	struct sockaddr_in at;
+	int status;
 
 	g_string_printf(q, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", target);
 	pw_address_of(ip, port, &at);
@@ -193,13 +213,15 @@
 	c->x->on_head = on_head;
 	c->x->on_body = on_body;
 	c->x->on_end = on_end;
-	if (hx_start(c->x, &at, q, ASK_CONNECT_US)) return -1;
-	pw_call_wait(c, 1000);
-	if (!c->ended) {
-		pw_call_leave(c);
-		return -1;
-	}
-	return c->err ? -1 : c->status;
+	if (hx_start(c->x, &at, q, ASK_CONNECT_US))
+		c->x = NULL;
+	else
+		pw_call_wait(c, 1000);
+	status = c->ended && !c->err ? c->status : -1;
+	pw_call_leave(c);
+	if (!out) g_string_free(c->body, TRUE);
+	g_free(c);
+	return status;
 }
 
 void pw_address(const struct pw_entry *e, int port, struct sockaddr_in *at)
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -2,6 +2,7 @@
 #include "hostport.h"
 #include "pf_json.h"
 #include "pw.h"
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -149,11 +150,41 @@
 	}
 }
 
+int pw_server_deaf(struct pw_server *s)
+{
+	struct sockaddr_in at;
+	int i, on = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	pw_server_die(s);
+	hostport_parse(s->address, &at);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+	if (bind(fd, (struct sockaddr *)&at, sizeof at) || listen(fd, 0)) abort();
+	/* A full queue of connections that nobody accepts; they end with the test's process. */
+	for (i = 0; i < 4; i++) {
+		int c = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+		if (connect(c, (struct sockaddr *)&at, sizeof at) && errno != EINPROGRESS)
+			abort();
+	}
+	return fd;
+}
+
+static void free_server(struct pw_server *s)
+{
+	g_ptr_array_free(s->listener.conns, TRUE);
+	g_free(s);
+}
+
 void pw_servers_end(void)
 {
 	uint32_t i;
 
 	for (i = 0; servers && i < servers->len; i++)
 		pw_server_die(g_ptr_array_index(servers, i));
+	pw_run(20); /* their connections are freed between rounds of the loop */
+	for (i = 0; servers && i < servers->len; i++)
+		free_server(g_ptr_array_index(servers, i));
 	if (servers) g_ptr_array_set_size(servers, 0);
+	for (i = 0; pw_runs && i < pw_runs->len; i++) g_free(g_ptr_array_index(pw_runs, i));
+	if (pw_runs) g_ptr_array_set_size(pw_runs, 0);
 }
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -331,9 +331,15 @@
 	hs_listen(l, &at);
 }
 
+static void free_entry(gpointer p)
+{
+	g_free(((struct entry *)p)->value);
+	g_free(p);
+}
+
 void pw_store_start(const char *ip)
 {
-	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
 	waiters = g_ptr_array_new();
 	memset(&pw_store, 0, sizeof pw_store);
 	listen_at(&listener, ip);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -568,6 +568,14 @@
 	status = pw_entry_wait(e, 1000);
 	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
 	CU_ASSERT(pw_log_has(e, "platform.address is no IP:PORT"));
+	pw_settings("bounds.budgetWindowS=0\n");
+	e = pw_entry_start();
+	status = pw_entry_wait(e, 1000);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
+	pw_settings("bounds.revokeMs=inf\n");
+	e = pw_entry_start();
+	status = pw_entry_wait(e, 1000);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
 	pw_settings("bounds.graceS=soon\n");
 	e = pw_entry_start();
 	status = pw_entry_wait(e, 1000);
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -2,6 +2,7 @@
 #include "budget.h"
 #include "check.h"
 #include "conf.h"
+#include "dialect.h"
 #include "evs.h"
 #include "hostport.h"
 #include "hp.h"
@@ -76,6 +77,27 @@
 	CU_ASSERT_EQUAL(place_generation(s, 3, &j, 7), -1);
 }
 
+static void equal_engines_are_drawn_evenly(void)
+{
+	struct place_site s[8];
+	int count[8] = {0}, n, i, k;
+	struct place_job j = {1000, 0};
+	GRand *rnd = g_rand_new_with_seed(5);
+
+	for (n = 3; n <= 8; n++) {
+		memset(count, 0, sizeof count);
+		for (i = 0; i < n; i++)
+			s[i] = (struct place_site){.usable = 1, .near = 1, .tokens = 9000};
+		for (k = 0; k < 24000; k++)
+			count[place_generation(s, n, &j, g_rand_int(rnd))]++;
+		for (i = 0; i < n; i++) {
+			CU_ASSERT(count[i] > 24000 / n * 0.9);
+			CU_ASSERT(count[i] < 24000 / n * 1.1);
+		}
+	}
+	g_rand_free(rnd);
+}
+
 static void room_is_what_is_left_for_half_of_the_growth(void)
 {
 	struct place_site s = {.usable = 1, .tokens = 10000, .used = 5000};
@@ -277,6 +299,68 @@
 	hp_free(&p);
 }
 
+/* ---- the platform's words ---- */
+
+static void a_handle_is_one_word(void)
+{
+	static const char *const bad[] = {"{\"handle\":\"a\\r\\nX: y\"}",
+					  "{\"handle\":\"a b\"}",
+					  "{\"handle\":\"\"}",
+					  "{\"handle\":null}",
+					  "{\"handle\":7}",
+					  "{\"handle\":\"a/b\"}",
+					  "{}"};
+	struct dl_moved m;
+	size_t i;
+
+	for (i = 0; i < sizeof bad / sizeof *bad; i++) {
+		CU_ASSERT_EQUAL(dl_read_moved(bad[i], strlen(bad[i]), &m), -EBADMSG);
+		CU_ASSERT_EQUAL(m.handle[0], '\0');
+	}
+	CU_ASSERT_EQUAL(dl_read_moved("{\"handle\":\"4f-A_9.x\"}", 21, &m), 0);
+}
+
+static struct conf *read_one(const char *timeout, const char *tenants)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":1,\"routes\":[{\"host\":\"a\",\"pathPrefix\":\"/\","
+		"\"kind\":\"safe\",\"timeoutMs\":%s,\"service\":\"s\"}]%s}",
+		timeout, tenants);
+	struct err e;
+	struct conf *c = dl_read_conf(text, strlen(text), &e);
+
+	g_free(text);
+	return c;
+}
+
+static void numbers_of_the_platform_are_bounded(void)
+{
+	static const char *const odd[] = {"1e300", "-1e300", "NaN", "Infinity", "1e18"};
+	size_t i;
+
+	for (i = 0; i < sizeof odd / sizeof *odd; i++) {
+		struct conf *c = read_one(odd[i], "");
+		const struct conf_route *r = c ? conf_route(c, "a", "/") : NULL;
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+		CU_ASSERT(r->timeout_us >= 0);
+		CU_ASSERT(r->timeout_us <= INT64_C(1000000) * 86400 * 366);
+		conf_unref(c);
+	}
+}
+
+static void an_empty_list_of_workspaces_lets_nobody_in(void)
+{
+	struct conf *none = read_one("100", ""), *empty = read_one("100", ",\"tenants\":[]");
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(none);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(empty);
+	CU_ASSERT(!none->keyed);
+	CU_ASSERT(empty->keyed);
+	conf_unref(none);
+	conf_unref(empty);
+}
+
 static void addresses_are_checked(void)
 {
 	struct sockaddr_in a;
@@ -294,6 +378,7 @@
 	{"the_longest_prefix_of_the_host_decides", the_longest_prefix_of_the_host_decides},
 	{"a_split_is_drawn_by_weight", a_split_is_drawn_by_weight},
 	{"a_generation_goes_where_least_waits", a_generation_goes_where_least_waits},
+	{"equal_engines_are_drawn_evenly", equal_engines_are_drawn_evenly},
 	{"room_is_what_is_left_for_half_of_the_growth",
 	 room_is_what_is_left_for_half_of_the_growth},
 	{"copies_need_free_memory", copies_need_free_memory},
@@ -306,6 +391,10 @@
 	{"messages_with_two_framings_are_refused", messages_with_two_framings_are_refused},
 	{"an_answer_that_is_cut_is_not_whole", an_answer_that_is_cut_is_not_whole},
 	{"fields_of_one_connection_are_known", fields_of_one_connection_are_known},
+	{"a_handle_is_one_word", a_handle_is_one_word},
+	{"numbers_of_the_platform_are_bounded", numbers_of_the_platform_are_bounded},
+	{"an_empty_list_of_workspaces_lets_nobody_in",
+	 an_empty_list_of_workspaces_lets_nobody_in},
 	{"addresses_are_checked", addresses_are_checked},
 };
 
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* ---- the plain path ---- */
 
@@ -292,6 +293,26 @@
 	pw_end();
 }
 
+/* Nothing was sent when the time ran out: the answer says so, and when to come back. */
+static void a_server_that_is_not_reached_leaves_the_request_not_run(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+	int fd;
+
+	pw_init();
+	s = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	fd = pw_server_deaf(s);
+	c = pw_ask(e, "POST", "/unsafe/", 150);
+	CU_ASSERT(pw_call_wait(c, 1000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(g_ascii_strtod(c->retry_after, NULL) > 0);
+	close(fd);
+	pw_end();
+}
+
 static void a_caller_that_leaves_ends_the_work(void)
 {
 	struct pw_server *s;
@@ -516,6 +537,8 @@
 	{"what_was_turned_away_goes_elsewhere", what_was_turned_away_goes_elsewhere},
 	{"a_silent_server_is_left_for_another", a_silent_server_is_left_for_another},
 	{"a_dead_server_costs_no_request", a_dead_server_costs_no_request},
+	{"a_server_that_is_not_reached_leaves_the_request_not_run",
+	 a_server_that_is_not_reached_leaves_the_request_not_run},
 	{"a_caller_that_leaves_ends_the_work", a_caller_that_leaves_ends_the_work},
 	{"the_route_s_time_is_kept", the_route_s_time_is_kept},
 	{"a_stream_comes_whole", a_stream_comes_whole},
