mesh.c in three: links and heartbeats, knowledge passed on, where callers are sent

Cause: 484 lines with three jobs. Change: functions moved as they were; one getter for whether this instance takes callers.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -18,19 +18,12 @@
 #define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
 #define WHOLE_EVERY 5       /* beats between whole load messages: heals what was missed */
 #define MEMBERS_MAX 4096
-#define WATCH_INSTANCES 3 /* that watch the store for all: two may be lost at once */
-#define MANY 16       /* instances: beyond, what is large is asked for one after the other */
-#define NEWS_MAX 8192 /* bytes passed on unasked to many: a small link takes 10 Mbit/s */
-#define ASK_SPREAD_US 300000 /* within it many ask for what is large */
-#define ASK_AGAIN_US 500000  /* an answer is under way */
 
 static const struct entry_cfg *cfg;
 static GPtrArray *members;
 static struct ev_timer beat_timer;
 static struct ev_fd listener;
 static int self_ready, self_draining, self_store_up, most_known = 1;
-static struct ev_timer ask_timer;
-static int64_t ask_not_before_us;
 static unsigned beats;
 
 const struct entry_cfg *mesh_cfg(void)
@@ -49,6 +42,11 @@
 	self_draining = draining;
 }
 
+int mesh_self_takes_callers(void)
+{
+	return self_ready && !self_draining;
+}
+
 void mesh_set_store_up(int up)
 {
 	self_store_up = up;
@@ -178,61 +176,6 @@
 	jlog_end(g);
 }
 
-/*
- * The sender was sure of its configuration confirmed_ago before it sent this, and our stamp had
- * reached it echo_held before it did. So it was sure no earlier than our stamp plus the
- * difference, by our own clock, however long this message was under way or lay unread.
- */
-static void take_confirmation(const struct mesh_beat *b)
-{
-	if (!b->echo_us || b->confirmed_ago_us < 0) return;
-	board_confirm(b->revs.conf, b->echo_us + b->echo_held_us - b->confirmed_ago_us);
-}
-
-static int knows_more(const struct member *m)
-{
-	struct board_revs mine = board_revs();
-
-	return m->said.revs.conf > mine.conf || m->said.revs.backends > mine.backends;
-}
-
-void mesh_ask(struct member *m)
-{
-	GString *out;
-
-	if (clock_us() < ask_not_before_us) return;
-	ask_not_before_us = clock_us() + ASK_AGAIN_US;
-	out = g_string_new(NULL);
-	mesh_write_want(out, board_revs());
-	mesh_send(m, out);
-	g_string_free(out, TRUE);
-}
-
-/* Any of those who know more: not all ask the same one. */
-static void on_ask(struct ev_timer *t)
-{
-	uint32_t i,
-		from = members->len ? (uint32_t)g_random_int_range(0, (int)members->len) : 0;
-
-	(void)t;
-	for (i = 0; i < members->len; i++) {
-		struct member *m = g_ptr_array_index(members, (from + i) % members->len);
-
-		if (!m->alive || !knows_more(m)) continue;
-		mesh_ask(m);
-		return;
-	}
-}
-
-static void ask_for_newer(struct member *m)
-{
-	if (!knows_more(m) || ask_timer.armed) return;
-	if (members->len <= MANY)
-		mesh_ask(m);
-	else
-		ev_in(&ask_timer, g_random_int_range(0, ASK_SPREAD_US));
-}
-
 void mesh_heard(struct member *m, const struct mesh_beat *b)
 {
 	m->said = *b;
@@ -241,8 +184,7 @@
 		m->alive = 1;
 		log_member(m, "member_alive");
 	}
-	take_confirmation(b);
-	ask_for_newer(m);
+	mesh_learn_from(m);
 }
 
 static void check_alive(struct member *m, int64_t now)
@@ -287,33 +229,6 @@
 	}
 }
 
-void mesh_pass_on(struct board_revs base)
-{
-	GString *out = g_string_new(NULL);
-
-	mesh_write_news(out, base);
-	if (members->len > MANY && out->len > NEWS_MAX)
-		mesh_beat_now();
-	else if (out->len)
-		mesh_send_all(out);
-	g_string_free(out, TRUE);
-}
-
-/* All work out the same few, from names alone. */
-int mesh_watches(void)
-{
-	guint mine = g_str_hash(cfg->instance);
-	uint32_t i, before = 0;
-
-	for (i = 0; i < members->len; i++) {
-		const struct member *m = g_ptr_array_index(members, i);
-
-		if (!m->alive || !m->said.store_up || m->said.draining) continue;
-		before += g_str_hash(m->said.name) < mine;
-	}
-	return before < WATCH_INSTANCES;
-}
-
 static int forgotten(struct member *m, int64_t now)
 {
 	if (now - MAX(m->heard_us, m->learnt_us) < FORGET_US) return 0;
@@ -359,29 +274,6 @@
 	return most_known;
 }
 
-static int collect_addresses(const char **out, int max, int only_ready)
-{
-	uint32_t i;
-	int n = 0;
-
-	if (self_ready && !self_draining && n < max) out[n++] = cfg->front_text;
-	for (i = 0; i < members->len && n < max; i++) {
-		const struct member *m = g_ptr_array_index(members, i);
-
-		if (!m->said.front[0] || m->said.draining) continue;
-		if (only_ready && (!m->alive || !m->said.ready)) continue;
-		out[n++] = m->said.front;
-	}
-	return n;
-}
-
-int mesh_addresses(const char **out, int max)
-{
-	int n = collect_addresses(out, max, 1);
-
-	return n ? n : collect_addresses(out, max, 0);
-}
-
 void mesh_tell_leaving(const struct be *b)
 {
 	GString *out = g_string_new(NULL);
@@ -477,7 +369,7 @@
 		inet_ntop(AF_INET, &c->seed[i].sin_addr, ip, sizeof ip);
 		mesh_learn(ip);
 	}
-	ask_timer.fire = on_ask;
+	mesh_know_start();
 	beat_timer.fire = on_beat;
 	ev_in(&beat_timer, 0);
 	return listen_for_peers();
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -71,6 +71,11 @@
 /* mesh_in.c: dispatches one whole frame. 0 or -EBADMSG. */
 int mesh_dispatch(struct mesh_in *in, const char *p, size_t n);
 /* mesh.c */
+int mesh_self_takes_callers(void);
+/* mesh_know.c */
+void mesh_know_start(void);
+/* Takes what m just said of its lists: how sure it is, and that it knows more. */
+void mesh_learn_from(struct member *m);
 /* Asks m for what this instance lacks; not again while an answer may be under way. */
 void mesh_ask(struct member *m);
 struct member *mesh_member_at(const char *ip);
