Closed ports eject a server at once; a copy that is turned away is asked for again

Separately seen there: a copy's engine that sheds a third of its requests answers 503 as one that has no copy does, and the stream was given up (7 times). Ruled out: wrong beliefs from peers (nobody could know; the store was away). Change: a refused connection ejects at once (within the cap); up to 8 closed ports a request; a copy turned away is asked for three times more, 40 ms apart, also while the source still runs. Tests: closed_ports_cost_a_connection_each and a_copy_that_is_turned_away_for_a_moment_is_asked_for_again, both failed before.

--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -209,14 +209,12 @@
 	b->busy_until_us = clock_us() + BUSY_US;
 }
 
-void be_failed(struct be *b, const char *why)
+static void eject(struct be *b, const char *why)
 {
 	int64_t now = clock_us();
 	GString *g;
 
-	b->failing += FAILING_STEP * (1 - b->failing);
-	if (b->failing <= FAILING_MOST || b->ejected_until_us > now) return;
-	if (!may_eject(b, now)) return;
+	if (b->ejected_until_us > now || !may_eject(b, now)) return;
 	b->eject_us = b->eject_us ? MIN(b->eject_us * 2, EJECT_MAX_US) : EJECT_FIRST_US;
 	b->ejected_until_us = now + b->eject_us;
 	b->failing = FAILING_BACK;
@@ -227,6 +225,18 @@
 	jlog_end(g);
 }
 
+void be_failed(struct be *b, const char *why)
+{
+	b->failing += FAILING_STEP * (1 - b->failing);
+	if (b->failing > FAILING_MOST) eject(b, why);
+}
+
+void be_closed(struct be *b)
+{
+	be_failed(b, "takes no connections");
+	eject(b, "takes no connections");
+}
+
 int be_usable(const struct be *b, int64_t now)
 {
 	return b->state == BE_READY && b->ejected_until_us <= now && b->busy_until_us <= now;
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -66,6 +66,9 @@
  */
 void be_succeeded(struct be *b, int64_t took_us);
 void be_failed(struct be *b, const char *why);
+/* Nothing listens at its address: ejected at once, for its list entry may tell later or never.
+ */
+void be_closed(struct be *b);
 /* It turned a request away: others are asked first for a moment. */
 void be_turned_away(struct be *b);
 /* May get new work now. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -14,6 +14,7 @@
 
 #define RQ_CONNECT_US 250000    /* a backend server that is there answers in a few ms */
 #define RQ_SENDS_MAX 4          /* of one request, whatever they end in */
+#define RQ_CONNECTS_MAX 8       /* the same where ports are closed: told in a round trip */
 #define RETRY_SOON_US 150000    /* another instance may serve it at once */
 #define RETRY_SERVERS_US 300000 /* servers that were tried: others are asked first */
 #define RETRY_LATER_US 400000   /* what is missing comes back within about a second */
@@ -58,6 +59,7 @@
 	char handle[DL_HANDLE_MAX + 1]; /* of what was copied */
 	int stopped;                    /* the source has; the copy is all there is */
 	int tries;
+	int refusals;       /* of the copy that is to be gone on with */
 	int64_t ordered_us; /* when the order under way was given */
 };
 
@@ -78,6 +80,7 @@
 	int waiting;     /* for memory, in the list of rq_wait.c */
 	int64_t wait_us; /* until when it waits */
 	int sends;       /* exchanges that were begun */
+	int unreached;   /* of them, those that reached no server */
 	int runs;        /* of them, those that may have run */
 	int head_sent;
 	int status;
@@ -168,9 +171,9 @@
 void move_begin(struct rq *r);
 /* The first event came, or another change that may let a move go on. */
 void move_go_on(struct rq *r);
-/* The exchange with the copy's engine: answered, or refused. */
+/* The exchange with the copy's engine: answered, or refused. turned_away: it said so itself. */
 void move_answered(struct rq *r);
-void move_refused(struct rq *r);
+void move_refused(struct rq *r, int turned_away);
 /* The source's stream ended without its end. 1: the move goes on without it. */
 int move_source_ended(struct rq *r);
 void move_stop(struct rq *r);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -184,9 +184,15 @@
 {
 	struct rq *r = l->rq;
 
+	int closed = err == -ECONNREFUSED;
+
 	log_broke(l, "not_reached", err);
-	be_failed(l->be, "not reached");
-	if (r->sends < RQ_SENDS_MAX)
+	if (closed)
+		be_closed(l->be);
+	else
+		be_failed(l->be, "not reached");
+	r->unreached++;
+	if (r->sends < (closed ? RQ_CONNECTS_MAX : RQ_SENDS_MAX))
 		again(r, RETRY_CONNECT);
 	else
 		rq_refuse(r, REF_NO_ENGINE, RETRY_SERVERS_US,
@@ -252,7 +258,7 @@
 	l->hx = NULL;
 	if (l == r->next) {
 		log_broke(l, "copy_refused", err);
-		move_refused(r);
+		move_refused(r, l->not_run);
 		return;
 	}
 	if (!err && is_stream(l, x)) {
--- a/src/relay/rq_budget.c
+++ b/src/relay/rq_budget.c
@@ -39,6 +39,6 @@
 {
 	struct budget_rule now = rule();
 
-	if (r->sends >= RQ_SENDS_MAX) return 0;
+	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
 	return budget_take(budget_of(r->service->name), &now, mesh_known(), ev_now());
 }
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -13,6 +13,7 @@
 
 #define SETTLE_US 400000    /* a prompt's memory crosses a link in 0.2 to 0.4 s */
 #define TURN_MAX_US 1000000 /* engines leave some two seconds after their notice */
+#define COPY_REFUSALS_MAX 3 /* of one copy: an engine that sheds a third takes it by then */
 
 void move_log(const struct rq *r, const char *event, int status)
 {
@@ -55,7 +56,7 @@
 	r->move.state = MOVE_NEXT;
 	rq_count_repeat(r);
 	r->next = leg_start(r, b, copy_at, copy);
-	if (!r->next) move_refused(r);
+	if (!r->next) move_refused(r, 0);
 }
 
 static int backup_usable(const struct rq *r)
@@ -104,6 +105,17 @@
 	if (r->service->moves) move_copy_begin(r);
 }
 
+/* Once more where a copy was refused a moment ago. */
+static void use_copy(struct rq *r)
+{
+	struct move *m = &r->move;
+
+	if (m->stopped)
+		move_use_handle(r);
+	else
+		go_on_at(r, m->target, m->source, r->in.id);
+}
+
 static void on_timer(struct ev_timer *t)
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, move.timer));
@@ -111,9 +123,9 @@
 	switch (r->move.state) {
 	case MOVE_SETTLE: move_go_on(r); return;
 	case MOVE_LAST: move_order(r, 1); return;
+	case MOVE_NEXT: use_copy(r); return;
 	case MOVE_NONE:
-	case MOVE_COPY:
-	case MOVE_NEXT: return;
+	case MOVE_COPY: return;
 	}
 }
 
@@ -195,28 +207,46 @@
 	if (old->backup == r->leg->be) old->copy_freed = 1; /* the copy was taken over */
 	leg_free(old);
 	move_log(r, "stream_went_on", 0);
+	r->move.refusals = 0;
 	r->move.handle[0] = '\0';
 	move_stop(r);
 }
 
+/* An engine that is full or sheds load says the same as one that has no such copy: it may be
+ * had in a moment. */
+static int may_ask_again(struct move *m, int turned_away)
+{
+	return turned_away && ++m->refusals <= COPY_REFUSALS_MAX;
+}
+
+static void give_up_copy(struct leg *l)
+{
+	l->copy_bad = 1;
+	leg_recount(l);
+}
+
 /* The copy can't be used: the source goes on if it still runs, or is asked again. */
-void move_refused(struct rq *r)
+void move_refused(struct rq *r, int turned_away)
 {
 	struct move *m = &r->move;
-	int by_handle = m->stopped;
+	int by_handle = m->stopped, again;
 
 	leg_free(r->next);
 	r->next = NULL;
 	move_log(r, "copy_refused", 0);
+	again = may_ask_again(m, turned_away);
 	if (r->leg->hx && !by_handle) {
-		r->leg->copy_bad = 1;
-		leg_recount(r->leg);
+		if (!again) give_up_copy(r->leg);
 		if (r->leg->be->state == BE_READY)
 			move_stop(r);
 		else
 			move_later(r, MOVE_AGAIN_US);
 		return;
 	}
+	if (again) {
+		ev_in(&m->timer, MOVE_AGAIN_US);
+		return;
+	}
 	if (by_handle && m->target != m->source && ++m->tries <= MOVE_TRIES_MAX) {
 		move_use_source(r);
 		return;
--- a/test/pw.h
+++ b/test/pw.h
@@ -116,6 +116,7 @@
 	int work_ms, event_ms, events, break_after;
 	int move_status,
 		copy_status; /* what orders and copies are answered; 0: as they should */
+	int copy_refusals; /* so many copies are turned away first */
 	int arrivals, moves, copies, drops;
 	char last_raw[1024]; /* the head that came last */
 };
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -53,7 +53,7 @@
 	pw_field(h, "Kv-From", copy, sizeof copy);
 	if (*copy) {
 		s->copies++;
-		if (s->copy_status || !pw_run_copied(copy)) {
+		if (s->copy_status || s->copy_refusals-- > 0 || !pw_run_copied(copy)) {
 			hs_answer(h, 503, "X-Not-Executed: 1\r\n", "", 0);
 			return;
 		}
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -293,6 +293,29 @@
 	pw_end();
 }
 
+/* Engines that died without a word still stand in the list, idle as it seems: each costs one
+ * connection, and no request. */
+static void closed_ports_cost_a_connection_each(void)
+{
+	struct pw_server *s[12];
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 12; i++) s[i] = pw_server_add("llm", 1);
+	for (i = 0; i < 12; i++) s[i]->events = 3;
+	e = pw_entry_ready();
+	for (i = 0; i < 5; i++) pw_server_die(s[i]);
+	for (i = 0; i < 12; i++) {
+		struct pw_call *c = pw_ask(e, "POST", "/chat/", 2000);
+
+		CU_ASSERT(pw_call_wait(c, 1000));
+		CU_ASSERT_EQUAL(c->status, 200);
+	}
+	CU_ASSERT(pw_metric(e, "saddlehead_retried_total{reason=\"connect\"}") <= 5);
+	pw_end();
+}
+
 /* Nothing was sent when the time ran out: the answer says so, and when to come back. */
 static void a_server_that_is_not_reached_leaves_the_request_not_run(void)
 {
@@ -484,6 +507,23 @@
 	pw_end();
 }
 
+/* An engine that is full for a moment says the same as one that has no such copy. */
+static void a_copy_that_is_turned_away_for_a_moment_is_asked_for_again(void)
+{
+	struct pw_entry *e = with_engines(2, 120);
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 9000);
+	struct pw_server *first;
+
+	pw_run(600);
+	first = pw_run_of(c->id, 0)->server;
+	(first == engines[0] ? engines[1] : engines[0])->copy_refusals = 2;
+	pw_server_die(first);
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 120));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	pw_end();
+}
+
 static void a_stream_without_a_backup_is_moved(void)
 {
 	struct pw_entry *e = with_engines(2, 120);
@@ -537,6 +577,7 @@
 	{"what_was_turned_away_goes_elsewhere", what_was_turned_away_goes_elsewhere},
 	{"a_silent_server_is_left_for_another", a_silent_server_is_left_for_another},
 	{"a_dead_server_costs_no_request", a_dead_server_costs_no_request},
+	{"closed_ports_cost_a_connection_each", closed_ports_cost_a_connection_each},
 	{"a_server_that_is_not_reached_leaves_the_request_not_run",
 	 a_server_that_is_not_reached_leaves_the_request_not_run},
 	{"a_caller_that_leaves_ends_the_work", a_caller_that_leaves_ends_the_work},
@@ -549,6 +590,8 @@
 	{"a_silent_engine_whose_backup_refuses_kills_nothing",
 	 a_silent_engine_whose_backup_refuses_kills_nothing},
 	{"a_crash_is_survived_with_a_backup", a_crash_is_survived_with_a_backup},
+	{"a_copy_that_is_turned_away_for_a_moment_is_asked_for_again",
+	 a_copy_that_is_turned_away_for_a_moment_is_asked_for_again},
 	{"a_stream_without_a_backup_is_moved", a_stream_without_a_backup_is_moved},
 	{"an_engine_that_leaves_gets_no_new_work", an_engine_that_leaves_gets_no_new_work},
 };
