Engines are asked for their reports while nobody can confirm the lists

Ruled out: the answer's Connection: close (others carry it now and then); asking all the time (reports are paid for, and the lists are quicker while the store answers). Once the lists were confirmed to nobody for 2.2 s, of the instances with work on an engine the first in the order of moves asks it every 0.3 s and tells the others. Counter engine_probes. Test: engines_are_asked_whether_they_leave_while_the_store_is_silent; fails with probe_start() taken out.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -44,6 +44,7 @@
 	"platform_over_budget",
 	"table_changes",
 	"reader_pauses",
+	"engine_probes",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",      "running",       "open_requests", "members",
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 #include "jlog.h"
 #include "mesh.h"
 #include "met.h"
+#include "probe.h"
 #include "roster.h"
 #include "rq.h"
 #include "store.h"
@@ -197,6 +198,7 @@
 	st_init(&c->platform);
 	watch_start();
 	roster_start(c);
+	probe_start();
 	state_timer.fire = on_state;
 	ev_in(&state_timer, 0);
 	return 0;
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -131,6 +131,19 @@
 	return sum;
 }
 
+int mesh_first_user(const struct be *b)
+{
+	uint32_t i, mine = turn_of(mesh_cfg()->instance, b);
+
+	for (i = 0; i < mesh_members()->len; i++) {
+		struct member *m = g_ptr_array_index(mesh_members(), i);
+
+		if (!m->alive || !g_hash_table_contains(m->loads, b->id)) continue;
+		if (turn_of(m->said.name, b) < mine) return 0;
+	}
+	return 1;
+}
+
 static void on_tell(struct ev_timer *t)
 {
 	GString *out = g_string_new(NULL);
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -38,6 +38,7 @@
 	int64_t ejected_until_us; /* gets no work before; 0: sound */
 	int64_t eject_us;         /* how long the last time */
 	double answer_us;         /* moving average of plain answers; 0: none yet */
+	int probed;               /* its report was asked for and has not come */
 	int dirty;                /* own load changed since peers were told */
 };
 
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -63,6 +63,10 @@
 int dl_read_moved(const char *body, size_t n, struct dl_moved *m);
 void dl_write_drop(GString *out, const struct be *at, const char *handle);
 
+/* Asking an engine how it is, and whether its answer says that it leaves. */
+void dl_write_report(GString *out, const struct be *at);
+int dl_report_leaving(const char *body, size_t n);
+
 /* The platform's lists. */
 extern const char *const dl_prefixes[]; /* of the keys to watch, NULL at the end */
 extern const char *const dl_conf_key;
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -33,6 +33,8 @@
 /* Tokens of streams without a copy on b that other instances move before this one does: all
  * work out the same order, so that their moves don't wait for each other on b's link. */
 uint32_t mesh_bare_before(const struct be *b);
+/* Whether this instance is the first, in that order, of those with work on b. */
+int mesh_first_user(const struct be *b);
 /* b said itself that it leaves: peers are told at once. */
 void mesh_tell_leaving(const struct be *b);
 #endif
--- a/test/pw.h
+++ b/test/pw.h
@@ -116,7 +116,9 @@
 	int work_ms, event_ms, events, break_after;
 	int move_status,
 		copy_status; /* what orders and copies are answered; 0: as they should */
-	int copy_refusals; /* so many copies are turned away first */
+	int copy_refusals;   /* so many copies are turned away first */
+	int leaves;          /* its own report says so */
+	int reports;         /* asked for so far */
 	int arrivals, moves, copies, drops;
 	char last_raw[1024]; /* the head that came last */
 };
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -46,6 +46,15 @@
 	hs_answer(h, status, NULL, body, strlen(body));
 }
 
+static void report(struct pw_server *s, struct hs *h)
+{
+	const char *body = s->leaves ? "{\"state\":\"draining\",\"leaves_ms\":1500}"
+				     : "{\"state\":\"ready\"}";
+
+	s->reports++;
+	hs_answer(h, 200, NULL, body, strlen(body));
+}
+
 static void generate(struct pw_server *s, struct hs *h)
 {
 	char copy[96];
@@ -71,6 +80,10 @@
 		move(s, h);
 		return;
 	}
+	if (!strcmp(t, "/-/report")) {
+		report(s, h);
+		return;
+	}
 	if (g_str_has_prefix(t, "/-/kv-handle/")) {
 		s->drops++;
 		hs_answer(h, 200, NULL, "", 0);
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -524,6 +524,30 @@
 	pw_end();
 }
 
+/* While nobody can read the store, an engine that is taken away says so only when it is asked.
+ */
+static void engines_are_asked_whether_they_leave_while_the_store_is_silent(void)
+{
+	struct pw_entry *e = with_engines(2, 600);
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 9000);
+	struct pw_server *first;
+
+	pw_run(1500);
+	first = pw_run_of(c->id, 0)->server;
+	CU_ASSERT_EQUAL(first->reports, 0); /* they are paid for */
+	pw_store.mode = PW_STORE_SILENT;
+	pw_run(2600);
+	CU_ASSERT(first->reports > 0);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	first->leaves = 1;
+	pw_run(900);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	CU_ASSERT(pw_log_has(e, "its own report"));
+	pw_store.mode = PW_STORE_OK;
+	pw_call_leave(c);
+	pw_end();
+}
+
 static void a_stream_without_a_backup_is_moved(void)
 {
 	struct pw_entry *e = with_engines(2, 120);
@@ -592,6 +616,8 @@
 	{"a_crash_is_survived_with_a_backup", a_crash_is_survived_with_a_backup},
 	{"a_copy_that_is_turned_away_for_a_moment_is_asked_for_again",
 	 a_copy_that_is_turned_away_for_a_moment_is_asked_for_again},
+	{"engines_are_asked_whether_they_leave_while_the_store_is_silent",
+	 engines_are_asked_whether_they_leave_while_the_store_is_silent},
 	{"a_stream_without_a_backup_is_moved", a_stream_without_a_backup_is_moved},
 	{"an_engine_that_leaves_gets_no_new_work", an_engine_that_leaves_gets_no_new_work},
 };
