Starting instances ask the store little: few leave keys, watches are left to others

At a start, and after the closing loss of power, each of 58 instances leased and wrote its key, listed all keys, watched both lists until it had heard of others (1.2 s after a loss of power: an opening packet to a seed that is not yet back is lost for a second, and a link was tried anew every second heartbeat only), and asked at the same 0.9 s whether its configuration is the newest. Ruled out: fetching the lists from peers at a start. A configuration crosses a 10 Mbit/s link 55 times; the store serves all at once. Change: those who watch for all leave keys for all, others none; only they look for keys of others (and of the seeds, when alone); watches under way are given up once others watch; the first question after the start comes after another time on each; a new instance is connected to when it is first heard; links are tried once a heartbeat.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -11,10 +11,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BEAT_US 400000      /* each instance to each other one */
-#define DEAD_US 1500000     /* three beats missed and some way */
-#define FORGET_US 30000000  /* an instance not heard of for so long is not tried any more */
-#define RECONNECT_US 500000 /* between two tries to connect */
+#define BEAT_US 400000     /* each instance to each other one */
+#define DEAD_US 1500000    /* three beats missed and some way */
+#define FORGET_US 30000000 /* an instance not heard of for so long is not tried any more */
+#define RECONNECT_US                                                                        \
+	350000              /* between two tries to connect: one a heartbeat, as an opening \
+			     * packet to an instance that starts is lost for a second */
 #define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
 #define WHOLE_EVERY 5       /* beats between whole load messages: heals what was missed */
 #define MEMBERS_MAX 4096
@@ -183,6 +185,8 @@
 	if (!m->alive) {
 		m->alive = 1;
 		log_member(m, "member_alive");
+		/* It shall know this instance, too, before its next heartbeat. */
+		if (!cn_open(&m->link)) connect_to(m);
 	}
 	mesh_learn_from(m);
 }
@@ -205,7 +209,9 @@
 		return;
 	}
 	if (m->link.connecting) {
-		if (now >= m->next_connect_us) cn_reset(&m->link);
+		if (now < m->next_connect_us) return;
+		cn_reset(&m->link);
+		connect_to(m);
 		return;
 	}
 	out = g_string_new(NULL);
@@ -357,18 +363,23 @@
 	return ev_add(&listener, EPOLLIN);
 }
 
-int mesh_start(const struct entry_cfg *c)
+void mesh_learn_seeds(void)
 {
 	char ip[INET_ADDRSTRLEN];
 	int i;
 
+	for (i = 0; i < cfg->nseeds; i++) {
+		inet_ntop(AF_INET, &cfg->seed[i].sin_addr, ip, sizeof ip);
+		mesh_learn(ip);
+	}
+}
+
+int mesh_start(const struct entry_cfg *c)
+{
 	cfg = c;
 	members = g_ptr_array_new();
 	mesh_loads_start();
-	for (i = 0; i < c->nseeds; i++) {
-		inet_ntop(AF_INET, &c->seed[i].sin_addr, ip, sizeof ip);
-		mesh_learn(ip);
-	}
+	mesh_learn_seeds();
 	mesh_know_start();
 	beat_timer.fire = on_beat;
 	ev_in(&beat_timer, 0);
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -15,8 +15,9 @@
 #include "met.h"
 #include <errno.h>
 
-#define LISTS_OLD_US 2200000 /* they are confirmed every 0.9 to 1.8 s while the store answers \
-			      */
+#define LISTS_OLD_US                                                                       \
+	2200000           /* they are confirmed every 0.9 to 1.8 s while the store answers \
+			   */
 #define TICK_US 300000    /* an engine gives some 1.5 s of notice, a move takes 0.5 s of it */
 #define CONNECT_US 250000 /* an engine that is there answers in a few ms */
 #define WAIT_US 500000    /* a report needs no place among its requests */
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -12,6 +12,8 @@
 #define RETRY_US 1000000      /* after a call that failed */
 #define LIST_US 60000000      /* members tell each other of members; this is for those apart */
 #define LIST_ALONE_US 1500000 /* while no other instance is heard of */
+#define LOOK_US 1000000       /* how often one without a key looks whether it must have one */
+#define SETTLE_US 1500000     /* after the start: by then it is known who is there */
 
 static const struct entry_cfg *cfg;
 static struct ev_timer keep_timer, list_timer;
@@ -58,9 +60,14 @@
 	ev_in(&keep_timer, r->rc ? RETRY_US : RENEW_US);
 }
 
+/* A few leave their keys for all: whoever finds one of them hears of the others from it. */
 static void on_keep(struct ev_timer *t)
 {
-	(void)t;
+	if (!mesh_watches()) {
+		lease = 0; /* runs out by itself, at no price */
+		ev_in(t, LOOK_US);
+		return;
+	}
 	if (!lease)
 		st_lease(LEASE_MS, on_leased, NULL);
 	else if (!written)
@@ -84,9 +91,15 @@
 	ev_in(&list_timer, mesh_live() > 1 ? LIST_US : LIST_ALONE_US);
 }
 
+/* Those who leave their keys also look for keys of others: two parts of a fleet that lost each
+ * other meet again this way. */
 static void on_list(struct ev_timer *t)
 {
-	(void)t;
+	if (mesh_live() > 1 && !mesh_watches()) {
+		ev_in(t, LIST_US);
+		return;
+	}
+	if (mesh_live() == 1) mesh_learn_seeds();
 	st_range(PREFIX, NULL, on_listed, NULL);
 }
 
@@ -95,7 +108,7 @@
 	cfg = c;
 	keep_timer.fire = on_keep;
 	list_timer.fire = on_list;
-	ev_in(&keep_timer, 0);
+	ev_in(&keep_timer, SETTLE_US);
 	ev_in(&list_timer, LIST_ALONE_US);
 }
 
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -18,6 +18,7 @@
 				*/
 #define CONFIRM_TICK_US 100000 /* how often its age is looked at */
 #define IDLE_LOOK_US 100000    /* how often one that does not watch looks whether it must */
+#define SETTLE_US 600000       /* after the start: by then others are heard if they are there */
 #define UP_US 2500000          /* without an answer for so long the store counts as away */
 
 enum phase { LISTING, WATCHING };
@@ -40,8 +41,9 @@
 static int nwatchers;
 static struct st_call *confirming;
 static struct ev_timer confirm_timer;
-static int64_t confirm_age_us = CONFIRM_US, confirm_not_before_us;
+static int64_t confirm_age_us, confirm_not_before_us;
 static uint64_t confirming_revision;
+static int64_t started_us;
 static int64_t answered_us, failed_us = INT64_MIN / 2;
 static int up;
 
@@ -171,6 +173,15 @@
 	w->at = MAX(w->at, is_conf ? revs.conf : revs.backends);
 }
 
+/* Who watches for all is known once others are heard; where none are named there are none. */
+static int must_watch(void)
+{
+	int alone = mesh_live() == 1 && mesh_known() > 1;
+
+	if (alone && clock_us() - started_us < SETTLE_US) return 0;
+	return mesh_watches();
+}
+
 static void next(struct watcher *w)
 {
 	if (w->call) return;
@@ -178,7 +189,7 @@
 		w->call = st_range(w->prefix, NULL, on_listed, w);
 		return;
 	}
-	if (!mesh_watches()) {
+	if (!must_watch()) {
 		ev_in(&w->retry, IDLE_LOOK_US);
 		return;
 	}
@@ -221,6 +232,12 @@
 	}
 }
 
+/* Each instance waits another time, so that one asks for all. */
+static int64_t draw_confirm_age(void)
+{
+	return CONFIRM_US + g_random_int_range(0, CONFIRM_SPREAD_US);
+}
+
 static void on_confirmed(const struct st_reply *r, void *user)
 {
 	int was_up = up;
@@ -237,7 +254,7 @@
 	if (!was_up || r->rc == -ECANCELED) watch_anew();
 	mesh_beat_now();
 	check_lists();
-	confirm_age_us = CONFIRM_US + g_random_int_range(0, CONFIRM_SPREAD_US);
+	confirm_age_us = draw_confirm_age();
 }
 
 /* Asks whether the revision held here is still the newest: a condition without a change. */
@@ -250,11 +267,23 @@
 	confirming = st_commit(&ask, on_confirmed, NULL);
 }
 
+/* Others watch for this instance by now: its own call would return once more, and be paid for.
+ */
+static void leave_to_others(void)
+{
+	int i;
+
+	for (i = 0; i < nwatchers; i++)
+		if (watchers[i].phase == WATCHING && watchers[i].call && !must_watch())
+			start_again(&watchers[i]);
+}
+
 static void on_confirm_tick(struct ev_timer *t)
 {
 	int64_t now = clock_us();
 
 	ev_in(t, CONFIRM_TICK_US);
+	leave_to_others();
 	if (confirming || !board_conf() || now < confirm_not_before_us) return;
 	if (now - board_confirmed_us() >= confirm_age_us) confirm();
 }
@@ -263,6 +292,7 @@
 {
 	int i;
 
+	started_us = clock_us();
 	for (i = 0; i < WATCHERS_MAX && dl_prefixes[i]; i++) {
 		watchers[i] =
 			(struct watcher){.prefix = dl_prefixes[i], .retry.fire = on_retry};
@@ -275,6 +305,7 @@
 		nwatchers++;
 		next(&watchers[i]);
 	}
+	confirm_age_us = draw_confirm_age();
 	confirm_timer.fire = on_confirm_tick;
 	ev_in(&confirm_timer, CONFIRM_TICK_US);
 }
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -21,6 +21,8 @@
 void mesh_beat_now(void);
 /* An instance at this IP may exist. */
 void mesh_learn(const char *ip);
+/* The same of those that the settings name. */
+void mesh_learn_seeds(void);
 /* Addresses of the instances that take callers, this one included if it does; how many. When
  * none does, all that are known. Valid until the next call of the loop. */
 int mesh_addresses(const char **out, int max);
--- a/test/pw.h
+++ b/test/pw.h
@@ -75,6 +75,8 @@
 void pw_store_compact(void);
 /* Breaks the calls that wait at its second address. */
 void pw_store_cut_second(void);
+/* Keys that begin so and stand now. */
+int pw_store_keys(const char *prefix);
 /* Calls that wait for changes now. */
 int pw_store_waiting(void);
 
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -186,6 +186,18 @@
 	g_hash_table_remove_all(entries);
 }
 
+int pw_store_keys(const char *prefix)
+{
+	GHashTableIter it;
+	gpointer key, e;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, entries);
+	while (g_hash_table_iter_next(&it, &key, &e))
+		n += ((struct entry *)e)->value && g_str_has_prefix(key, prefix);
+	return n;
+}
+
 int pw_store_waiting(void)
 {
 	return (int)waiters->len;
