A fault soak on the platform's path; a planned stop learns how slow engines are

Checked from what callers and backend servers saw: runs at most as often as allowed, 'not run' true, whole answers in order, keys taken away, denials, final answers in time, work for callers that left, nothing cut in calm times, leaving servers, routes in force, no process that ends by itself, all served again. Cause: what a stream still takes was reckoned with a constant 9 ms a token; the engines made one in 15 ms, and lengths are guesses. Ruled out: wrong lengths alone (89 foreseen of 80). Change: the pace is learnt by route; in a stop a stream begins only if twice its expected time is left. Test: a_planned_stop_knows_how_slow_engines_are, failed before. One fault was the soak's own: a server listed before it had its relay's address.

--- a/src/core/length.c
+++ b/src/core/length.c
@@ -9,7 +9,8 @@
 #define PRIOR_VAR 0.7      /* of ln(tokens): lengths differ twofold and more */
 #define HINT_VAR 1.0       /* of ln(hint / tokens) until it is learnt */
 #define VAR_MIN 0.01       /* of ln(tokens): nobody knows a length to a tenth */
-#define TAIL_MIN 1e-6      /* a part so small is computed too roughly to divide by */
+#define PACE_STEP 0.1 /* weight of the newest generation: engines' load changes in seconds */
+#define TAIL_MIN 1e-6 /* a part so small is computed too roughly to divide by */
 
 static double fading(double n)
 {
@@ -32,6 +33,14 @@
 	s->hint_var += (d * d - s->hint_var) / s->hint_n;
 }
 
+void length_observe_pace(struct length_stats *s, uint32_t tokens, int64_t took_us)
+{
+	double each = tokens ? (double)took_us / tokens : 0;
+
+	if (each <= 0) return;
+	s->token_us = s->token_us > 0 ? s->token_us + (each - s->token_us) * PACE_STEP : each;
+}
+
 static double blend(double known, double n, double guess)
 {
 	return (known * n + guess * PRIOR_N) / (n + PRIOR_N);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -155,6 +155,7 @@
 	met_add(MET_ANSWERED, 1);
 	observe(r);
 	length_observe(rq_lengths(r), rq_made(r), r->in.output_hint);
+	length_observe_pace(rq_lengths(r), rq_made(r), r->event_us - r->first_us);
 	rq_log(r, "answered", NULL);
 	h = let_go(r);
 	hs_write(h, "0\r\n\r\n", 5);
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -4,8 +4,9 @@
 #include <errno.h>
 
 #define DRAIN_TAKE_US 2000000 /* callers learn of a drain within about so long */
-#define TOKEN_US 9000         /* a token on a busy engine; only for what a drain still takes */
-#define RETRY_DRAIN_US 50000  /* another instance may serve it at once */
+#define TOKEN_US 9000         /* a token on a busy engine, until one was seen */
+#define DRAIN_MARGIN 2 /* nobody knows a length: one in six is twice as long as expected */
+#define RETRY_DRAIN_US 50000 /* another instance may serve it at once */
 
 static int64_t drain_began_us, drain_until_us; /* 0: no drain */
 
@@ -49,6 +50,13 @@
 	return -EAGAIN;
 }
 
+static int64_t expected_us(const struct rq *r)
+{
+	double each = rq_lengths(r)->token_us;
+
+	return (int64_t)(r->job.growth * (each > 0 ? each : TOKEN_US));
+}
+
 /* While this instance drains it takes nothing that would outlast it: at first by what is
  * expected, later only what must have its final answer before the end. */
 static int outlasts_drain(const struct rq *r)
@@ -56,7 +64,7 @@
 	if (!drain_until_us) return 0;
 	if (ev_now() - drain_began_us > DRAIN_TAKE_US) return r->end_us > drain_until_us;
 	if (r->route->kind != CONF_STREAM) return 0;
-	return ev_now() + (int64_t)r->job.growth * TOKEN_US > drain_until_us;
+	return ev_now() + expected_us(r) * DRAIN_MARGIN > drain_until_us;
 }
 
 void rq_on_request(struct hs *h)
--- a/test/pw.c
+++ b/test/pw.c
@@ -145,6 +145,12 @@
 	_exit(127);
 }
 
+void pw_entry_again(struct pw_entry *e)
+{
+	e->pid = fork();
+	if (!e->pid) become(e);
+}
+
 struct pw_entry *pw_entry_start(void)
 {
 	struct pw_entry *e = &entries[nentries++];
@@ -153,11 +159,25 @@
 	g_snprintf(e->settings, sizeof e->settings, "%s/e%d.conf", dir, nentries);
 	g_snprintf(e->log, sizeof e->log, "%s/e%d.log", dir, nentries);
 	write_settings(e);
-	e->pid = fork();
-	if (!e->pid) become(e);
+	pw_entry_again(e);
 	return e;
 }
 
+int pw_entry_ended(struct pw_entry *e, int *status)
+{
+	if (e->pid <= 0 || waitpid(e->pid, status, WNOHANG) != e->pid) return 0;
+	e->pid = 0;
+	return 1;
+}
+
+const char *pw_ip(int n)
+{
+	static char ip[32];
+
+	g_snprintf(ip, sizeof ip, "%s.%d", net, n);
+	return ip;
+}
+
 struct pw_entry *pw_entry_ready(void)
 {
 	struct pw_entry *e = pw_entry_start();
--- a/test/pw.h
+++ b/test/pw.h
@@ -35,6 +35,12 @@
 struct pw_entry *pw_entry_start(void);
 /* Starts one and waits until it is ready. */
 struct pw_entry *pw_entry_ready(void);
+/* Starts one that has ended, with the settings it had. */
+void pw_entry_again(struct pw_entry *e);
+/* 1 once it has ended by now, with its status as waitpid tells it. */
+int pw_entry_ended(struct pw_entry *e, int *status);
+/* An address of this program's own network; entries have those from 1, the store 200. */
+const char *pw_ip(int n);
 void pw_entry_kill(struct pw_entry *e, int sig);
 /* The exit status, once it ended within ms; -1: it still runs. */
 int pw_entry_wait(struct pw_entry *e, int ms);
@@ -113,6 +119,7 @@
 struct pw_server {
 	char id[64], service[64], ip[32], address[48];
 	struct hs_listener listener;
+	int64_t leaving_us; /* when its entry first said that it leaves, or went */
 	enum pw_mode mode;
 	int engine;
 	int work_ms, event_ms, events, break_after;
@@ -125,6 +132,8 @@
 	char last_raw[1024]; /* the head that came last */
 };
 extern GPtrArray *pw_runs; /* of struct pw_run */
+/* One that is not listed yet; its address may be set to that of something before it. */
+struct pw_server *pw_server_new(const char *service, int engine);
 struct pw_server *pw_server_add(const char *service, int engine);
 const char *pw_server_ip(void);
 const char *pw_second_ip(void);
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -109,6 +109,14 @@
 }
 
 struct pw_server *pw_server_add(const char *service, int engine)
+{
+	struct pw_server *s = pw_server_new(service, engine);
+
+	pw_server_list(s, "ready");
+	return s;
+}
+
+struct pw_server *pw_server_new(const char *service, int engine)
 {
 	struct pw_server *s = g_new0(struct pw_server, 1);
 	struct sockaddr_in at;
@@ -128,7 +136,6 @@
 	s->listener.on_left = on_left;
 	if (hs_listen(&s->listener, &at)) abort();
 	g_ptr_array_add(servers, s);
-	pw_server_list(s, "ready");
 	return s;
 }
 
--- /dev/null
+++ b/test/soak.c
@@ -0,0 +1,136 @@
+#include "soak.h"
+#include "clock.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TURN_MS 5
+#define SETTLE_MS 4000   /* after the last fault: what is under way ends */
+#define RECOVER_MS 12000 /* after the last fault all serve again */
+#define STORE_PROXY 100  /* addresses: the ways of entries to the store ... */
+#define PEER_PROXY 120   /* ... and of the others to them */
+
+static struct proxy *link_to(int ip, int port, const char *to_ip, int to_port)
+{
+	struct sockaddr_in at, to;
+
+	pw_address_of(pw_ip(ip), port, &at);
+	pw_address_of(to_ip, to_port, &to);
+	return proxy_new(&at, &to);
+}
+
+static void start_entry(struct soak_entry *e, int i)
+{
+	GString *more = g_string_new(NULL);
+	char store_ip[32];
+
+	g_strlcpy(store_ip, pw_ip(200), sizeof store_ip);
+	e->store = link_to(STORE_PROXY + i, PW_STORE, store_ip, PW_STORE);
+	g_string_append_printf(more, "ipAddress=%s\n", pw_ip(PEER_PROXY + i));
+	g_string_append_printf(more, "seedNodes=%s:1\n", pw_ip(PEER_PROXY));
+	g_string_append_printf(more, "platform.address=%s:%d\n", pw_ip(STORE_PROXY + i),
+			       PW_STORE);
+	pw_settings(more->str);
+	e->pw = pw_entry_start();
+	e->peers = link_to(PEER_PROXY + i, PW_PEER, e->pw->ip, PW_PEER);
+	g_string_free(more, TRUE);
+}
+
+static void start(struct soak *s, uint32_t seed, int seconds)
+{
+	int i;
+
+	memset(s, 0, sizeof *s);
+	pw_init();
+	s->seed = seed;
+	s->rand = g_rand_new_with_seed(seed);
+	s->calls = g_ptr_array_new_with_free_func(g_free);
+	s->key = 1;
+	pw_conf.keys = "[\"k1\",\"r1\"]";
+	pw_conf_write();
+	for (i = 0; i < SOAK_ENGINES; i++) soak_add_server(s, "llm", 1);
+	for (i = 0; i < 2; i++) soak_add_server(s, "app", 0);
+	for (i = 0; i < 2; i++) soak_add_server(s, "app2", 0);
+	for (i = 0; i < SOAK_ENTRIES; i++) start_entry(&s->entry[i], i);
+	pw_run(1500);
+	s->began_us = clock_us();
+	s->end_us = s->began_us + seconds * 1000000LL;
+	soak_draw_faults(s, seconds);
+}
+
+static void run_until(struct soak *s, int64_t until_us)
+{
+	while (clock_us() < until_us) {
+		soak_turn_faults(s);
+		soak_turn_callers(s);
+		pw_run(TURN_MS);
+	}
+}
+
+/* One of each kind at each entry, once it is ready; how many were not served. */
+static int not_served_again(struct soak *s)
+{
+	struct soak_call *k;
+	int64_t until = clock_us() + RECOVER_MS * 1000LL;
+	enum soak_kind kind;
+	int i, bad = 0;
+
+	for (i = 0; i < SOAK_ENTRIES; i++) {
+		while (pw_question(s->entry[i].pw->ip, PW_READY, "/-/readiness", NULL) != 200 &&
+		       clock_us() < until)
+			run_until(s, clock_us() + 100000);
+		for (kind = 0; kind < SOAK_KINDS; kind++) {
+			k = soak_send(s, kind, i, 0);
+			pw_call_wait(k->c, (int)k->limit_ms);
+			if (k->c->status == 200 && !k->c->err) continue;
+			bad++;
+			printf("  BROKEN not served again: entry %d kind %d status %d err %d\n",
+			       i, kind, k->c->status, k->c->err);
+		}
+	}
+	return bad;
+}
+
+static void finish(struct soak *s, int broken)
+{
+	int i;
+
+	if (broken) {
+		setenv("PW_KEEP", "1", 1);
+		for (i = 0; i < SOAK_ENTRIES; i++)
+			printf("  log of entry %d: %s\n", i, s->entry[i].pw->log);
+	}
+	for (i = 0; i < SOAK_ENTRIES; i++) {
+		proxy_free(s->entry[i].store);
+		proxy_free(s->entry[i].peers);
+	}
+	for (i = 0; i < s->nservers; i++) proxy_free(s->server[i].link);
+	pw_end();
+	g_ptr_array_free(s->calls, TRUE);
+	g_array_free(s->faults, TRUE);
+	g_rand_free(s->rand);
+}
+
+int soak_run(uint32_t seed, int seconds)
+{
+	static struct soak s;
+	uint32_t i, whole = 0;
+	int broken;
+
+	start(&s, seed, seconds);
+	run_until(&s, s.end_us);
+	soak_mend(&s);
+	run_until(&s, clock_us() + SETTLE_MS * 1000LL);
+	broken = not_served_again(&s);
+	broken += soak_check(&s);
+	for (i = 0; i < s.calls->len; i++) {
+		const struct soak_call *k = g_ptr_array_index(s.calls, i);
+
+		whole += k->c->status == 200 && !k->c->err;
+	}
+	printf("seed %u: %u requests, %u whole, %u faults, broken promises %d\n", seed,
+	       s.calls->len, whole, s.faults->len, broken);
+	finish(&s, broken);
+	return broken;
+}
--- /dev/null
+++ b/test/soak.h
@@ -0,0 +1,103 @@
+/*
+ * The fault soak: real entries on the small platform, under load and faults drawn from a seed,
+ * with every link behind a relay. What callers and backend servers saw is checked against what
+ * must always hold.
+ */
+#ifndef SOAK_H
+#define SOAK_H
+#include "pw.h"
+#include "soak_proxy.h"
+
+#define SOAK_ENTRIES 4
+#define SOAK_SERVERS 64 /* those that died included */
+#define SOAK_ENGINES 4
+#define SOAK_CALLERS 12 /* requests at once */
+#define SOAK_EVENTS 80  /* of a stream: 1.2 s */
+
+enum soak_kind { SOAK_CHAT, SOAK_SUM, SOAK_SAFE, SOAK_UNSAFE, SOAK_KINDS };
+
+struct soak_entry {
+	struct pw_entry *pw;
+	struct proxy *store, *peers; /* its way to the store; the others' way to it */
+	int down, frozen, stopping;
+};
+
+struct soak_server {
+	struct pw_server *pw;
+	struct proxy *link;
+	int leaving, dead;
+	int64_t unlist_us, die_us; /* 0: not planned */
+};
+
+struct soak_call {
+	struct pw_call *c;
+	enum soak_kind kind;
+	int entry;
+	int key; /* 0: the one that stays, else the serial of a key that is taken away */
+	int64_t sent_us; /* the same as the call's, kept when it is over */
+	int64_t limit_ms;
+	int64_t leaves_us; /* when its caller leaves; 0: stays */
+	int left;
+};
+
+enum soak_fault_kind {
+	SOAK_TERM, /* planned: */
+	SOAK_LEAVE,
+	SOAK_KEYS,
+	SOAK_ROUTES,
+	SOAK_KILL, /* unplanned: */
+	SOAK_FREEZE,
+	SOAK_DIE,
+	SOAK_STORE,
+	SOAK_FORGET,
+	SOAK_DEAF_WATCHES,
+	SOAK_STORE_LINK,
+	SOAK_PEER_LINK,
+	SOAK_SERVER_LINK,
+	SOAK_SERVER_MODE,
+	SOAK_FAULT_KINDS
+};
+#define SOAK_FIRST_UNPLANNED SOAK_KILL
+
+struct soak_fault {
+	enum soak_fault_kind kind;
+	int64_t from_us, to_us;
+	int victim, variant;
+	int begun, over;
+};
+
+struct soak {
+	uint32_t seed;
+	GRand *rand;
+	int64_t began_us, end_us;
+	struct soak_entry entry[SOAK_ENTRIES];
+	struct soak_server server[SOAK_SERVERS];
+	int nservers;
+	GArray *faults;   /* struct soak_fault */
+	GPtrArray *calls; /* struct soak_call */
+	struct soak_call *slot[SOAK_CALLERS];
+	int key;                   /* serial of the key in force beside the one that stays */
+	int64_t key_gone_us[1024]; /* when a key was taken away; 0: it was not */
+	int64_t safe_moved_us;     /* when the route of safe calls was moved last */
+	const char *safe_before;   /* where it led until then */
+	int crashes;
+};
+
+/* soak.c: runs and checks. The number of broken promises; each is printed. */
+int soak_run(uint32_t seed, int seconds);
+
+/* soak_fault.c */
+void soak_draw_faults(struct soak *s, int seconds);
+/* Begins and ends what is due. */
+void soak_turn_faults(struct soak *s);
+void soak_mend(struct soak *s);
+struct soak_server *soak_add_server(struct soak *s, const char *service, int engine);
+const char *soak_fault_name(enum soak_fault_kind k);
+
+/* soak_caller.c */
+void soak_turn_callers(struct soak *s);
+struct soak_call *soak_send(struct soak *s, enum soak_kind kind, int entry, int key);
+
+/* soak_check.c */
+int soak_check(struct soak *s);
+#endif
--- /dev/null
+++ b/test/soak_check.c
@@ -0,0 +1,239 @@
+/* What callers and backend servers saw, against what must always hold. */
+#include "clock.h"
+#include "soak.h"
+#include <stdio.h>
+#include <string.h>
+
+#define TOUCH_US 3500000  /* after trouble, until what is bound by time is held to it */
+#define REVOKE_US 5000000 /* as the entries' settings have it */
+#define DRAIN_US 2000000  /* the same: a leaving server gets nothing new after it */
+#define APPLY_US 2000000  /* an accepted configuration is in force */
+#define CANCEL_US 500000  /* work for a caller that left ends */
+#define SLACK_US 300000   /* a busy machine: eight processes and this one */
+#define FINAL_MS 500      /* after its deadline a request has its final answer */
+#define ROUTE_MS 5000     /* the routes' time-out */
+#define ATTEMPTS 2        /* of what may run again */
+
+static GHashTable *runs; /* id -> GPtrArray of struct pw_run */
+
+static void index_runs(void)
+{
+	uint32_t i;
+
+	runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				     (GDestroyNotify)g_ptr_array_unref);
+	for (i = 0; i < pw_runs->len; i++) {
+		struct pw_run *r = g_ptr_array_index(pw_runs, i);
+		GPtrArray *a = g_hash_table_lookup(runs, r->id);
+
+		if (!a) {
+			a = g_ptr_array_new();
+			g_hash_table_insert(runs, r->id, a);
+		}
+		g_ptr_array_add(a, r);
+	}
+}
+
+static uint32_t count_runs(const char *id)
+{
+	GPtrArray *a = g_hash_table_lookup(runs, id);
+
+	return a ? a->len : 0;
+}
+
+static struct pw_run *run_at(const char *id, uint32_t i)
+{
+	return g_ptr_array_index((GPtrArray *)g_hash_table_lookup(runs, id), i);
+}
+
+static int overlaps(const struct soak_fault *f, int64_t from, int64_t to)
+{
+	return f->from_us <= to && f->to_us + TOUCH_US >= from;
+}
+
+/* No unplanned trouble lately and until then. */
+static int calm(const struct soak *s, int64_t from, int64_t to)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f = &g_array_index(s->faults, struct soak_fault, i);
+
+		if (f->kind >= SOAK_FIRST_UNPLANNED && overlaps(f, from, to)) return 0;
+	}
+	return 1;
+}
+
+static int entry_touched(const struct soak *s, int entry, int64_t from, int64_t to)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f = &g_array_index(s->faults, struct soak_fault, i);
+
+		if (f->victim % SOAK_ENTRIES != entry || !overlaps(f, from, to)) continue;
+		if (f->kind == SOAK_KILL || f->kind == SOAK_FREEZE || f->kind == SOAK_TERM)
+			return 1;
+	}
+	return 0;
+}
+
+static void tell(const struct soak *s, const struct soak_call *k, const char *what)
+{
+	uint32_t i;
+
+	printf("  BROKEN %s: %s kind %d entry %d status %d err %d sent at %.3f took %d ms runs "
+	       "%u\n",
+	       what, k->c->id, k->kind, k->entry, k->c->status, k->c->err,
+	       (double)(k->sent_us - s->began_us) / 1e6,
+	       (int)((k->c->ended_us - k->sent_us) / 1000), count_runs(k->c->id));
+	for (i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f = &g_array_index(s->faults, struct soak_fault, i);
+
+		if (!overlaps(f, k->sent_us, k->c->ended_us)) continue;
+		printf("    %s of %d, variant %d, %.3f to %.3f\n", soak_fault_name(f->kind),
+		       f->victim, f->variant, (double)(f->from_us - s->began_us) / 1e6,
+		       (double)(f->to_us - s->began_us) / 1e6);
+	}
+}
+
+static int at_most_as_often(const struct soak_call *k)
+{
+	uint32_t i, n = 0, most = k->kind == SOAK_CHAT || k->kind == SOAK_UNSAFE ? 1 : ATTEMPTS;
+
+	for (i = 0; i < count_runs(k->c->id); i++) n += !run_at(k->c->id, i)->copy[0];
+	return n <= most;
+}
+
+static int promised_not_run(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static int sound_stream(const struct soak_call *k)
+{
+	GString *want = g_string_new(NULL);
+	int i, ok;
+
+	for (i = 1; i <= SOAK_EVENTS; i++)
+		g_string_append_printf(want, "id: %d\ndata: %s-%d\n\n", i, k->c->id, i);
+	ok = g_str_has_prefix(want->str, k->c->body->str);
+	if (k->c->ended && !k->c->err && !k->left) ok = ok && want->len == k->c->body->len;
+	g_string_free(want, TRUE);
+	return ok;
+}
+
+static int sound_answer(const struct soak_call *k)
+{
+	char want[96];
+
+	if (k->c->status != 200) return 1;
+	if (!k->c->signature[0]) return 0;
+	if (k->kind <= SOAK_SUM) return sound_stream(k);
+	g_snprintf(want, sizeof want, "answer to %s", k->c->id);
+	if (k->c->err || k->left) return g_str_has_prefix(want, k->c->body->str);
+	return !strcmp(want, k->c->body->str);
+}
+
+static int key_holds(const struct soak *s, const struct soak_call *k)
+{
+	int64_t gone = k->key ? s->key_gone_us[k->key] : 0;
+
+	return !gone || k->sent_us <= gone + REVOKE_US || !count_runs(k->c->id);
+}
+
+static int was_ended_for_its_caller(const struct soak *s, const struct soak_call *k)
+{
+	int64_t left = k->c->ended_us, most = left + CANCEL_US + SLACK_US;
+	uint32_t i;
+
+	if (!k->left || !calm(s, k->sent_us, most)) return 1;
+	for (i = 0; i < count_runs(k->c->id); i++) {
+		const struct pw_run *r = run_at(k->c->id, i);
+
+		if (r->began_us > most || !r->ended_us || r->ended_us > most) return 0;
+	}
+	return 1;
+}
+
+static int came_in_time(const struct soak *s, const struct soak_call *k)
+{
+	int64_t most = k->sent_us + (MIN(k->limit_ms, ROUTE_MS) + FINAL_MS) * 1000 + SLACK_US;
+
+	if (k->left || entry_touched(s, k->entry, k->sent_us, most)) return 1;
+	return k->c->ended && k->c->ended_us <= most;
+}
+
+/* In calm times what was begun is answered whole, or refused as not run; a process that ends
+ * may leave what it has not read. */
+static int was_not_cut(const struct soak *s, const struct soak_call *k)
+{
+	if (k->left || k->key || !calm(s, k->sent_us, k->c->ended_us)) return 1;
+	if (k->c->status == 200 && !k->c->err) return 1;
+	if (promised_not_run(k->c->status)) return k->c->retry_after[0] != '\0';
+	return !k->c->status && !count_runs(k->c->id);
+}
+
+static int was_not_denied(const struct soak_call *k)
+{
+	return k->key || (k->c->status != 401 && k->c->status != 403 && k->c->status != 404 &&
+			  k->c->status != 400);
+}
+
+/* No work for servers that leave. */
+static int avoided_leaving(const struct soak *s, const struct soak_call *k)
+{
+	uint32_t i;
+
+	for (i = 0; i < count_runs(k->c->id); i++) {
+		const struct pw_run *r = run_at(k->c->id, i);
+		int64_t from = r->server->leaving_us;
+
+		if (!from || r->began_us <= from + DRAIN_US + SLACK_US) continue;
+		if (calm(s, from, r->began_us)) return 0;
+	}
+	return 1;
+}
+
+static int followed_the_route(const struct soak *s, const struct soak_call *k)
+{
+	uint32_t i;
+
+	if (k->kind != SOAK_SAFE || k->sent_us <= s->safe_moved_us + APPLY_US + SLACK_US)
+		return 1;
+	if (!s->safe_moved_us || !calm(s, s->safe_moved_us, k->c->ended_us)) return 1;
+	for (i = 0; i < count_runs(k->c->id); i++)
+		if (strcmp(run_at(k->c->id, i)->server->service, pw_conf.safe_service))
+			return 0;
+	return 1;
+}
+
+static int check_call(const struct soak *s, const struct soak_call *k)
+{
+	const char *what = NULL;
+
+	if (!at_most_as_often(k)) what = "ran too often";
+	if (promised_not_run(k->c->status) && count_runs(k->c->id)) what = "ran though not";
+	if (!sound_answer(k)) what = "answer";
+	if (!key_holds(s, k)) what = "key that was taken away";
+	if (!was_not_denied(k)) what = "denied";
+	if (!came_in_time(s, k)) what = "no final answer in time";
+	if (!was_ended_for_its_caller(s, k)) what = "work for a caller that left";
+	if (!was_not_cut(s, k)) what = "cut in calm times";
+	if (!avoided_leaving(s, k)) what = "sent to a server that left";
+	if (!followed_the_route(s, k)) what = "old route";
+	if (what) tell(s, k, what);
+	return what != NULL;
+}
+
+int soak_check(struct soak *s)
+{
+	int broken = s->crashes;
+	uint32_t i;
+
+	index_runs();
+	for (i = 0; i < s->calls->len; i++)
+		broken += check_call(s, g_ptr_array_index(s->calls, i));
+	g_hash_table_destroy(runs);
+	return broken;
+}
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -578,6 +578,30 @@
 	pw_end();
 }
 
+/* How fast engines are is learnt: a stream that would be cut at the end is not begun. */
+static void a_planned_stop_knows_how_slow_engines_are(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	s = pw_server_add("llm", 1);
+	s->events = 60;
+	s->event_ms = 40;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 60));
+	pw_entry_kill(e, SIGTERM);
+	pw_run(900);
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	pw_end();
+}
+
 static void settings_are_checked(void)
 {
 	struct pw_entry *e;
@@ -664,6 +688,8 @@
 	{"a_planned_stop_finishes_what_runs", a_planned_stop_finishes_what_runs},
 	{"what_may_outlast_a_planned_stop_is_sent_elsewhere",
 	 what_may_outlast_a_planned_stop_is_sent_elsewhere},
+	{"a_planned_stop_knows_how_slow_engines_are",
+	 a_planned_stop_knows_how_slow_engines_are},
 	{"settings_are_checked", settings_are_checked},
 	{"settings_are_read_again", settings_are_read_again},
 };
--- /dev/null
+++ b/test/test_soak.c
@@ -0,0 +1,33 @@
+/* A short fixed set of soak runs, and each seed that ever failed with a line on its cause. */
+#include "check.h"
+#include "soak.h"
+
+static void seed(uint32_t s, int seconds)
+{
+	CU_ASSERT_EQUAL(soak_run(s, seconds), 0);
+}
+
+static void soak_seed_1(void)
+{
+	seed(1, 15);
+}
+
+/* Streams taken early in a planned stop were cut at its end: an engine's pace was a constant.
+ */
+static void soak_seed_4(void)
+{
+	seed(4, 19);
+}
+
+/* Planned stops, engines that leave and keys that change, all within two seconds. */
+static void soak_seed_12(void)
+{
+	seed(12, 17);
+}
+
+static const struct check list[] = {
+	{"soak_seed_1", soak_seed_1},
+	{"soak_seed_4", soak_seed_4},
+	{"soak_seed_12", soak_seed_12},
+};
+CHECK_MAIN(list)
