Moves go where memory arrives soonest, copies are drawn among engines with room

Change: what is being moved to an engine is told to all (inbound) and counts as its memory; a move goes where its memory arrives soonest, drawn among equals; running copies are drawn among engines whose room differs by less than an eighth. Tests: copies_of_many_instances_are_spread, a_move_goes_where_memory_arrives_soonest.

--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -6,16 +6,16 @@
 /* One backend server as a candidate. Loads are those of all instances together. */
 struct place_site {
 	int usable;
-	int near;          /* in the same data centre as the one that asks (or as the source) */
-	uint32_t slots;    /* requests at once; 0: not told */
-	uint32_t runs;     /* requests on it */
-	uint32_t unread;   /* prompt tokens that wait to be read there */
-	uint32_t held;     /* tokens of memory that its requests have, and soon will */
-	uint32_t backup;   /* the same of copies for requests elsewhere */
-	uint32_t used;     /* tokens of memory that both have now */
-	uint32_t tokens;   /* its memory in tokens; 0: not told */
-	uint32_t far_cost; /* added where it is not near, in prompt tokens */
-	double answer_us;  /* moving average of its answers; 0: none yet */
+	int near;         /* in the same data centre as the one that asks (or as the source) */
+	uint32_t slots;   /* requests at once; 0: not told */
+	uint32_t runs;    /* requests on it */
+	uint32_t unread;  /* prompt tokens that wait to be read there */
+	uint32_t held;    /* tokens of memory that its requests have, and soon will */
+	uint32_t backup;  /* the same of copies for requests elsewhere */
+	uint32_t used;    /* tokens of memory that both have now */
+	uint32_t inbound; /* tokens that are being moved there */
+	uint32_t tokens;  /* its memory in tokens; 0: not told */
+	double answer_us; /* moving average of its answers; 0: none yet */
 };
 
 struct place_job {
@@ -28,6 +28,10 @@
 int place_generation(const struct place_site *s, int n, const struct place_job *j,
 		     uint32_t draw);
 
+/* For a generation that runs already and is to be moved: where its memory fits and arrives
+ * soonest; else as place_generation. */
+int place_move(const struct place_site *s, int n, const struct place_job *j, uint32_t draw);
+
 /* For a copy of a generation that runs on site main: where memory is free up to percent of it,
  * the copy included. -1: nowhere. */
 int place_backup(const struct place_site *s, int n, int main, const struct place_job *j,
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -8,12 +8,13 @@
 #define FULL_PERCENT 95       /* above it a request would soon press another out */
 #define ALL_BACKUP_PERCENT 60 /* of all memory: beyond, copies would press requests out */
 #define TIE 64                /* costs closer than this are equal: draw among them */
-#define QUEUE_COST 1000   /* each request more than an engine runs at once waits for another */
-#define FAR_BACKUP_PART 8 /* of the memory: it moves between data centres in twice the time */
-#define BACKUP_DRAWS 64   /* sites with equal room are drawn among so many places */
-#define FAR_US 1400       /* a call to another data centre takes about so much longer */
-#define DRAW_US 1000      /* calls whose times are closer than this are drawn among */
-#define CALL_US 15000     /* a call's time before any was measured */
+#define QUEUE_COST 1000 /* each request more than an engine runs at once waits for another */
+#define FAR_TIMES 2     /* memory moves between data centres in so many times the time */
+#define ROOM_STEPS 8    /* parts of the memory: within one others choose, too */
+#define FAR_ROOM_STEP 1 /* a copy in another data centre is worth it from so much more room */
+#define FAR_US 1400     /* a call to another data centre takes about so much longer */
+#define DRAW_US 1000    /* calls whose times are closer than this are drawn among */
+#define CALL_US 15000   /* a call's time before any was measured */
 
 /* A linear congruential generator with well-known factors: breaks ties, hides nothing. */
 static uint32_t next_draw(uint32_t draw)
@@ -41,7 +42,7 @@
 
 static uint64_t over_mark(const struct place_site *s, const struct place_job *j)
 {
-	uint64_t all = s->held + s->backup + need(j);
+	uint64_t all = (uint64_t)s->held + s->backup + s->inbound + need(j);
 	uint64_t mark = (uint64_t)s->tokens * PRESSURE_PERCENT / 100;
 
 	return s->tokens && all > mark ? all - mark : 0;
@@ -52,30 +53,56 @@
 	uint64_t cost = s->unread + (uint64_t)s->runs * RUN_COST;
 
 	cost += over_mark(s, j) * PRESSURE_COST;
-	if (!s->near) cost += s->far_cost;
 	if (s->slots && s->runs >= s->slots)
 		cost += (uint64_t)(s->runs - s->slots + 1) * QUEUE_COST;
 	return cost;
 }
 
+/* Cheapest so far, drawn among those that cost the same: many instances choose at once. */
+struct choice {
+	uint64_t cost;
+	uint32_t draw;
+	int at, ties; /* at -1: none yet */
+};
+
+static void choose(struct choice *c, int i, uint64_t cost)
+{
+	if (c->at >= 0 && cost > c->cost) return;
+	if (c->at < 0 || cost < c->cost) c->ties = 0;
+	c->cost = cost;
+	if (drawn(c->draw, (uint32_t)++c->ties) == 0) c->at = i;
+	c->draw = next_draw(c->draw);
+}
+
 int place_generation(const struct place_site *s, int n, const struct place_job *j,
 		     uint32_t draw)
 {
-	uint64_t best_cost = UINT64_MAX;
-	int i, ties = 0, best = -1;
+	struct choice c = {.draw = draw, .at = -1};
+	int i;
 
 	for (i = 0; i < n; i++) {
-		uint64_t cost;
-
 		if (!s[i].usable) continue;
-		cost = generation_cost(&s[i], j) / TIE;
-		if (cost > best_cost) continue;
-		if (cost < best_cost) ties = 0;
-		best_cost = cost;
-		if (drawn(draw, (uint32_t)++ties) == 0) best = i;
-		draw = next_draw(draw);
+		choose(&c, i, generation_cost(&s[i], j) / TIE);
 	}
-	return best;
+	return c.at;
+}
+
+/* When its memory has arrived, in tokens of a near link; those before it come first. */
+static uint64_t arrival_cost(const struct place_site *s, const struct place_job *j)
+{
+	return (s->inbound + need(j)) * (s->near ? 1 : FAR_TIMES);
+}
+
+int place_move(const struct place_site *s, int n, const struct place_job *j, uint32_t draw)
+{
+	struct choice c = {.draw = draw, .at = -1};
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (!s[i].usable || over_mark(&s[i], j)) continue;
+		choose(&c, i, arrival_cost(&s[i], j) / TIE);
+	}
+	return c.at >= 0 ? c.at : place_generation(s, n, j, draw);
 }
 
 /* Memory in use on all sites together, in percent. */
@@ -95,23 +122,19 @@
 int place_backup(const struct place_site *s, int n, int main, const struct place_job *j,
 		 uint32_t percent, uint32_t draw)
 {
-	uint64_t best_used = UINT64_MAX;
-	int i, best = -1;
+	struct choice c = {.draw = draw, .at = -1};
+	int i;
 
 	if (percent_used(s, n, j) > ALL_BACKUP_PERCENT) return -1;
 	for (i = 0; i < n; i++) {
-		uint64_t used = s[i].held + (uint64_t)s[i].backup;
+		uint64_t used = s[i].held + (uint64_t)s[i].backup + s[i].inbound;
 
 		if (i == main || !s[i].usable || !s[i].tokens) continue;
 		if ((used + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
-		if (!s[i].near) used += s[i].tokens / FAR_BACKUP_PART;
-		used = used * BACKUP_DRAWS + drawn(draw, BACKUP_DRAWS);
-		draw = next_draw(draw);
-		if (used >= best_used) continue;
-		best_used = used;
-		best = i;
+		used = used * ROOM_STEPS / s[i].tokens;
+		choose(&c, i, used + (s[i].near ? 0 : FAR_ROOM_STEP));
 	}
-	return best;
+	return c.at;
 }
 
 int place_call(const struct place_site *s, int n, uint32_t draw)
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -19,6 +19,7 @@
 	a->backup += b->backup;
 	a->used += b->used;
 	a->bare += b->bare;
+	a->inbound += b->inbound;
 }
 
 static void take_off(struct be_load *a, const struct be_load *b)
@@ -29,6 +30,7 @@
 	a->backup -= b->backup;
 	a->used -= b->used;
 	a->bare -= b->bare;
+	a->inbound -= b->inbound;
 }
 
 static void set_row(struct member *m, const struct mesh_row *r)
@@ -74,7 +76,7 @@
 
 static int idle(const struct be *b)
 {
-	return !b->own.runs && !b->own.backup;
+	return !b->own.runs && !b->own.backup && !b->own.inbound;
 }
 
 static int collect(struct mesh_row *row, int whole)
--- a/src/fleet/mesh_msg.c
+++ b/src/fleet/mesh_msg.c
@@ -19,6 +19,7 @@
 	g_string_append_len(out, b->data, b->size);
 }
 
+#define ROW_FIELDS 8
 #define BEAT_FIELDS 13
 
 void mesh_write_beat(GString *out, const struct mesh_beat *b)
@@ -58,7 +59,7 @@
 	msgpack_pack_int(&p, MESH_LOADS);
 	msgpack_pack_int(&p, whole);
 	for (i = 0; i < n; i++) {
-		msgpack_pack_array(&p, 7);
+		msgpack_pack_array(&p, ROW_FIELDS);
 		pack_text(&p, row[i].id);
 		msgpack_pack_uint32(&p, row[i].load.runs);
 		msgpack_pack_uint32(&p, row[i].load.unread);
@@ -66,6 +67,7 @@
 		msgpack_pack_uint32(&p, row[i].load.backup);
 		msgpack_pack_uint32(&p, row[i].load.used);
 		msgpack_pack_uint32(&p, row[i].load.bare);
+		msgpack_pack_uint32(&p, row[i].load.inbound);
 	}
 	finish(out, &buf);
 	msgpack_sbuffer_destroy(&buf);
@@ -206,7 +208,7 @@
 {
 	const msgpack_object_array *a = &o->via.array;
 
-	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 7) return -EBADMSG;
+	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < ROW_FIELDS) return -EBADMSG;
 	if (mesh_text(&a->ptr[0], r->id, sizeof r->id)) return -EBADMSG;
 	r->load.runs = mesh_int(&a->ptr[1]);
 	r->load.unread = mesh_int(&a->ptr[2]);
@@ -214,6 +216,7 @@
 	r->load.backup = mesh_int(&a->ptr[4]);
 	r->load.used = mesh_int(&a->ptr[5]);
 	r->load.bare = mesh_int(&a->ptr[6]);
+	r->load.inbound = mesh_int(&a->ptr[7]);
 	return 0;
 }
 
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -14,12 +14,13 @@
 
 /* Work of one instance, or of several added up, on one backend server. */
 struct be_load {
-	uint32_t runs;   /* requests sent and not ended */
-	uint32_t unread; /* prompt tokens of those that made no token yet */
-	uint32_t held;   /* tokens of memory they will come to, as far as foreseen */
-	uint32_t backup; /* the same of copies kept there for runs elsewhere */
-	uint32_t used;   /* tokens of memory that runs and copies have now */
-	uint32_t bare;   /* of these, those of streams without a copy elsewhere */
+	uint32_t runs;    /* requests sent and not ended */
+	uint32_t unread;  /* prompt tokens of those that made no token yet */
+	uint32_t held;    /* tokens of memory they will come to, as far as foreseen */
+	uint32_t backup;  /* the same of copies kept there for runs elsewhere */
+	uint32_t used;    /* tokens of memory that runs and copies have now */
+	uint32_t bare;    /* of these, those of streams without a copy elsewhere */
+	uint32_t inbound; /* tokens of streams that are being moved there */
 };
 
 struct be {
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -53,7 +53,8 @@
 struct move {
 	enum move_state state;
 	struct be *source, *target;
-	struct hx *hx; /* the order under way */
+	uint32_t inbound; /* tokens counted as on their way to target */
+	struct hx *hx;    /* the order under way */
 	GString *body;
 	struct ev_timer timer;
 	char handle[DL_HANDLE_MAX + 1]; /* of what was copied */
@@ -125,8 +126,10 @@
 void leg_free(struct leg *l);
 /* Whether the request as it is now fits into b's memory. */
 int rq_fits(const struct rq *r, const struct be *b);
-/* The best of the service but not_this (NULL: any). near: memory would move from there. */
-struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this);
+/* The best of the service but not_this (NULL: any). */
+struct be *rq_pick(struct rq *r, const struct be *not_this);
+/* Where its memory should move from source. */
+struct be *rq_pick_target(struct rq *r, const struct be *source);
 /* 0 (most urgent) to 9, workspaces before routes; -1: of no engine. */
 int rq_priority(const struct rq *r);
 
@@ -183,6 +186,8 @@
 void move_log(const struct rq *r, const char *event, int status);
 void move_later(struct rq *r, int64_t in_us);
 void move_forget_ends(struct move *m);
+/* So many tokens are on their way to its target: others choose other targets meanwhile. */
+void move_count_inbound(struct move *m, uint32_t tokens);
 /* The source has stopped and its memory is at the target: the stream goes on there. */
 void move_use_handle(struct rq *r);
 /* The same where the memory is kept at the source, which may go on with it. */
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -29,8 +29,17 @@
 	jlog_end(g);
 }
 
+void move_count_inbound(struct move *m, uint32_t tokens)
+{
+	if (!m->target || m->inbound == tokens) return;
+	m->target->own.inbound += tokens - m->inbound;
+	m->inbound = tokens;
+	mesh_load_changed(m->target);
+}
+
 void move_forget_ends(struct move *m)
 {
+	move_count_inbound(m, 0);
 	be_unref(m->source);
 	be_unref(m->target);
 	m->source = m->target = NULL;
@@ -165,6 +174,7 @@
 {
 	struct move *m = &r->move;
 
+	move_count_inbound(m, 0);
 	be_unref(m->target);
 	m->target = be_ref(m->source);
 	move_use_handle(r);
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -62,12 +62,13 @@
 	}
 	move_forget_ends(m);
 	m->source = be_ref(r->leg->be);
-	m->target = rq_pick(r, m->source, m->source);
+	m->target = rq_pick_target(r, m->source);
 	if (!m->target) {
 		move_later(r, MOVE_AGAIN_US);
 		return;
 	}
 	be_ref(m->target);
+	move_count_inbound(m, r->job.prompt + rq_made(r));
 	move_log(r, "stream_move", 0);
 	m->state = MOVE_COPY;
 	move_order(r, 0);
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -4,10 +4,8 @@
 #include "rq_impl.h"
 #include <string.h>
 
-#define SITES_MAX 1024   /* candidates looked at: the first of the list */
-#define LEFT_MIN_US 2000 /* with less time left nothing is sent any more */
-/* Prompt tokens: what a move to another data centre costs more than one within. */
-#define MOVE_FAR_COST 1500
+#define SITES_MAX 1024    /* candidates looked at: the first of the list */
+#define LEFT_MIN_US 2000  /* with less time left nothing is sent any more */
 #define BACKUP_PERCENT 90 /* of an engine's memory: copies don't give way to requests */
 #define PRIORITY_STEP 3   /* workspaces before routes: three ranks of routes in each */
 #define PRIORITY_MAX 9    /* the least urgent that engines know */
@@ -19,7 +17,8 @@
 				.unread = b->own.unread + b->others.unread,
 				.held = b->own.held + b->others.held,
 				.backup = b->own.backup + b->others.backup,
-				.used = b->own.used + b->others.used};
+				.used = b->own.used + b->others.used,
+				.inbound = b->own.inbound + b->others.inbound};
 }
 
 static void fill_site(struct place_site *s, const struct be *b, const struct rq *r,
@@ -37,7 +36,7 @@
 		.backup = all.backup,
 		.used = all.used,
 		.tokens = r->service->tokens,
-		.far_cost = MOVE_FAR_COST,
+		.inbound = all.inbound,
 		.answer_us = b->answer_us,
 	};
 }
@@ -65,14 +64,11 @@
 	return n;
 }
 
-struct be *rq_pick(struct rq *r, const struct be *near, const struct be *not_this)
+struct be *rq_pick(struct rq *r, const struct be *not_this)
 {
 	static struct place_site s[SITES_MAX];
-	const char *dc = near ? near->zone : rq_cfg->data_centre;
-	int n = collect(r, dc, not_this, s), i;
+	int n = collect(r, rq_cfg->data_centre, not_this, s), i;
 
-	/* An entry reaches all data centres alike; memory does not move alike. */
-	for (i = 0; i < n && r->service->engine && !near; i++) s[i].near = 1;
 	if (r->service->engine)
 		i = place_generation(s, n, &r->job, g_random_int());
 	else
@@ -80,6 +76,16 @@
 	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
 }
 
+struct be *rq_pick_target(struct rq *r, const struct be *source)
+{
+	static struct place_site s[SITES_MAX];
+	struct place_job now = {.prompt = rq_held(r)};
+	int n = collect(r, source->zone, source, s);
+	int i = place_move(s, n, &now, g_random_int());
+
+	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+}
+
 static struct be *pick_backup(struct leg *l)
 {
 	static struct place_site s[SITES_MAX];
@@ -223,8 +229,8 @@
 	struct be *b;
 
 	if (!still_allowed(r)) return;
-	b = rq_pick(r, NULL, last);
-	if (!b && last) b = rq_pick(r, NULL, NULL);
+	b = rq_pick(r, last);
+	if (!b && last) b = rq_pick(r, NULL);
 	if (rq_wait(r, b)) return;
 	if (!b) {
 		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
--- a/src/relay/rq_wait.c
+++ b/src/relay/rq_wait.c
@@ -42,7 +42,7 @@
 /* 1 when it was sent or refused, 0 when it still waits. */
 static int try_waiting(struct rq *r)
 {
-	struct be *b = rq_pick(r, NULL, NULL);
+	struct be *b = rq_pick(r, NULL);
 
 	if (b && rq_fits(r, b)) {
 		rq_stop_waiting(r);
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -130,6 +130,45 @@
 	CU_ASSERT_EQUAL(place_backup(s, 3, 0, &j, 90, 1), -1);
 }
 
+/* Many instances choose at the same moment and don't know of each other's choice: the best by a
+ * little must not get all copies. */
+static void copies_of_many_instances_are_spread(void)
+{
+	struct place_site s[12];
+	struct place_job j = {3000, 0};
+	GRand *rnd = g_rand_new_with_seed(5);
+	int i, count[12] = {0};
+
+	for (i = 0; i < 12; i++)
+		s[i] = (struct place_site){
+			.usable = 1, .near = 1, .tokens = 32000, .used = 9000, .held = 9000};
+	s[5].used = s[5].held = 8500;
+	for (i = 0; i < 1200; i++) count[place_backup(s, 12, 0, &j, 90, g_rand_int(rnd))]++;
+	CU_ASSERT_EQUAL(count[0], 0); /* the engine it runs on */
+	for (i = 1; i < 12; i++) CU_ASSERT(count[i] > 50 && count[i] < 200);
+	g_rand_free(rnd);
+}
+
+static void a_move_goes_where_memory_arrives_soonest(void)
+{
+	struct place_site s[4] = {
+		{.usable = 1, .near = 1, .tokens = 30000, .inbound = 8000},
+		{.usable = 1, .near = 1, .tokens = 30000, .held = 27000},
+		{.usable = 1, .tokens = 30000},
+		{.usable = 0, .near = 1, .tokens = 30000},
+	};
+	struct place_job j = {4000, 0};
+	uint32_t draw;
+
+	for (draw = 0; draw < 20; draw++)
+		CU_ASSERT_EQUAL(place_move(s, 4, &j, draw * 7919),
+				2); /* before those it waits for */
+	s[0].inbound = 3000;
+	CU_ASSERT_EQUAL(place_move(s, 4, &j, 1), 0);
+	s[0].usable = s[2].usable = 0;
+	CU_ASSERT_EQUAL(place_move(s, 4, &j, 1), 1); /* full: better than nowhere */
+}
+
 static void a_call_goes_to_the_quickest(void)
 {
 	struct place_site s[3] = {
@@ -382,6 +421,8 @@
 	{"room_is_what_is_left_for_half_of_the_growth",
 	 room_is_what_is_left_for_half_of_the_growth},
 	{"copies_need_free_memory", copies_need_free_memory},
+	{"copies_of_many_instances_are_spread", copies_of_many_instances_are_spread},
+	{"a_move_goes_where_memory_arrives_soonest", a_move_goes_where_memory_arrives_soonest},
 	{"a_call_goes_to_the_quickest", a_call_goes_to_the_quickest},
 	{"lengths_are_learnt_and_hints_weighed", lengths_are_learnt_and_hints_weighed},
 	{"repeats_of_all_instances_keep_within_the_allowance",
