--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -3,6 +3,7 @@
 #include "jlog.h"
 #include "mesh.h"
 #include "store.h"
+#include "watch.h"
 #include <errno.h>
 #include <string.h>
 
@@ -23,6 +24,7 @@
 static void on_written(const struct st_reply *r, void *user)
 {
 	(void)user;
+	watch_note_reply(r);
 	written = r->rc == 0;
 	if (r->rc == -ENOENT) lease = 0;
 	ev_in(&keep_timer, written ? RENEW_US : RETRY_US);
@@ -41,6 +43,7 @@
 static void on_leased(const struct st_reply *r, void *user)
 {
 	(void)user;
+	watch_note_reply(r);
 	if (r->rc || !r->lease) {
 		ev_in(&keep_timer, RETRY_US);
 		return;
@@ -53,6 +56,7 @@
 static void on_renewed(const struct st_reply *r, void *user)
 {
 	(void)user;
+	watch_note_reply(r);
 	if (r->rc == -ENOENT) {
 		lease = 0;
 		written = 0;
@@ -82,6 +86,7 @@
 	size_t i;
 
 	(void)user;
+	watch_note_reply(r);
 	for (i = 0; !r->rc && i < r->n; i++) {
 		if (!r->items[i].value || r->items[i].len >= sizeof ip) continue;
 		memcpy(ip, r->items[i].value, r->items[i].len);
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -72,8 +72,7 @@
 	jlog_end(g);
 }
 
-/* Every reply tells whether the store serves this instance. */
-static void note_reply(const struct st_reply *r)
+void watch_note_reply(const struct st_reply *r)
 {
 	met_add(MET_KV_CALLS, 1);
 	switch (r->rc) {
@@ -123,7 +122,7 @@
 	size_t i;
 
 	w->call = NULL;
-	note_reply(r);
+	watch_note_reply(r);
 	if (r->rc) {
 		g_hash_table_remove_all(w->listed);
 		if (!w->once) try_later(w);
@@ -152,7 +151,7 @@
 	struct watcher *w = user;
 
 	w->call = NULL;
-	note_reply(r);
+	watch_note_reply(r);
 	if (r->rc == -ESTALE) w->phase = LISTING;
 	if (r->rc && r->rc != -ESTALE) {
 		try_later(w);
@@ -244,7 +243,7 @@
 
 	(void)user;
 	confirming = NULL;
-	note_reply(r);
+	watch_note_reply(r);
 	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
 	if (r->rc == -ECANCELED) apply_and_pass_on(r, r->sent_us);
 	if (r->rc && r->rc != -ECANCELED) {
--- a/test/soak.h
+++ b/test/soak.h
@@ -49,6 +49,7 @@
 	SOAK_FREEZE,
 	SOAK_DIE,
 	SOAK_STORE,
+	SOAK_LAPSE,
 	SOAK_FORGET,
 	SOAK_DEAF_WATCHES,
 	SOAK_STORE_LINK,
@@ -80,6 +81,7 @@
 	int64_t key_gone_us[1024]; /* when a key was taken away; 0: it was not */
 	int64_t safe_moved_us;     /* when the route of safe calls was moved last */
 	const char *safe_before;   /* where it led until then */
+	int64_t relist_us;         /* when entries that lapsed come back; 0: none did */
 	int crashes;
 };
 
--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -11,13 +11,15 @@
 #define LONGEST_US 2500000
 #define SHORTEST_US 200000
 #define BURST_MOST 6
-#define DRAIN_US 2200000 /* a leaving server serves on for so long */
+#define RELIST_US 1500000 /* after the store is back, entries that lapsed are, too */
+#define DRAIN_US 2200000  /* a leaving server serves on for so long */
 
 static const char *const names[SOAK_FAULT_KINDS] = {
-	"planned stop",   "engine leaves",    "keys change",       "route moves",
-	"kill",           "freeze",           "server dies",       "store",
-	"store forgets",  "deaf watches",     "link to the store", "link between entries",
-	"link to server", "server misbehaves"};
+	"planned stop",         "engine leaves",  "keys change",
+	"route moves",          "kill",           "freeze",
+	"server dies",          "store",          "store, and entries lapse",
+	"store forgets",        "deaf watches",   "link to the store",
+	"link between entries", "link to server", "server misbehaves"};
 
 const char *soak_fault_name(enum soak_fault_kind k)
 {
@@ -155,6 +157,22 @@
 	pw_store.mode = modes[variant % G_N_ELEMENTS(modes)];
 }
 
+/* All entries of servers that live, at once: they lapse together, and come back together. */
+static void list_all(struct soak *s, int listed)
+{
+	int i;
+
+	for (i = 0; i < s->nservers; i++) {
+		struct soak_server *v = &s->server[i];
+
+		if (v->dead || v->leaving) continue;
+		if (listed)
+			pw_server_list(v->pw, "ready");
+		else
+			pw_server_unlist(v->pw);
+	}
+}
+
 static void set_server_mode(struct soak *s, const struct soak_fault *f)
 {
 	static const enum pw_mode calls[] = {
@@ -197,6 +215,10 @@
 	case SOAK_FREEZE: kill_entry(e, SIGSTOP); return;
 	case SOAK_DIE: crash_server(s, f); return;
 	case SOAK_STORE: set_store(f->variant); return;
+	case SOAK_LAPSE:
+		pw_store.mode = PW_STORE_DOWN;
+		list_all(s, 0);
+		return;
 	case SOAK_FORGET: pw_store_compact(); return;
 	case SOAK_DEAF_WATCHES: pw_store.watches_silent = 1; return;
 	case SOAK_STORE_LINK: proxy_set(e->store, link_mode(f)); return;
@@ -215,7 +237,8 @@
 {
 	int i;
 
-	if (kind == SOAK_STORE) pw_store.mode = PW_STORE_OK;
+	if (kind == SOAK_STORE || kind == SOAK_LAPSE) pw_store.mode = PW_STORE_OK;
+	if (kind == SOAK_LAPSE) s->relist_us = clock_us() + RELIST_US;
 	if (kind == SOAK_DEAF_WATCHES) {
 		pw_store.watches_silent = 0;
 		pw_store_compact();
@@ -246,6 +269,11 @@
 	int64_t now = clock_us();
 	int i;
 
+	if (s->relist_us && now >= s->relist_us) {
+		s->relist_us = 0;
+		list_all(s, 1);
+	}
+
 	for (i = 0; i < s->nservers; i++) {
 		struct soak_server *v = &s->server[i];
 
