Watches rest for a moment after news; test logs of a reused process number

Ruled out: fewer watchers (two may be lost at once). Change: after news a watch rests 30 to 130 ms by chance, so that what changes together comes together and one of the three is back soon. Tests' platform: a directory left by a process of the same number ended the program; it is used again, and removed at the end when no logs were kept.

--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -19,7 +19,9 @@
 #define CONFIRM_TICK_US 100000 /* how often its age is looked at */
 #define IDLE_LOOK_US 100000    /* how often one that does not watch looks whether it must */
 #define SETTLE_US 600000       /* after the start: by then others are heard if they are there */
-#define UP_US 2500000          /* without an answer for so long the store counts as away */
+#define REST_MIN_US 30000  /* after news: what changes with it comes in the same return, ... */
+#define REST_MAX_US 130000 /* ... and of those who watch one is back soon */
+#define UP_US 2500000      /* without an answer for so long the store counts as away */
 
 enum phase { LISTING, WATCHING };
 
@@ -160,7 +162,10 @@
 	w->wait_us = 0;
 	apply_and_pass_on(r, 0);
 	if (r->at > w->at) w->at = r->at;
-	next(w);
+	if (w->phase == WATCHING && r->n)
+		ev_in(&w->retry, g_random_int_range(REST_MIN_US, REST_MAX_US));
+	else
+		next(w);
 }
 
 /* Others have passed on what came since; it is not asked for again. */
--- a/test/pw.c
+++ b/test/pw.c
@@ -1,6 +1,7 @@
 /* The small platform's loop, and the entries that run beside it. */
 #include "pw.h"
 #include "hostport.h"
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -76,6 +77,11 @@
 	hostport_parse(text, at);
 }
 
+static void remove_dir(void)
+{
+	rmdir(dir); /* not with logs that were kept */
+}
+
 /* Each test program has a loopback network of its own. */
 static void init_once(void)
 {
@@ -85,7 +91,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	g_snprintf(net, sizeof net, "127.%d.%d", 1 + getpid() % 250, getpid() / 250 % 250);
 	g_snprintf(dir, sizeof dir, "/tmp/pw-%d", getpid());
-	if (mkdir(dir, 0700)) abort();
+	/* One that a process of the same number left with its logs is used again. */
+	if (mkdir(dir, 0700) && errno != EEXIST) abort();
+	atexit(remove_dir);
 	if (ev_init()) abort();
 	g_snprintf(ip, sizeof ip, "%s.200", net);
 	pw_store_start(ip);
