Tests' platform waits for a new process to have closed what it inherited

Between fork and exec the child holds every descriptor; one closed in that moment stays registered with epoll under a pointer that is gone. Ruled out: the relay (each pair is freed once) and the product's loop, which starts no process. Change: the parent waits until the child has closed its copies; entries die with their test; a stand-in that answers another request's id now answers another body, too (a copy of the entry that does not compare ids went unnoticed before).

--- a/test/pw.c
+++ b/test/pw.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -144,6 +145,7 @@
 	char program[128], port[16];
 	int fd = open(e->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+	prctl(PR_SET_PDEATHSIG, SIGKILL); /* a test that dies leaves nothing behind */
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
 	for (fd = 3; fd < 1024; fd++) close(fd);
@@ -153,10 +155,20 @@
 	_exit(127);
 }
 
+/* Waits until the new process has closed what it inherited: a descriptor that this one closes
+ * while the other still has it would go on being told of by epoll. */
 void pw_entry_again(struct pw_entry *e)
 {
+	int ends[2];
+	char none;
+
+	if (pipe2(ends, O_CLOEXEC)) abort();
 	e->pid = fork();
 	if (!e->pid) become(e);
+	close(ends[1]);
+	while (read(ends[0], &none, 1) < 0 && errno == EINTR) {
+	}
+	close(ends[0]);
 }
 
 struct pw_entry *pw_entry_start(void)
@@ -166,6 +178,7 @@
 	g_snprintf(e->ip, sizeof e->ip, "%s.%d", net, first_ip + nentries);
 	g_snprintf(e->settings, sizeof e->settings, "%s/e%d.conf", dir, nentries);
 	g_snprintf(e->log, sizeof e->log, "%s/e%d.log", dir, nentries);
+	unlink(e->log); /* of an earlier process */
 	write_settings(e);
 	pw_entry_again(e);
 	return e;
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -45,7 +45,8 @@
 	char text[128], more[64];
 	int cut = r->server->mode == PW_CUT_CLOSE || r->server->mode == PW_BREAK;
 
-	g_snprintf(text, sizeof text, "answer to %s", r->id);
+	g_snprintf(text, sizeof text, "answer to %s",
+		   r->server->mode == PW_WRONG_ID ? "another" : r->id);
 	if (r->server->mode == PW_UNTIL_CLOSE || r->server->mode == PW_CUT_CLOSE)
 		g_snprintf(more, sizeof more, "Connection: close\r\n");
 	else
