Soak: a kind of fault ends with the last one of its kind

Cause: two overlapping outages of the store ended with the first, so none lasted beyond 5 s where another began, and a copy without the check of the configuration's age still went unnoticed.

--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -234,8 +234,7 @@
 	}
 }
 
-/* Puts right what this kind of fault changed, of all its victims: another of the same kind
- * under way ends with it. */
+/* Puts right what this kind of fault changed, of all its victims: with the last of them. */
 static void end(struct soak *s, enum soak_fault_kind kind)
 {
 	int i;
@@ -309,6 +308,18 @@
 	}
 }
 
+static int under_way(const struct soak *s, enum soak_fault_kind kind)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f = &g_array_index(s->faults, struct soak_fault, i);
+
+		if (f->kind == kind && f->begun && !f->over) return 1;
+	}
+	return 0;
+}
+
 void soak_turn_faults(struct soak *s)
 {
 	int64_t now = clock_us();
@@ -325,7 +336,7 @@
 		}
 		if (f->begun && !f->over && now >= f->to_us) {
 			f->over = 1;
-			end(s, f->kind);
+			if (!under_way(s, f->kind)) end(s, f->kind);
 		}
 	}
 }
