Leftovers of the fleet's modules taken out: be_at, be_touch, watch_store_up

Nothing called be_at and be_touch, nor watch_store_up and watch_store_shaky, and the times that only these read were kept for nobody. The note on entries that stand again stood over be_find; it is now where that is decided. Behaviour is unchanged.

--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -62,20 +62,6 @@
 	return all;
 }
 
-struct be *be_at(const char *address)
-{
-	struct be *found = NULL;
-	uint32_t i;
-
-	init();
-	for (i = 0; i < all->len; i++) {
-		struct be *b = g_ptr_array_index(all, i);
-
-		if (!strcmp(b->address, address) && (!found || b->state == BE_READY)) found = b;
-	}
-	return found;
-}
-
 static void forget(struct be *b)
 {
 	g_hash_table_remove(by_id, b->id);
@@ -157,7 +143,7 @@
 	if (i->cold_us) b->cold_until_us = now + i->cold_us;
 	if (i->leaving)
 		set_state(b, BE_LEAVING, "platform");
-	else if (b->state == BE_GONE)
+	else if (b->state == BE_GONE) /* lapsed while the platform was away, and stands again */
 		set_state(b, BE_READY, "platform");
 	return 0;
 }
@@ -176,11 +162,6 @@
 	if (b) set_state(b, BE_GONE, "platform");
 }
 
-void be_touch(struct be *b)
-{
-	b->dirty = 1;
-}
-
 void be_succeeded(struct be *b, int64_t took_us)
 {
 	b->failing *= 1 - FAILING_STEP;
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -1,3 +1,4 @@
+/* The platform's lists are read once and then watched for changes; their age is confirmed. */
 #include "watch.h"
 #include "board.h"
 #include "clock.h"
@@ -9,19 +10,16 @@
 #include <errno.h>
 #include <stddef.h>
 
-#define WATCH_MS 20000        /* a call that waits: each return is paid for */
-#define RETRY_FIRST_US 100000 /* after a failed call, doubled up to ... */
-#define RETRY_MAX_US 800000   /* ... this: the store's return must be seen within a second */
-#define CONFIRM_US 900000     /* the age at which the configuration is confirmed anew ... */
-#define CONFIRM_SPREAD_US                                                                  \
-	900000                 /* ... and as much more by chance, so that one asks for all \
-				*/
-#define CONFIRM_TICK_US 100000 /* how often its age is looked at */
-#define IDLE_LOOK_US 100000    /* how often one that does not watch looks whether it must */
-#define SETTLE_US 600000       /* after the start: by then others are heard if they are there */
+#define WATCH_MS 20000           /* a call that waits: each return is paid for */
+#define RETRY_FIRST_US 100000    /* after a failed call, doubled up to ... */
+#define RETRY_MAX_US 800000      /* ... this: the store's return must be seen within a second */
+#define CONFIRM_US 900000        /* the age at which the configuration is confirmed anew ... */
+#define CONFIRM_SPREAD_US 900000 /* ... and up to so much more: one asks for all */
+#define CONFIRM_TICK_US 100000   /* how often its age is looked at */
+#define IDLE_LOOK_US 100000      /* how often one that does not watch looks whether it must */
+#define SETTLE_US 600000   /* after the start: by then others are heard if they are there */
 #define REST_MIN_US 30000  /* after news: what changes with it comes in the same return, ... */
 #define REST_MAX_US 130000 /* ... and of those who watch one is back soon */
-#define UP_US 2500000      /* without an answer for so long the store counts as away */
 
 enum phase { LISTING, WATCHING };
 
@@ -46,21 +44,10 @@
 static int64_t confirm_age_us, confirm_not_before_us;
 static uint64_t confirming_revision;
 static int64_t started_us;
-static int64_t answered_us, failed_us = INT64_MIN / 2;
-static int up;
+static int up; /* the store answered the last call, whoever made it */
 
 static void next(struct watcher *w);
 
-int watch_store_up(void)
-{
-	return up && clock_us() - answered_us < UP_US * 10;
-}
-
-int watch_store_shaky(int64_t within_us)
-{
-	return clock_us() - failed_us < within_us;
-}
-
 static void set_up(int now_up, int rc)
 {
 	GString *g;
@@ -81,14 +68,8 @@
 	case 0:
 	case -ENOENT:
 	case -ECANCELED:
-	case -ESTALE:
-		answered_us = clock_us();
-		set_up(1, 0);
-		return;
-	default:
-		met_add(MET_KV_ERRORS, 1);
-		failed_us = clock_us();
-		set_up(0, r->rc);
+	case -ESTALE: set_up(1, 0); return;
+	default: met_add(MET_KV_ERRORS, 1); set_up(0, r->rc);
 	}
 }
 
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -50,14 +50,13 @@
 	int64_t cold_us;
 };
 
-/* A new or changed entry. 0 or -EINVAL (no such address). */
+/* A new or changed entry, or one that stands again after it had lapsed. 0 or -EINVAL (no such
+ * address). */
 int be_update(const struct be_info *i);
 /* It leaves: said by its entry, by its own answer, or by a peer. Never turned back. */
 void be_leaving(const char *id, const char *said_by);
 void be_gone(const char *id);
-/* Its entry stands again: it had lapsed while the platform was away. */
 struct be *be_find(const char *id);
-struct be *be_at(const char *address);
 /* All known of a service, those leaving and gone too; NULL when none. */
 const GPtrArray *be_of(const char *service);
 const GPtrArray *be_all(void);
@@ -77,7 +76,6 @@
 int be_usable(const struct be *b, int64_t now);
 /* Entries that lapsed all together are better than nothing for a moment. */
 int be_last_resort(const struct be *b, int64_t now);
-void be_touch(struct be *b);
 
 /* Called when a backend server begins to leave or is gone; set once. */
 extern void (*be_on_leaving)(struct be *b);
