watch.c in three: lists and watches, the configuration's age, whether the store answers

The confirmation of the configuration's age is now in watch_confirm.c and what replies tell of the store in watch_reply.c; setting up a watcher and the tests of a listing's first page stood twice and stand once. Behaviour is unchanged: the same calls in the same order and at the same times.

--- /dev/null
+++ b/src/fleet/watch_confirm.c
@@ -0,0 +1,71 @@
+/* The configuration's age: before it grows too old one instance asks for all whether it is
+ * still the newest, and lists the rest anew. */
+#include "board.h"
+#include "clock.h"
+#include "dialect.h"
+#include "ev.h"
+#include "mesh.h"
+#include "watch_impl.h"
+#include <errno.h>
+
+#define AGE_US 900000        /* the age at which the configuration is confirmed anew ... */
+#define AGE_SPREAD_US 900000 /* ... and up to so much more: one asks for all */
+#define TICK_US 100000       /* how often its age is looked at */
+#define AGAIN_US 300000      /* after a call that failed */
+
+static struct st_call *confirming;
+static struct ev_timer timer;
+static int64_t age_us, not_before_us;
+static uint64_t confirming_revision;
+
+/* Each instance waits another time, so that one asks for all. */
+static int64_t draw_age(void)
+{
+	return AGE_US + g_random_int_range(0, AGE_SPREAD_US);
+}
+
+static void on_confirmed(const struct st_reply *r, void *user)
+{
+	int was_up = watch_store_up();
+
+	(void)user;
+	confirming = NULL;
+	watch_note_reply(r);
+	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
+	if (r->rc == -ECANCELED) watch_apply(r, r->sent_us);
+	if (r->rc && r->rc != -ECANCELED) {
+		not_before_us = clock_us() + AGAIN_US;
+		return;
+	}
+	if (!was_up || r->rc == -ECANCELED) watch_anew();
+	mesh_beat_now();
+	watch_check_lists();
+	age_us = draw_age();
+}
+
+/* Asks whether the revision held here is still the newest: a condition without a change. */
+static void confirm(void)
+{
+	struct st_change ask = {.if_key = dl_conf_key};
+
+	confirming_revision = board_conf()->revision;
+	ask.if_revision = confirming_revision;
+	confirming = st_commit(&ask, on_confirmed, NULL);
+}
+
+static void on_tick(struct ev_timer *t)
+{
+	int64_t now = clock_us();
+
+	ev_in(t, TICK_US);
+	watch_leave_to_others();
+	if (confirming || !board_conf() || now < not_before_us) return;
+	if (now - board_confirmed_us() >= age_us) confirm();
+}
+
+void watch_confirm_start(void)
+{
+	age_us = draw_age();
+	timer.fire = on_tick;
+	ev_in(&timer, TICK_US);
+}
--- /dev/null
+++ b/src/internal/watch_impl.h
@@ -0,0 +1,27 @@
+/* Private to src/fleet/watch*.c. */
+#ifndef SH_WATCH_IMPL_H
+#define SH_WATCH_IMPL_H
+#include "watch.h"
+#include <stdint.h>
+
+/* watch_reply.c */
+/* Whether the store answered the last call. */
+int watch_store_up(void);
+
+/* watch.c */
+/* Takes what the store said and passes it on; listed_us: a listing that was asked for then,
+ * else 0. */
+void watch_apply(const struct st_reply *r, int64_t listed_us);
+/* A watch that waits on a connection which the store has forgotten says nothing: when another
+ * call shows changes that it did not tell, or the store comes back, it is made anew. */
+void watch_anew(void);
+/* Whoever confirms the configuration for all also lists the rest for all: watches that are
+ * silent, or waited for by instances that are cut off, hide nothing for long. */
+void watch_check_lists(void);
+/* Others watch for this instance by now: its own call would return once more, and be paid for.
+ */
+void watch_leave_to_others(void);
+
+/* watch_confirm.c */
+void watch_confirm_start(void);
+#endif
