mesh.c: links from other instances are accepted in mesh_accept.c; beats are sent in one place

mesh.c held both directions of the links, and writing and sending a beat stood twice. The accepting side has its own file, the header lists functions by the file that has them, and two constants say where they come from. Behaviour is unchanged. Run: the build, test_pure.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -1,30 +1,25 @@
+/* Links to the other instances, and heartbeats on them: who lives is who is heard. */
 #include "clock.h"
-#include "hostport.h"
 #include "jlog.h"
 #include "mesh_impl.h"
 #include "met.h"
 #include <arpa/inet.h>
-#include <errno.h>
-#include <stdlib.h>
+#include <stddef.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define BEAT_US 400000     /* each instance to each other one */
 #define DEAD_US 1500000    /* three beats missed and some way */
 #define FORGET_US 30000000 /* an instance not heard of for so long is not tried any more */
-#define RECONNECT_US                                                                        \
-	350000              /* between two tries to connect: one a heartbeat, as an opening \
-			     * packet to an instance that starts is lost for a second */
+/* Between two tries to connect: one a heartbeat, as an opening packet to an instance that
+ * starts is lost for a second. */
+#define RECONNECT_US 350000
 #define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
 #define WHOLE_EVERY 5       /* beats between whole load messages: heals what was missed */
-#define MEMBERS_MAX 4096
+#define MEMBERS_MAX 4096    /* instances: no fleet is so large */
 
 static const struct entry_cfg *cfg;
 static GPtrArray *members;
 static struct ev_timer beat_timer;
-static struct ev_fd listener;
 static int self_ready, self_draining, self_store_up, most_known = 1;
 static unsigned beats;
 
@@ -199,10 +194,18 @@
 	log_member(m, "member_dead");
 }
 
-static void beat_to(struct member *m, int64_t now)
+static void send_beat(struct member *m, int with_loads)
 {
-	GString *out;
+	GString *out = g_string_new(NULL);
+
+	write_beat(out, m);
+	if (with_loads) mesh_write_all_loads(out);
+	mesh_send(m, out);
+	g_string_free(out, TRUE);
+}
 
+static void beat_to(struct member *m, int64_t now)
+{
 	check_alive(m, now);
 	if (!cn_open(&m->link)) {
 		if (now >= m->next_connect_us) connect_to(m);
@@ -214,25 +217,14 @@
 		connect_to(m);
 		return;
 	}
-	out = g_string_new(NULL);
-	write_beat(out, m);
-	if (beats % WHOLE_EVERY == 0) mesh_write_all_loads(out);
-	mesh_send(m, out);
-	g_string_free(out, TRUE);
+	send_beat(m, beats % WHOLE_EVERY == 0);
 }
 
 void mesh_beat_now(void)
 {
 	uint32_t i;
 
-	for (i = 0; i < members->len; i++) {
-		struct member *m = g_ptr_array_index(members, i);
-		GString *out = g_string_new(NULL);
-
-		write_beat(out, m);
-		mesh_send(m, out);
-		g_string_free(out, TRUE);
-	}
+	for (i = 0; i < members->len; i++) send_beat(g_ptr_array_index(members, i), 0);
 }
 
 static int forgotten(struct member *m, int64_t now)
@@ -289,80 +281,6 @@
 	g_string_free(out, TRUE);
 }
 
-static void drop_in(struct mesh_in *in)
-{
-	cn_close(&in->cn);
-	g_string_free(in->buf, TRUE);
-	ev_free_later(in);
-}
-
-static void on_in_end(struct cn *c, int err)
-{
-	(void)err;
-	drop_in((struct mesh_in *)c);
-}
-
-/* Cuts whole frames out of what has come. 0 or -EBADMSG. */
-static int cut_frames(struct mesh_in *in)
-{
-	size_t off = 0;
-	uint32_t n;
-
-	while (in->buf->len - off >= sizeof n) {
-		memcpy(&n, in->buf->str + off, sizeof n);
-		n = ntohl(n);
-		if (n > MESH_FRAME_MAX) return -EBADMSG;
-		if (in->buf->len - off - sizeof n < n) break;
-		met_add(MET_PEER_MSGS_IN, 1);
-		if (mesh_dispatch(in, in->buf->str + off + sizeof n, n)) return -EBADMSG;
-		off += sizeof n + n;
-	}
-	g_string_erase(in->buf, 0, off);
-	return 0;
-}
-
-static void on_in_data(struct cn *c, const char *p, size_t n)
-{
-	struct mesh_in *in = (struct mesh_in *)c;
-	GString *g;
-
-	met_add(MET_PEER_BYTES_IN, n);
-	g_string_append_len(in->buf, p, n);
-	if (!cut_frames(in)) return;
-	g = jlog_begin("fleet", "peer_frame_malformed");
-	jlog_str(g, "member", in->from ? in->from->said.name : NULL);
-	jlog_end(g);
-	drop_in(in);
-}
-
-static void on_acceptable(struct ev_fd *f, uint32_t events)
-{
-	struct sockaddr_in from;
-	socklen_t len = sizeof from;
-	int fd = accept4(f->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
-	struct mesh_in *in;
-
-	(void)events;
-	if (fd < 0) return;
-	in = g_new0(struct mesh_in, 1);
-	in->buf = g_string_new(NULL);
-	in->cn.on_data = on_in_data;
-	in->cn.on_end = on_in_end;
-	if (cn_accepted(&in->cn, fd, &from)) drop_in(in);
-}
-
-static int listen_for_peers(void)
-{
-	struct sockaddr_in at = cfg->front;
-	int fd;
-
-	at.sin_port = htons(cfg->peer_port);
-	fd = cn_listen(&at);
-	if (fd < 0) return fd;
-	listener = (struct ev_fd){fd, on_acceptable};
-	return ev_add(&listener, EPOLLIN);
-}
-
 void mesh_learn_seeds(void)
 {
 	char ip[INET_ADDRSTRLEN];
@@ -383,5 +301,5 @@
 	mesh_know_start();
 	beat_timer.fire = on_beat;
 	ev_in(&beat_timer, 0);
-	return listen_for_peers();
+	return mesh_listen();
 }
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -1,4 +1,4 @@
-/* Links from other instances: frames are cut out, checked and handed on. */
+/* Frames of other instances: checked, and taken by their type. */
 #include "clock.h"
 #include "mesh_impl.h"
 #include "wire.h"
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -4,9 +4,7 @@
 #include "clock.h"
 #include "dialect.h"
 #include "ev.h"
-#include "jlog.h"
 #include "mesh.h"
-#include "met.h"
 #include <errno.h>
 #include <stddef.h>
 
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -70,23 +70,31 @@
 
 /* mesh_in.c: dispatches one whole frame. 0 or -EBADMSG. */
 int mesh_dispatch(struct mesh_in *in, const char *p, size_t n);
+
+/* mesh_accept.c: 0 or a negative errno. */
+int mesh_listen(void);
+
 /* mesh.c */
+const struct entry_cfg *mesh_cfg(void);
+const GPtrArray *mesh_members(void);
 int mesh_self_takes_callers(void);
+/* The one at this address, added if it is new. */
+struct member *mesh_member_at(const char *ip);
+/* A beat of m came: it lives. */
+void mesh_heard(struct member *m, const struct mesh_beat *b);
+void mesh_send(struct member *m, const GString *frame);
+void mesh_send_all(const GString *frame);
+
 /* mesh_know.c */
 void mesh_know_start(void);
 /* Takes what m just said of its lists: how sure it is, and that it knows more. */
 void mesh_learn_from(struct member *m);
 /* Asks m for what this instance lacks; not again while an answer may be under way. */
 void mesh_ask(struct member *m);
-struct member *mesh_member_at(const char *ip);
-void mesh_heard(struct member *m, const struct mesh_beat *b);
-void mesh_send(struct member *m, const GString *frame);
-const struct entry_cfg *mesh_cfg(void);
-const GPtrArray *mesh_members(void);
+
 /* mesh_loads.c */
 void mesh_take_loads(struct member *m, const msgpack_object_array *a);
 void mesh_drop_loads(struct member *m);
 void mesh_write_all_loads(GString *out);
 void mesh_loads_start(void);
-void mesh_send_all(const GString *frame);
 #endif
