be.c in two: which backend servers are known, and how sound they are

The list of servers and the verdict on their exchanges shared a file. The verdict is now in be_sound.c; be_closed, which read as if the server had been closed by us, is called be_refused_connection, and the weight in the average of answer times has a name. Behaviour is unchanged. Run: the build, test_pure.

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 $(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
 SOAK_OBJ = $(patsubst %,$(B)/test/%.o,soak soak_proxy soak_fault soak_caller soak_check)
 $(B)/test/soak_main $(B)/test/test_soak: $(SOAK_OBJ) $(PW_OBJ)
-PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be.c src/relay/evs.c platform/*.c))
+PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be*.c src/relay/evs.c platform/*.c))
 $(B)/test/test_pure $(B)/test/test_fuzz: $(PURE_OBJ)
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
--- /dev/null
+++ b/src/fleet/be_sound.c
@@ -0,0 +1,88 @@
+/* How sound backend servers are, as this instance's own exchanges with them tell, and whether
+ * they may get work. */
+#include "be.h"
+#include "clock.h"
+#include "jlog.h"
+
+#define FAILING_STEP 0.25 /* weight of the newest exchange: three failures in a row eject */
+#define FAILING_MOST 0.5  /* part of its exchanges that fail: beyond, it is ejected */
+#define FAILING_BACK 0.4  /* after that: one more failure ejects it again */
+#define ANSWER_STEP 0.2   /* weight of the newest answer's time: five or so count */
+#define EJECT_FIRST_US 1000000 /* then doubled each time, up to ... */
+#define EJECT_MAX_US 8000000   /* ... this: real work finds out whether it has recovered */
+#define EJECT_SHARE 2          /* at most one in so many of a service is ejected */
+#define BUSY_US 100000         /* places of plain calls are free again after some tens of ms */
+
+int64_t be_need_us;
+
+void be_succeeded(struct be *b, int64_t took_us)
+{
+	b->failing *= 1 - FAILING_STEP;
+	if (b->failing < FAILING_STEP) b->eject_us = 0;
+	b->ejected_until_us = 0;
+	if (took_us)
+		b->answer_us =
+			b->answer_us ? b->answer_us * (1 - ANSWER_STEP) + took_us * ANSWER_STEP
+				     : took_us;
+}
+
+static int may_eject(const struct be *b, int64_t now)
+{
+	const GPtrArray *list = be_of(b->service);
+	uint32_t i, usable = 0, out = 0;
+
+	for (i = 0; i < list->len; i++) {
+		const struct be *o = g_ptr_array_index(list, i);
+
+		if (o->state != BE_READY) continue;
+		usable++;
+		if (o->ejected_until_us > now) out++;
+	}
+	return (out + 1) * EJECT_SHARE <= usable;
+}
+
+static void eject(struct be *b, const char *why)
+{
+	int64_t now = clock_us();
+	GString *g;
+
+	if (b->ejected_until_us > now || !may_eject(b, now)) return;
+	b->eject_us = b->eject_us ? MIN(b->eject_us * 2, EJECT_MAX_US) : EJECT_FIRST_US;
+	b->ejected_until_us = now + b->eject_us;
+	b->failing = FAILING_BACK;
+	g = jlog_begin("fleet", "backend_ejected");
+	jlog_str(g, "backend", b->id);
+	jlog_str(g, "why", why);
+	jlog_int(g, "for_ms", b->eject_us / 1000);
+	jlog_end(g);
+}
+
+void be_failed(struct be *b, const char *why)
+{
+	b->failing += FAILING_STEP * (1 - b->failing);
+	if (b->failing > FAILING_MOST) eject(b, why);
+}
+
+void be_refused_connection(struct be *b)
+{
+	static const char why[] = "takes no connections";
+
+	be_failed(b, why);
+	eject(b, why);
+}
+
+void be_turned_away(struct be *b)
+{
+	b->busy_until_us = clock_us() + BUSY_US;
+}
+
+int be_usable(const struct be *b, int64_t now)
+{
+	return b->state == BE_READY && b->ejected_until_us <= now && b->busy_until_us <= now;
+}
+
+int be_last_resort(const struct be *b, int64_t now)
+{
+	if (b->state == BE_READY) return 1;
+	return b->state == BE_GONE && now - b->since_us < be_need_us;
+}
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -51,7 +51,7 @@
 	struct probe *pr = x->user;
 
 	if (!err && x->hp.head.status == 200) take_report(pr);
-	if (err == -ECONNREFUSED) be_closed(pr->be);
+	if (err == -ECONNREFUSED) be_refused_connection(pr->be);
 	pr->be->probed = 0;
 	be_unref(pr->be);
 	g_string_free(pr->body, TRUE);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -188,7 +188,7 @@
 
 	log_broke(l, "not_reached", err);
 	if (closed)
-		be_closed(l->be);
+		be_refused_connection(l->be);
 	else
 		be_failed(l->be, "not reached");
 	r->unreached++;
