probe.c and roster.c: a probe is let go in one place, constants and headers read well

What ends a probe stood twice, the wrapped note of a constant was hard to read, and roster.c and the state of its key had no word on what they are. Behaviour is unchanged: the same questions at the same times. Run: the build, test_pure.

--- a/src/fleet/be_sound.c
+++ b/src/fleet/be_sound.c
@@ -15,15 +15,20 @@
 
 int64_t be_need_us;
 
+static void note_answer(struct be *b, int64_t took_us)
+{
+	if (b->answer_us)
+		b->answer_us = b->answer_us * (1 - ANSWER_STEP) + took_us * ANSWER_STEP;
+	else
+		b->answer_us = took_us;
+}
+
 void be_succeeded(struct be *b, int64_t took_us)
 {
 	b->failing *= 1 - FAILING_STEP;
 	if (b->failing < FAILING_STEP) b->eject_us = 0;
 	b->ejected_until_us = 0;
-	if (took_us)
-		b->answer_us =
-			b->answer_us ? b->answer_us * (1 - ANSWER_STEP) + took_us * ANSWER_STEP
-				     : took_us;
+	if (took_us) note_answer(b, took_us);
 }
 
 static int may_eject(const struct be *b, int64_t now)
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -10,26 +10,32 @@
 #include "dialect.h"
 #include "ev.h"
 #include "hx.h"
-#include "jlog.h"
 #include "mesh.h"
 #include "met.h"
 #include <errno.h>
 
-#define LISTS_OLD_US                                                                       \
-	2200000           /* they are confirmed every 0.9 to 1.8 s while the store answers \
-			   */
+/* Older lists tell nothing: the store confirms them every 0.9 to 1.8 s while it answers. */
+#define LISTS_OLD_US 2200000
 #define TICK_US 300000    /* an engine gives some 1.5 s of notice, a move takes 0.5 s of it */
 #define CONNECT_US 250000 /* an engine that is there answers in a few ms */
-#define WAIT_US 500000    /* a report needs no place among its requests */
+#define ANSWER_US 500000  /* for its answer: a report needs no place among its requests */
 #define REPORT_MAX 65536  /* bytes: a row for each of some hundred runs */
 
-struct probe {
+struct probe { /* one report that was asked for */
 	struct be *be;
 	GString *body;
 };
 
 static struct ev_timer timer;
 
+static void probe_free(struct probe *pr)
+{
+	pr->be->probed = 0;
+	be_unref(pr->be);
+	g_string_free(pr->body, TRUE);
+	g_free(pr);
+}
+
 static int on_body(struct hx *x, const char *p, size_t n)
 {
 	struct probe *pr = x->user;
@@ -52,31 +58,31 @@
 
 	if (!err && x->hp.head.status == 200) take_report(pr);
 	if (err == -ECONNREFUSED) be_refused_connection(pr->be);
-	pr->be->probed = 0;
-	be_unref(pr->be);
-	g_string_free(pr->body, TRUE);
-	g_free(pr);
+	probe_free(pr);
 }
 
-static void ask(struct be *b)
+static struct probe *probe_new(struct be *b)
 {
 	struct probe *pr = g_new0(struct probe, 1);
-	GString *out = g_string_new(NULL);
-	struct hx *x = hx_new(pr);
 
 	pr->be = be_ref(b);
 	pr->body = g_string_new(NULL);
 	b->probed = 1;
+	return pr;
+}
+
+static void ask(struct be *b)
+{
+	struct probe *pr = probe_new(b);
+	GString *out = g_string_new(NULL);
+	struct hx *x = hx_new(pr);
+
 	met_add(MET_PROBES, 1);
 	dl_write_report(out, b);
 	x->on_body = on_body;
 	x->on_end = on_end;
-	x->wait_us = WAIT_US;
-	if (!hx_start(x, &b->sa, out, CONNECT_US)) return;
-	b->probed = 0;
-	be_unref(b);
-	g_string_free(pr->body, TRUE);
-	g_free(pr);
+	x->wait_us = ANSWER_US;
+	if (hx_start(x, &b->sa, out, CONNECT_US)) probe_free(pr);
 }
 
 /* Only streams are moved, and only engines are told to. */
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -1,12 +1,16 @@
+/*
+ * Leased keys of a few instances in the platform's store, kept and looked for: whoever finds
+ * one of them hears of all others from it.
+ */
 #include "roster.h"
 #include "ev.h"
-#include "jlog.h"
 #include "mesh.h"
 #include "store.h"
 #include "watch.h"
 #include <errno.h>
 #include <string.h>
 
+/* Where the keys stand; the rest of a key is the instance's name, its value the address. */
 #define PREFIX "saddlehead/members/"
 #define LEASE_MS 30000        /* an instance that died is listed no longer than this */
 #define RENEW_US 10000000     /* a third of it */
@@ -19,7 +23,7 @@
 static const struct entry_cfg *cfg;
 static struct ev_timer keep_timer, list_timer;
 static uint64_t lease;
-static int written;
+static int written; /* the key stands, under this lease */
 
 static void on_written(const struct st_reply *r, void *user)
 {
@@ -64,7 +68,6 @@
 	ev_in(&keep_timer, r->rc ? RETRY_US : RENEW_US);
 }
 
-/* A few leave their keys for all: whoever finds one of them hears of the others from it. */
 static void on_keep(struct ev_timer *t)
 {
 	if (!mesh_watches()) {
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -64,12 +64,10 @@
 void be_unref(struct be *b);
 
 /* be_sound.c */
-/* An exchange went well or not: one that fails too often is ejected for a while, within a cap.
- */
+/* An exchange went well or not: one that fails too often is ejected for a while, in a cap. */
 void be_succeeded(struct be *b, int64_t took_us);
 void be_failed(struct be *b, const char *why);
-/* Nothing listens at its address: ejected at once, as its list entry may tell later or never.
- */
+/* Nothing listens at its address: ejected at once, its list entry may tell late or never. */
 void be_refused_connection(struct be *b);
 /* It turned a request away: others are asked first for a moment. */
 void be_turned_away(struct be *b);
--- a/src/internal/probe.h
+++ b/src/internal/probe.h
@@ -1,5 +1,4 @@
-/* Asks engines themselves whether they leave, while the platform's lists are too old to tell.
- */
+/* Asks engines whether they leave while the platform's lists are too old to tell. */
 #ifndef SH_PROBE_H
 #define SH_PROBE_H
 
