rq_send.c in two: choosing a backend server is in rq_pick.c

The file chose servers, targets and places of copies, and sent. What only chooses is now in rq_pick.c; the copy's place is taken where the others are. Behaviour is unchanged: the same draws in the same order.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -119,19 +119,24 @@
 /* rq_send.c */
 /* Looks for a backend server and sends; refuses when there is none. */
 void rq_place(struct rq *r);
-/* Sends to b; copy NULL: from the start, or after the last event seen. NULL when not possible.
- */
+/* Sends to b; copy NULL: from the start, or after the last event seen. NULL: not possible. */
 struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy);
 /* Cancels what is under way and takes its load off. */
 void leg_free(struct leg *l);
-/* Whether the request as it is now fits into b's memory. */
-int rq_fits(const struct rq *r, const struct be *b);
-/* The best of the service but not_this (NULL: any). */
+/* 0 (most urgent) to 9, workspaces before routes; -1: of no engine. */
+int rq_priority(const struct rq *r);
+
+/* rq_pick.c */
+/* The best of the service but not_this (NULL: any); NULL: none is usable. */
 struct be *rq_pick(struct rq *r, const struct be *not_this);
 /* Where its memory should move from source. */
 struct be *rq_pick_target(struct rq *r, const struct be *source);
-/* 0 (most urgent) to 9, workspaces before routes; -1: of no engine. */
-int rq_priority(const struct rq *r);
+/* Where a running copy of its memory should be kept, or NULL. */
+struct be *rq_pick_backup(struct leg *l);
+/* Whether the request as it is now fits into b's memory. */
+int rq_fits(const struct rq *r, const struct be *b);
+/* What all instances together have on b. */
+struct be_load rq_load_of(const struct be *b);
 
 /* rq_wait.c */
 /* 1 when r waits for memory from now on. b: where it would go, or NULL. */
--- /dev/null
+++ b/src/relay/rq_pick.c
@@ -0,0 +1,109 @@
+/* Which backend server a request goes to, where its memory moves, and where its copy is kept.
+ */
+#include "clock.h"
+#include "rq_impl.h"
+#include <string.h>
+
+#define SITES_MAX 1024    /* candidates looked at: the first of the list */
+#define BACKUP_PERCENT 90 /* of an engine's memory: copies don't give way to requests */
+
+struct be_load rq_load_of(const struct be *b)
+{
+	return (struct be_load){.runs = b->own.runs + b->others.runs,
+				.unread = b->own.unread + b->others.unread,
+				.held = b->own.held + b->others.held,
+				.backup = b->own.backup + b->others.backup,
+				.used = b->own.used + b->others.used,
+				.inbound = b->own.inbound + b->others.inbound};
+}
+
+static void fill_site(struct place_site *s, const struct be *b, const struct rq *r,
+		      const char *dc, int64_t now)
+{
+	struct be_load all = rq_load_of(b);
+
+	*s = (struct place_site){
+		.usable = be_usable(b, now),
+		.near = !strcmp(b->zone, dc),
+		.slots = b->slots,
+		.runs = all.runs,
+		.unread = all.unread,
+		.held = all.held,
+		.backup = all.backup,
+		.used = all.used,
+		.tokens = r->service->tokens,
+		.inbound = all.inbound,
+		.answer_us = b->answer_us,
+	};
+}
+
+/* Fills sites for the service's backend servers; how many. */
+static int collect(struct rq *r, const char *dc, const struct be *not_this,
+		   struct place_site *s)
+{
+	const GPtrArray *list = be_of(r->service->name);
+	int64_t now = clock_us();
+	int i, any = 0, n = list ? MIN((int)list->len, SITES_MAX) : 0;
+
+	for (i = 0; i < n; i++) {
+		const struct be *b = g_ptr_array_index(list, i);
+
+		fill_site(&s[i], b, r, dc, now);
+		if (b == not_this) s[i].usable = 0;
+		any |= s[i].usable;
+	}
+	for (i = 0; i < n && !any; i++) {
+		const struct be *b = g_ptr_array_index(list, i);
+
+		s[i].usable = b != not_this && be_last_resort(b, now);
+	}
+	return n;
+}
+
+struct be *rq_pick(struct rq *r, const struct be *not_this)
+{
+	static struct place_site s[SITES_MAX];
+	int n = collect(r, rq_cfg->data_centre, not_this, s), i;
+
+	if (r->service->engine)
+		i = place_generation(s, n, &r->job, g_random_int());
+	else
+		i = place_call(s, n, g_random_int());
+	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+}
+
+struct be *rq_pick_target(struct rq *r, const struct be *source)
+{
+	static struct place_site s[SITES_MAX];
+	struct place_job now = {.prompt = rq_held(r)};
+	int n = collect(r, source->zone, source, s);
+	int i = place_move(s, n, &now, g_random_int());
+
+	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+}
+
+struct be *rq_pick_backup(struct leg *l)
+{
+	static struct place_site s[SITES_MAX];
+	struct rq *r = l->rq;
+	const GPtrArray *list = be_of(r->service->name);
+	struct place_job now = {.prompt = rq_held(r)};
+	int n, i, at = -1;
+
+	if (r->route->resumable || r->route->kind != CONF_STREAM) return NULL;
+	n = collect(r, l->be->zone, l->be, s);
+	for (i = 0; i < n; i++)
+		if (g_ptr_array_index(list, i) == l->be) at = i;
+	i = place_backup(s, n, at, &now, BACKUP_PERCENT, g_random_int());
+	return i < 0 ? NULL : g_ptr_array_index(list, i);
+}
+
+int rq_fits(const struct rq *r, const struct be *b)
+{
+	struct place_job now = {.prompt = r->job.prompt + rq_made(r), .growth = r->job.growth};
+	struct place_site s;
+
+	if (!r->service->engine) return 1;
+	fill_site(&s, b, r, b->zone, clock_us());
+	return place_fits(&s, &now);
+}
