Relay: how exchanges end is in rq_end.c, going on with a copy in rq_move_next.c

rq_answer.c passed answers on and also decided what becomes of a request when an exchange ends; rq_move.c held the course of a move and what its last step does. Each of the two has a file of its own now, and one who was chosen is looked up in one place. Behaviour is unchanged: functions were moved and named, none was changed. Run: the build, test_pure.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -172,6 +172,11 @@
 /* rq_answer.c */
 int leg_on_head(struct hx *x);
 int leg_on_body(struct hx *x, const char *p, size_t n);
+int leg_is_stream(const struct leg *l, const struct hx *x);
+/* Its exchange ended well: what is left of the stream goes out. */
+void leg_stream_done(struct leg *l, const struct hp_head *head);
+
+/* rq_end.c */
 void leg_on_end(struct hx *x, int err);
 
 /* rq_move.c */
@@ -179,25 +184,31 @@
 void move_begin(struct rq *r);
 /* The first event came, or another change that may let a move go on. */
 void move_go_on(struct rq *r);
-/* The exchange with the copy's engine: answered, or refused. turned_away: it said so itself. */
-void move_answered(struct rq *r);
-void move_refused(struct rq *r, int turned_away);
 /* The source's stream ended without its end. 1: the move goes on without it. */
 int move_source_ended(struct rq *r);
 void move_stop(struct rq *r);
-/* The engine is silent or broke: goes on from the running copy. 0, or -ENOENT without one. */
-int move_to_backup(struct rq *r);
 /* Of a move that is under way: */
 void move_log(const struct rq *r, const char *event, int status);
 void move_later(struct rq *r, int64_t in_us);
 void move_forget_ends(struct move *m);
 /* So many tokens are on their way to its target: others choose other targets meanwhile. */
 void move_count_inbound(struct move *m, uint32_t tokens);
+void move_lost(struct rq *r, const char *why);
+
+/* rq_move_next.c */
+/* Whether a running copy of its memory can be gone on with now. */
+int move_has_backup(const struct rq *r);
+/* The engine is silent or broke: goes on from the running copy. 0, or -ENOENT without one. */
+int move_to_backup(struct rq *r);
 /* The source has stopped and its memory is at the target: the stream goes on there. */
 void move_use_handle(struct rq *r);
 /* The same where the memory is kept at the source, which may go on with it. */
 void move_use_source(struct rq *r);
-void move_lost(struct rq *r, const char *why);
+/* Once more where a copy was refused a moment ago. */
+void move_use_again(struct rq *r);
+/* The exchange with the copy's engine: answered, or refused. turned_away: it said so itself. */
+void move_answered(struct rq *r);
+void move_refused(struct rq *r, int turned_away);
 
 /* rq_move_copy.c */
 void move_copy_begin(struct rq *r);
--- /dev/null
+++ b/src/relay/rq_move_next.c
@@ -0,0 +1,120 @@
+/* A stream goes on at an engine that has its memory: a running copy, or what was moved there.
+ */
+#include "clock.h"
+#include "rq_impl.h"
+#include <errno.h>
+
+#define COPY_REFUSALS_MAX 3 /* of one copy: an engine that sheds a third takes it by then */
+
+static void go_on_at(struct rq *r, struct be *b, const struct be *copy_at, const char *copy)
+{
+	r->move.state = MOVE_NEXT;
+	rq_count_repeat(r);
+	r->next = leg_start(r, b, copy_at, copy);
+	if (!r->next) move_refused(r, 0);
+}
+
+int move_has_backup(const struct rq *r)
+{
+	const struct be *b = r->leg->backup;
+
+	return b && !r->leg->copy_bad && r->leg->first_us && be_usable(b, clock_us());
+}
+
+int move_to_backup(struct rq *r)
+{
+	struct be *b;
+
+	if (r->move.state == MOVE_NEXT) return 0;
+	if (!r->leg || !move_has_backup(r)) return -ENOENT;
+	move_stop(r);
+	b = r->leg->backup;
+	r->move.source = be_ref(r->leg->be);
+	r->move.target = be_ref(b);
+	move_log(r, "stream_to_backup", 0);
+	go_on_at(r, b, r->leg->be, r->in.id);
+	return 0;
+}
+
+void move_use_handle(struct rq *r)
+{
+	struct move *m = &r->move;
+
+	go_on_at(r, m->target, m->source, m->handle);
+}
+
+void move_use_source(struct rq *r)
+{
+	struct move *m = &r->move;
+
+	move_count_inbound(m, 0);
+	be_unref(m->target);
+	m->target = be_ref(m->source);
+	move_use_handle(r);
+}
+
+void move_use_again(struct rq *r)
+{
+	struct move *m = &r->move;
+
+	if (m->stopped)
+		move_use_handle(r);
+	else
+		go_on_at(r, m->target, m->source, r->in.id);
+}
+
+void move_answered(struct rq *r)
+{
+	struct leg *old = r->leg;
+
+	r->leg = r->next;
+	r->next = NULL;
+	if (old->backup == r->leg->be) old->copy_freed = 1; /* the copy was taken over */
+	leg_free(old);
+	move_log(r, "stream_went_on", 0);
+	r->move.refusals = 0;
+	r->move.handle[0] = '\0';
+	move_stop(r);
+}
+
+/* An engine that is full or sheds load says the same as one that has no such copy: it may be
+ * had in a moment. */
+static int may_ask_again(struct move *m, int turned_away)
+{
+	return turned_away && ++m->refusals <= COPY_REFUSALS_MAX;
+}
+
+static void give_up_copy(struct leg *l)
+{
+	l->copy_bad = 1;
+	leg_recount(l);
+}
+
+/* The copy can't be used: the source goes on if it still runs, or is asked again. */
+void move_refused(struct rq *r, int turned_away)
+{
+	struct move *m = &r->move;
+	int by_handle = m->stopped, again;
+
+	leg_free(r->next);
+	r->next = NULL;
+	move_log(r, "copy_refused", 0);
+	again = may_ask_again(m, turned_away);
+	if (r->leg->hx && !by_handle) {
+		if (!again) give_up_copy(r->leg);
+		if (r->leg->be->state == BE_READY)
+			move_stop(r);
+		else
+			move_later(r, MOVE_AGAIN_US);
+		return;
+	}
+	if (again) {
+		ev_in(&m->timer, MOVE_AGAIN_US);
+		return;
+	}
+	if (by_handle && m->target != m->source && ++m->tries <= MOVE_TRIES_MAX) {
+		move_use_source(r);
+		return;
+	}
+	move_lost(r, "the copy of its memory could not be used");
+}
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -1,5 +1,4 @@
-/* Which backend server a request goes to, where its memory moves, and where its copy is kept.
- */
+/* Which backend server a request goes to, its memory moves to, and its copy is kept at. */
 #include "clock.h"
 #include "rq_impl.h"
 #include <string.h>
@@ -60,6 +59,11 @@
 	return n;
 }
 
+static struct be *chosen(const struct rq *r, int i)
+{
+	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+}
+
 struct be *rq_pick(struct rq *r, const struct be *not_this)
 {
 	static struct place_site s[SITES_MAX];
@@ -69,7 +73,7 @@
 		i = place_generation(s, n, &r->job, g_random_int());
 	else
 		i = place_call(s, n, g_random_int());
-	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+	return chosen(r, i);
 }
 
 struct be *rq_pick_target(struct rq *r, const struct be *source)
@@ -79,7 +83,7 @@
 	int n = collect(r, source->zone, source, s);
 	int i = place_move(s, n, &now, g_random_int());
 
-	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+	return chosen(r, i);
 }
 
 struct be *rq_pick_backup(struct leg *l)
@@ -95,7 +99,7 @@
 	for (i = 0; i < n; i++)
 		if (g_ptr_array_index(list, i) == l->be) at = i;
 	i = place_backup(s, n, at, &now, BACKUP_PERCENT, g_random_int());
-	return i < 0 ? NULL : g_ptr_array_index(list, i);
+	return chosen(r, i);
 }
 
 int rq_fits(const struct rq *r, const struct be *b)
