place.c and rq_begin.c: one step a function, constants by what they weigh

The time of a plain call, the room for a copy and the choice of a route's service were worked out inside longer functions, and memory that is spoken for was added up twice. They have names, and the constants of place.c stand by what they are for. Behaviour is unchanged: the same sums and the same draws in the same order.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -2,19 +2,25 @@
 #include <saddlehead/place.h>
 
 /* Weights of a generation's cost, in prompt tokens that would delay its first token as much. */
-#define RUN_COST 40           /* each request beside it slows every step a little */
-#define PRESSURE_COST 4       /* each token of memory over the mark risks a preemption */
+#define RUN_COST 40     /* each request beside it slows every step a little */
+#define PRESSURE_COST 4 /* each token of memory over the mark risks a preemption */
+#define QUEUE_COST 1000 /* each request more than an engine runs at once waits for another */
+#define TIE 64          /* costs closer than this are equal: draw among them */
+
+/* Parts of memory, in percent. */
 #define PRESSURE_PERCENT 85   /* the mark: lengths are guesses */
 #define FULL_PERCENT 95       /* above it a request would soon press another out */
 #define ALL_BACKUP_PERCENT 60 /* of all memory: beyond, copies would press requests out */
-#define TIE 64                /* costs closer than this are equal: draw among them */
-#define QUEUE_COST 1000 /* each request more than an engine runs at once waits for another */
+
+/* Moves and copies. */
 #define FAR_TIMES 2     /* memory moves between data centres in so many times the time */
 #define ROOM_STEPS 8    /* parts of the memory: within one others choose, too */
 #define FAR_ROOM_STEP 1 /* a copy in another data centre is worth it from so much more room */
-#define FAR_US 1400     /* a call to another data centre takes about so much longer */
-#define DRAW_US 1000    /* calls whose times are closer than this are drawn among */
-#define CALL_US 15000   /* a call's time before any was measured */
+
+/* Plain calls, in microseconds. */
+#define FAR_US 1400   /* a call to another data centre takes about so much longer */
+#define DRAW_US 1000  /* calls whose times are closer than this are drawn among */
+#define CALL_US 15000 /* a call's time before any was measured */
 
 /* A linear congruential generator with well-known factors: breaks ties, hides nothing. */
 static uint32_t next_draw(uint32_t draw)
@@ -40,9 +46,15 @@
 	return (s->used + need(j)) * 100 <= (uint64_t)s->tokens * FULL_PERCENT;
 }
 
+/* Memory that is spoken for. */
+static uint64_t taken(const struct place_site *s)
+{
+	return (uint64_t)s->held + s->backup + s->inbound;
+}
+
 static uint64_t over_mark(const struct place_site *s, const struct place_job *j)
 {
-	uint64_t all = (uint64_t)s->held + s->backup + s->inbound + need(j);
+	uint64_t all = taken(s) + need(j);
 	uint64_t mark = (uint64_t)s->tokens * PRESSURE_PERCENT / 100;
 
 	return s->tokens && all > mark ? all - mark : 0;
@@ -119,6 +131,12 @@
 	return all ? used * 100 / all : 100;
 }
 
+/* Parts of its memory that are taken; a far one must have a part more of it free. */
+static uint64_t room_cost(const struct place_site *s)
+{
+	return taken(s) * ROOM_STEPS / s->tokens + (s->near ? 0 : FAR_ROOM_STEP);
+}
+
 int place_backup(const struct place_site *s, int n, int main, const struct place_job *j,
 		 uint32_t percent, uint32_t draw)
 {
@@ -127,32 +145,35 @@
 
 	if (percent_used(s, n, j) > ALL_BACKUP_PERCENT) return -1;
 	for (i = 0; i < n; i++) {
-		uint64_t used = s[i].held + (uint64_t)s[i].backup + s[i].inbound;
-
 		if (i == main || !s[i].usable || !s[i].tokens) continue;
-		if ((used + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
-		used = used * ROOM_STEPS / s[i].tokens;
-		choose(&c, i, used + (s[i].near ? 0 : FAR_ROOM_STEP));
+		if ((taken(&s[i]) + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
+		choose(&c, i, room_cost(&s[i]));
 	}
 	return c.at;
 }
 
+/* How long a call will take there, in microseconds. */
+static double call_us(const struct place_site *s)
+{
+	double each = s->answer_us > 0 ? s->answer_us : CALL_US;
+	double us = each;
+
+	if (s->slots) us += each * s->runs / s->slots;
+	if (s->slots && s->runs >= s->slots) us += each * (s->runs - s->slots + 1);
+	return s->near ? us : us + FAR_US;
+}
+
 int place_call(const struct place_site *s, int n, uint32_t draw)
 {
-	double best_us = 0;
+	double us, best_us = 0;
 	int i, best = -1;
 
 	for (i = 0; i < n; i++) {
-		double each = s[i].answer_us > 0 ? s[i].answer_us : CALL_US;
-		double us = each, jitter = (double)drawn(draw, DRAW_US);
+		uint32_t jitter_us = drawn(draw, DRAW_US);
 
 		draw = next_draw(draw);
 		if (!s[i].usable) continue;
-		if (s[i].slots) us += each * s[i].runs / s[i].slots;
-		if (s[i].slots && s[i].runs >= s[i].slots)
-			us += each * (s[i].runs - s[i].slots + 1);
-		if (!s[i].near) us += FAR_US;
-		us += jitter;
+		us = call_us(&s[i]) + jitter_us;
 		if (best >= 0 && us >= best_us) continue;
 		best_us = us;
 		best = i;
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -67,10 +67,9 @@
 	return ev_now() + expected_us(r) * DRAIN_MARGIN > drain_until_us;
 }
 
-void rq_on_request(struct hs *h)
+static struct rq *rq_new(struct hs *h)
 {
 	struct rq *r = g_new0(struct rq, 1);
-	const char *name;
 
 	r->h = h;
 	h->user = r;
@@ -79,16 +78,28 @@
 	r->index = rq_all->len;
 	g_ptr_array_add(rq_all, r);
 	met_add(MET_REQUESTS, 1);
+	return r;
+}
+
+/* 0, or refuses r. */
+static int choose_service(struct rq *r)
+{
+	const char *name = conf_pick(r->route, g_random_double());
+
+	r->service = name ? conf_service(r->conf, name) : NULL;
+	if (r->service) return 0;
+	rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US, "the route's service is not configured");
+	return -ENOENT;
+}
+
+void rq_on_request(struct hs *h)
+{
+	struct rq *r = rq_new(h);
+
 	if (check(r)) return;
 	r->job.prompt = r->in.prompt_tokens;
 	r->job.growth = length_remaining(rq_lengths(r), r->in.output_hint, r->in.output_max, 0);
-	name = conf_pick(r->route, g_random_double());
-	r->service = name ? conf_service(r->conf, name) : NULL;
-	if (!r->service) {
-		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
-			  "the route's service is not configured");
-		return;
-	}
+	if (choose_service(r)) return;
 	rq_set_times(r);
 	if (outlasts_drain(r)) {
 		rq_refuse(r, REF_DRAINING, RETRY_DRAIN_US,
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -1,5 +1,4 @@
-/* A stream goes on at an engine that has its memory: a running copy, or what was moved there.
- */
+/* A stream goes on at an engine that has its memory: a running copy, or what was moved. */
 #include "clock.h"
 #include "rq_impl.h"
 #include <errno.h>
