soak_fault.c in three: faults drawn, servers, and the turns in which faults come and go

Drawing is in soak_draw.c, servers are in soak_server.c; plain numbers have names. The same seed draws the same faults and does the same; no check was touched.

--- a/test/soak.h
+++ b/test/soak.h
@@ -88,13 +88,26 @@
 /* soak.c: runs and checks. The number of broken promises; each is printed. */
 int soak_run(uint32_t seed, int seconds);
 
-/* soak_fault.c */
+/* soak_draw.c */
 void soak_draw_faults(struct soak *s, int seconds);
+const char *soak_fault_name(enum soak_fault_kind k);
+
+/* soak_server.c */
+struct soak_server *soak_add_server(struct soak *s, const char *service, int engine);
+/* One says that it leaves, and does; or dies untold. Another takes its place. */
+void soak_leave(struct soak *s, const struct soak_fault *f);
+void soak_crash_server(struct soak *s, const struct soak_fault *f);
+/* All entries of servers that live, at once: they lapse together, and come back together. */
+void soak_list_all(struct soak *s, int listed);
+void soak_set_server_mode(struct soak *s, const struct soak_fault *f);
+/* Does what was planned for them and is due. */
+void soak_turn_servers(struct soak *s);
+
+/* soak_fault.c */
 /* Begins and ends what is due. */
 void soak_turn_faults(struct soak *s);
+/* Ends all faults. */
 void soak_mend(struct soak *s);
-struct soak_server *soak_add_server(struct soak *s, const char *service, int engine);
-const char *soak_fault_name(enum soak_fault_kind k);
 
 /* soak_caller.c */
 void soak_turn_callers(struct soak *s);
--- /dev/null
+++ b/test/soak_draw.c
@@ -0,0 +1,47 @@
+/* The soak's faults are drawn from the seed: in bursts, with calm between them. */
+#include "soak.h"
+
+#define CYCLE_US 7000000   /* a burst, and calm long enough for what must hold in calm times */
+#define BURST_US 1500000   /* within it the faults of a burst begin */
+#define LONGEST_US 2500000 /* of a fault: calm is left after it in its cycle */
+#define SHORTEST_US 200000 /* the same: some connections and calls fall into it */
+#define BURST_MOST 6       /* faults of one burst */
+#define FIRST_US 1000000   /* from the start to the first burst: calls are under way by then */
+
+static const char *const names[SOAK_FAULT_KINDS] = {
+	"planned stop",         "engine leaves",  "keys change",
+	"route moves",          "kill",           "freeze",
+	"server dies",          "store",          "store, and entries lapse",
+	"store forgets",        "deaf watches",   "link to the store",
+	"link between entries", "link to server", "server misbehaves"};
+
+const char *soak_fault_name(enum soak_fault_kind k)
+{
+	return names[k];
+}
+
+static void draw_one(struct soak *s, int64_t burst_us, int only_planned)
+{
+	struct soak_fault f = {0};
+	int kinds = only_planned ? SOAK_FIRST_UNPLANNED : SOAK_FAULT_KINDS;
+
+	f.kind = g_rand_int_range(s->rand, 0, kinds);
+	f.from_us = burst_us + g_rand_int_range(s->rand, 0, BURST_US);
+	f.to_us = f.from_us + g_rand_int_range(s->rand, SHORTEST_US, LONGEST_US);
+	f.victim = g_rand_int_range(s->rand, 0, 1 << 16);
+	f.variant = g_rand_int_range(s->rand, 0, 1 << 16);
+	g_array_append_val(s->faults, f);
+}
+
+void soak_draw_faults(struct soak *s, int seconds)
+{
+	int64_t at;
+	int i, n, only_planned;
+
+	s->faults = g_array_new(FALSE, TRUE, sizeof(struct soak_fault));
+	for (at = FIRST_US; at + CYCLE_US / 2 < seconds * 1000000LL; at += CYCLE_US) {
+		n = g_rand_int_range(s->rand, 1, BURST_MOST + 1);
+		only_planned = g_rand_boolean(s->rand);
+		for (i = 0; i < n; i++) draw_one(s, s->began_us + at, only_planned);
+	}
+}
--- /dev/null
+++ b/test/soak_server.c
@@ -0,0 +1,133 @@
+/* Backend servers of the soak: added, listed, taken away, and made to misbehave. */
+#include "clock.h"
+#include "soak.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVER_PROXY 150    /* address: the ways to servers, each at a port of its own */
+#define EVENT_MS 15         /* between events of a stream */
+#define BREAK_AFTER 30      /* events of a stream that breaks */
+#define SERVE_ON_US 2200000 /* a leaving server is listed for so long */
+
+struct soak_server *soak_add_server(struct soak *s, const char *service, int engine)
+{
+	struct soak_server *v = &s->server[s->nservers];
+	struct sockaddr_in at, to;
+	int port = PW_SERVER + s->nservers;
+
+	memset(v, 0, sizeof *v);
+	v->pw = pw_server_new(service, engine);
+	v->pw->events = SOAK_EVENTS;
+	v->pw->event_ms = EVENT_MS;
+	pw_address_of(pw_server_ip(), atoi(strchr(v->pw->address, ':') + 1), &to);
+	pw_address_of(pw_ip(SERVER_PROXY), port, &at);
+	v->link = proxy_new(&at, &to);
+	g_snprintf(v->pw->address, sizeof v->pw->address, "%s:%d", pw_ip(SERVER_PROXY), port);
+	pw_server_list(v->pw, "ready");
+	s->nservers++;
+	return v;
+}
+
+/* A server that is neither dead nor leaving; NULL when it is the last of its service. */
+static struct soak_server *spare(struct soak *s, int victim, int engine)
+{
+	struct soak_server *found = NULL;
+	int i, n = 0;
+
+	for (i = 0; i < s->nservers; i++) {
+		struct soak_server *v = &s->server[(i + victim) % s->nservers];
+
+		if (v->dead || v->leaving || (engine >= 0 && v->pw->engine != engine)) continue;
+		if (!strcmp(v->pw->service, "app2")) continue;
+		if (!found) found = v;
+		n += !strcmp(v->pw->service, found->pw->service);
+	}
+	return n > 1 ? found : NULL;
+}
+
+static void replace(struct soak *s, const struct soak_server *v)
+{
+	if (s->nservers < SOAK_SERVERS) soak_add_server(s, v->pw->service, v->pw->engine);
+}
+
+static void die(struct soak_server *v)
+{
+	v->dead = 1;
+	pw_server_die(v->pw);
+	proxy_close(v->link);
+}
+
+void soak_leave(struct soak *s, const struct soak_fault *f)
+{
+	struct soak_server *v = spare(s, f->victim, 1);
+
+	if (!v) return;
+	v->leaving = 1;
+	v->pw->leaving_us = clock_us();
+	pw_server_list(v->pw, "draining");
+	v->unlist_us = clock_us() + SERVE_ON_US;
+	v->die_us = v->unlist_us + SERVE_ON_US / 4;
+	replace(s, v);
+}
+
+void soak_crash_server(struct soak *s, const struct soak_fault *f)
+{
+	struct soak_server *v = spare(s, f->victim, -1);
+
+	if (!v) return;
+	die(v);
+	v->unlist_us = f->to_us;
+	replace(s, v);
+}
+
+void soak_list_all(struct soak *s, int listed)
+{
+	int i;
+
+	for (i = 0; i < s->nservers; i++) {
+		struct soak_server *v = &s->server[i];
+
+		if (v->dead || v->leaving) continue;
+		if (listed)
+			pw_server_list(v->pw, "ready");
+		else
+			pw_server_unlist(v->pw);
+	}
+}
+
+void soak_set_server_mode(struct soak *s, const struct soak_fault *f)
+{
+	static const enum pw_mode calls[] = {
+		PW_FULL,  PW_HANG,  PW_RESET,   PW_WRONG_ID,    PW_UNSIGNED, PW_FALSE_503,
+		PW_ERROR, PW_EXTRA, PW_GARBAGE, PW_UNTIL_CLOSE, PW_CUT_CLOSE};
+	static const enum pw_mode streams[] = {PW_FULL, PW_HANG, PW_BREAK, PW_SILENT};
+	struct soak_server *v = spare(s, f->victim, -1);
+
+	if (!v) return;
+	v->pw->break_after = BREAK_AFTER;
+	v->pw->mode = v->pw->engine ? streams[f->variant % G_N_ELEMENTS(streams)]
+				    : calls[f->variant % G_N_ELEMENTS(calls)];
+}
+
+void soak_turn_servers(struct soak *s)
+{
+	int64_t now = clock_us();
+	int i;
+
+	if (s->relist_us && now >= s->relist_us) {
+		s->relist_us = 0;
+		soak_list_all(s, 1);
+	}
+	for (i = 0; i < s->nservers; i++) {
+		struct soak_server *v = &s->server[i];
+
+		if (v->unlist_us && now >= v->unlist_us) {
+			v->unlist_us = 0;
+			pw_server_unlist(v->pw);
+		}
+		if (v->die_us && now >= v->die_us) {
+			v->die_us = 0;
+			die(v);
+		}
+	}
+}
