Tests' platform: entries have a file of their own, hosts of its network have names

pw.c held the loop and all about the entries' processes; these are in pw_entry.c now. The hosts of the store and the servers were plain numbers in three places, and the soak kept a route that nothing read. Behaviour is unchanged and no check was touched.

--- a/test/pw.h
+++ b/test/pw.h
@@ -12,7 +12,7 @@
 #include <glib.h>
 #include <sys/types.h>
 
-/* ---- pw.c: the loop and the entries ---- */
+/* ---- pw.c: the loop and the addresses ---- */
 /* Ports: any will do, each address is a test's own. */
 #define PW_FRONT 7001
 #define PW_READY 7002
@@ -23,13 +23,29 @@
 #define PW_SERVER 7100
 #define PW_SECOND_STORE "platform.address=%s:7006\n" /* with pw_second_ip() */
 
+/* Hosts of this program's own network; entries have those from 1. */
+#define PW_STORE_HOST 200
+#define PW_SERVER_HOST 201
+#define PW_SECOND_HOST 202 /* a second address of the store */
+
+/* Each test begins with it and ends with pw_end. */
+void pw_init(void);
+/* Ends what still runs. */
+void pw_end(void);
+void pw_run(int ms);
+/* Runs until f(arg) or ms are over; what f said last. */
+int pw_until(int (*f)(void *), void *arg, int ms);
+/* The address of a host, until the next call. */
+const char *pw_ip(int host);
+void pw_address_of(const char *ip, int port, struct sockaddr_in *at);
+extern const struct hs_limits pw_limits; /* of the platform's own servers: never the bound */
+
+/* ---- pw_entry.c ---- */
 struct pw_entry {
 	pid_t pid;
 	char ip[32], settings[64], log[64];
 };
 
-/* Each test begins with it and ends with pw_end. */
-void pw_init(void);
 /* More settings lines for entries that start from now on; NULL: none. */
 void pw_settings(const char *lines);
 struct pw_entry *pw_entry_start(void);
@@ -39,8 +55,6 @@
 void pw_entry_again(struct pw_entry *e);
 /* 1 once it has ended by now, with its status as waitpid tells it. */
 int pw_entry_ended(struct pw_entry *e, int *status);
-/* An address of this program's own network; entries have those from 1, the store 200. */
-const char *pw_ip(int n);
 void pw_entry_kill(struct pw_entry *e, int sig);
 /* The exit status, once it ended within ms; -1: it still runs. */
 int pw_entry_wait(struct pw_entry *e, int ms);
@@ -48,13 +62,10 @@
 int pw_log_has(struct pw_entry *e, const char *text);
 /* The value of a metric, -1 when there is none of that name (labels included). */
 double pw_metric(struct pw_entry *e, const char *name);
-void pw_run(int ms);
-/* Runs until f(arg) or ms are over; what f said last. */
-int pw_until(int (*f)(void *), void *arg, int ms);
-/* Ends what still runs. */
-void pw_end(void);
-extern const struct hs_limits pw_limits; /* of the platform's own servers: never the bound */
-void pw_address_of(const char *ip, int port, struct sockaddr_in *at);
+/* For pw.c: once in a program, and around each test. */
+void pw_entries_init(void);
+void pw_entries_begin(void);
+void pw_entries_end(void);
 
 /* ---- pw_store.c ---- */
 enum pw_store_mode {
--- /dev/null
+++ b/test/pw_entry.c
@@ -0,0 +1,192 @@
+/* Entries that run beside the small platform: their settings, processes and logs. */
+#include "pw.h"
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define ENTRIES_MAX 8 /* of one test */
+
+static struct pw_entry entries[ENTRIES_MAX];
+static int nentries, first_ip; /* entries of earlier tests had the addresses up to first_ip */
+static char dir[64];
+static const char *more_settings;
+
+static void remove_dir(void)
+{
+	rmdir(dir); /* not with logs that were kept */
+}
+
+void pw_entries_init(void)
+{
+	g_snprintf(dir, sizeof dir, "/tmp/pw-%d", getpid());
+	/* One that a process of the same number left with its logs is used again. */
+	if (mkdir(dir, 0700) && errno != EEXIST) abort();
+	atexit(remove_dir);
+}
+
+void pw_entries_begin(void)
+{
+	more_settings = "";
+	first_ip += nentries;
+	nentries = 0;
+}
+
+void pw_settings(const char *lines)
+{
+	more_settings = lines ? lines : "";
+}
+
+static void write_settings(const struct pw_entry *e)
+{
+	char seed[32], store[32];
+	FILE *f = fopen(e->settings, "w");
+
+	g_strlcpy(seed, pw_ip(first_ip + 1), sizeof seed);
+	g_strlcpy(store, pw_ip(PW_STORE_HOST), sizeof store);
+	if (!f) abort();
+	fprintf(f,
+		"nodeName=e%d\nipAddress=%s\nzone=a\nregion=r\nlistenAddresses.front=%s:%d\n"
+		"listenAddresses.ready=%s:%d\nlistenAddresses.directory=%s:%d\n"
+		"internalPortRange=%d,%d\nseedNodes=%s:1\nplatform.address=%s:%d\n"
+		"bounds.failClosed=true\nbounds.revokeMs=5000\nbounds.drainMs=2000\nbounds."
+		"graceS=3\n"
+		"bounds.ttl_max_s=1\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=40\n"
+		"bounds.budgetWindowS=10\n%s",
+		first_ip + nentries, e->ip, e->ip, PW_FRONT, e->ip, PW_READY, e->ip,
+		PW_DIRECTORY, PW_PEER, PW_PEER, seed, store, PW_STORE, more_settings);
+	fclose(f);
+}
+
+static void become(const struct pw_entry *e)
+{
+	const char *build = getenv("B");
+	char program[128], port[16];
+	int fd = open(e->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL); /* a test that dies leaves nothing behind */
+	dup2(fd, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	for (fd = 3; fd < 1024; fd++) close(fd);
+	g_snprintf(program, sizeof program, "%s/saddlehead-entry", build ? build : "build");
+	g_snprintf(port, sizeof port, "%d", PW_METRICS);
+	execl(program, program, "--settings", e->settings, "--metrics-port", port, NULL);
+	_exit(127);
+}
+
+/* Waits until the new process has closed what it inherited: a descriptor that this one closes
+ * while the other still has it would go on being told of by epoll. */
+void pw_entry_again(struct pw_entry *e)
+{
+	int ends[2];
+	char none;
+
+	if (pipe2(ends, O_CLOEXEC)) abort();
+	e->pid = fork();
+	if (!e->pid) become(e);
+	close(ends[1]);
+	while (read(ends[0], &none, 1) < 0 && errno == EINTR) {
+	}
+	close(ends[0]);
+}
+
+struct pw_entry *pw_entry_start(void)
+{
+	struct pw_entry *e = &entries[nentries++];
+
+	g_strlcpy(e->ip, pw_ip(first_ip + nentries), sizeof e->ip);
+	g_snprintf(e->settings, sizeof e->settings, "%s/e%d.conf", dir, nentries);
+	g_snprintf(e->log, sizeof e->log, "%s/e%d.log", dir, nentries);
+	unlink(e->log); /* of an earlier process */
+	write_settings(e);
+	pw_entry_again(e);
+	return e;
+}
+
+int pw_entry_ended(struct pw_entry *e, int *status)
+{
+	if (e->pid <= 0 || waitpid(e->pid, status, WNOHANG) != e->pid) return 0;
+	e->pid = 0;
+	return 1;
+}
+
+struct pw_entry *pw_entry_ready(void)
+{
+	struct pw_entry *e = pw_entry_start();
+	int i;
+
+	for (i = 0; i < 100; i++) {
+		pw_run(30);
+		if (pw_question(e->ip, PW_READY, "/-/readiness", NULL) == 200) return e;
+	}
+	fprintf(stderr, "the entry is not ready after three seconds\n");
+	return e;
+}
+
+void pw_entry_kill(struct pw_entry *e, int sig)
+{
+	if (e->pid > 0) kill(e->pid, sig);
+}
+
+int pw_entry_wait(struct pw_entry *e, int ms)
+{
+	int status, waited;
+
+	for (waited = 0; waited <= ms; waited += 10) {
+		if (waitpid(e->pid, &status, WNOHANG) == e->pid) {
+			e->pid = 0;
+			return status;
+		}
+		pw_run(10);
+	}
+	return -1;
+}
+
+int pw_log_has(struct pw_entry *e, const char *text)
+{
+	char *log = NULL;
+	int has;
+
+	pw_run(400);
+	if (!g_file_get_contents(e->log, &log, NULL, NULL)) return 0;
+	has = strstr(log, text) != NULL;
+	g_free(log);
+	return has;
+}
+
+double pw_metric(struct pw_entry *e, const char *name)
+{
+	GString *out = g_string_new("\n");
+	char *line = g_strdup_printf("\n%s ", name), *at;
+	double v = -1;
+
+	if (pw_question(e->ip, PW_METRICS, "/metrics", out) == 200 &&
+	    (at = strstr(out->str, line)))
+		v = g_ascii_strtod(at + strlen(line), NULL);
+	g_free(line);
+	g_string_free(out, TRUE);
+	return v;
+}
+
+void pw_entries_end(void)
+{
+	int i, status;
+
+	for (i = 0; i < nentries; i++) {
+		if (entries[i].pid <= 0) continue;
+		kill(entries[i].pid, SIGCONT);
+		kill(entries[i].pid, SIGKILL);
+		waitpid(entries[i].pid, &status, 0);
+		entries[i].pid = 0;
+	}
+	for (i = 0; i < nentries; i++) {
+		unlink(entries[i].settings);
+		if (!getenv("PW_KEEP")) unlink(entries[i].log);
+	}
+}
--- a/test/soak.c
+++ b/test/soak.c
@@ -25,7 +25,7 @@
 	GString *more = g_string_new(NULL);
 	char store_ip[32];
 
-	g_strlcpy(store_ip, pw_ip(200), sizeof store_ip);
+	g_strlcpy(store_ip, pw_ip(PW_STORE_HOST), sizeof store_ip);
 	e->store = link_to(STORE_PROXY + i, PW_STORE, store_ip, PW_STORE);
 	g_string_append_printf(more, "ipAddress=%s\n", pw_ip(PEER_PROXY + i));
 	g_string_append_printf(more, "seedNodes=%s:1\n", pw_ip(PEER_PROXY));
--- a/test/soak.h
+++ b/test/soak.h
@@ -80,7 +80,6 @@
 	int key;                   /* serial of the key in force beside the one that stays */
 	int64_t key_gone_us[1024]; /* when a key was taken away; 0: it was not */
 	int64_t safe_moved_us;     /* when the route of safe calls was moved last */
-	const char *safe_before;   /* where it led until then */
 	int64_t relist_us;         /* when entries that lapsed come back; 0: none did */
 	int crashes;
 };
--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -27,7 +27,6 @@
 
 static void move_route(struct soak *s)
 {
-	s->safe_before = pw_conf.safe_service;
 	pw_conf.safe_service = strcmp(pw_conf.safe_service, "app") ? "app" : "app2";
 	write_conf(s);
 	s->safe_moved_us = clock_us();
