mesh_msg.c in two: frames are written in mesh_write.c and read in mesh_read.c

A frame is begun and finished in one place; the counts of fields, which both sides go by, are in the private header with a reason. Some one-line comments no longer wrap at their last word. Behaviour is unchanged: the same bytes. Run: the build, test_pure, test_relay, test_entry.

--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -42,8 +42,7 @@
 	return 0;
 }
 
-/* News go on from what the receiver must know already: items between would be missed for good.
- */
+/* News go on from what the receiver must know already, or items between would be missed. */
 static int take_news(struct mesh_in *in, const msgpack_object_array *a)
 {
 	struct board_revs after, mine = board_revs();
--- /dev/null
+++ b/src/fleet/mesh_read.c
@@ -0,0 +1,74 @@
+/* What is in frames of other instances; more fields than are known here are left alone. */
+#include "mesh_impl.h"
+#include <errno.h>
+#include <string.h>
+
+int mesh_text(const msgpack_object *o, char *out, size_t max)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= max) return -EBADMSG;
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return 0;
+}
+
+int64_t mesh_int(const msgpack_object *o)
+{
+	if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER) return (int64_t)o->via.u64;
+	return o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER ? o->via.i64 : 0;
+}
+
+int mesh_read_beat(const msgpack_object_array *a, struct mesh_beat *b)
+{
+	if (a->size < MESH_BEAT_FIELDS) return -EBADMSG;
+	if (mesh_text(&a->ptr[1], b->name, sizeof b->name) || !b->name[0]) return -EBADMSG;
+	if (mesh_text(&a->ptr[2], b->ip, sizeof b->ip)) return -EBADMSG;
+	if (mesh_text(&a->ptr[3], b->front, sizeof b->front)) return -EBADMSG;
+	b->ready = mesh_int(&a->ptr[4]) != 0;
+	b->draining = mesh_int(&a->ptr[5]) != 0;
+	b->revs.conf = mesh_int(&a->ptr[6]);
+	b->revs.backends = mesh_int(&a->ptr[7]);
+	b->confirmed_ago_us = mesh_int(&a->ptr[8]);
+	b->stamp_us = mesh_int(&a->ptr[9]);
+	b->echo_us = mesh_int(&a->ptr[10]);
+	b->echo_held_us = mesh_int(&a->ptr[11]);
+	b->store_up = mesh_int(&a->ptr[12]) != 0;
+	return 0;
+}
+
+int mesh_read_row(const msgpack_object *o, struct mesh_row *r)
+{
+	const msgpack_object_array *a = &o->via.array;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < MESH_ROW_FIELDS) return -EBADMSG;
+	if (mesh_text(&a->ptr[0], r->id, sizeof r->id)) return -EBADMSG;
+	r->load.runs = mesh_int(&a->ptr[1]);
+	r->load.unread = mesh_int(&a->ptr[2]);
+	r->load.held = mesh_int(&a->ptr[3]);
+	r->load.backup = mesh_int(&a->ptr[4]);
+	r->load.used = mesh_int(&a->ptr[5]);
+	r->load.bare = mesh_int(&a->ptr[6]);
+	r->load.inbound = mesh_int(&a->ptr[7]);
+	return 0;
+}
+
+int mesh_read_want(const msgpack_object_array *a, struct board_revs *after)
+{
+	if (a->size < 3) return -EBADMSG;
+	after->conf = mesh_int(&a->ptr[1]);
+	after->backends = mesh_int(&a->ptr[2]);
+	return 0;
+}
+
+int mesh_read_item(const msgpack_object *o, struct st_item *i, char *key, size_t max)
+{
+	const msgpack_object_array *a = &o->via.array;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || a->size < 3) return -EBADMSG;
+	if (mesh_text(&a->ptr[0], key, max)) return -EBADMSG;
+	*i = (struct st_item){.key = key, .revision = mesh_int(&a->ptr[1])};
+	if (a->ptr[2].type == MSGPACK_OBJECT_POSITIVE_INTEGER) return 0;
+	if (a->ptr[2].type != MSGPACK_OBJECT_BIN) return -EBADMSG;
+	i->value = a->ptr[2].via.bin.ptr;
+	i->len = a->ptr[2].via.bin.size;
+	return 0;
+}
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -43,7 +43,11 @@
 	GHashTable *loads; /* id -> struct be_load as it told */
 };
 
-/* mesh_msg.c: one frame each, appended to out. */
+/* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
+#define MESH_BEAT_FIELDS 13
+#define MESH_ROW_FIELDS 8
+
+/* mesh_write.c: one frame each, appended to out. */
 void mesh_write_beat(GString *out, const struct mesh_beat *b);
 void mesh_write_loads(GString *out, const struct mesh_row *row, int n, int whole);
 void mesh_write_want(GString *out, struct board_revs after);
@@ -53,14 +57,14 @@
 void mesh_write_leaving(GString *out, const char *id);
 void mesh_write_members(GString *out, char (*ip)[ENTRY_TEXT_MAX + 1], int n);
 
-/* What comes in. Each returns 0 or -EBADMSG. */
-struct mesh_in {
+struct mesh_in { /* a link from another instance */
 	struct cn cn;
 	GString *buf;
 	struct member *from; /* after its first beat */
 };
 #define MESH_FRAME_MAX (4u << 20) /* bytes: the largest configuration is under a megabyte */
 
+/* mesh_read.c: what is malformed gives -EBADMSG, but an integer 0. */
 int mesh_read_beat(const msgpack_object_array *a, struct mesh_beat *b);
 int mesh_read_row(const msgpack_object *o, struct mesh_row *r);
 int mesh_read_want(const msgpack_object_array *a, struct board_revs *after);
--- a/src/internal/watch_impl.h
+++ b/src/internal/watch_impl.h
@@ -18,8 +18,7 @@
 /* Whoever confirms the configuration for all also lists the rest for all: watches that are
  * silent, or waited for by instances that are cut off, hide nothing for long. */
 void watch_check_lists(void);
-/* Others watch for this instance by now: its own call would return once more, and be paid for.
- */
+/* Others watch for this instance by now: its own call would return once more, at a price. */
 void watch_leave_to_others(void);
 
 /* watch_confirm.c */
--- a/src/relay/rq_wait.c
+++ b/src/relay/rq_wait.c
@@ -1,5 +1,4 @@
-/* Requests that wait for memory on an engine: the most urgent first, for a part of their aim.
- */
+/* Requests that wait for an engine's memory: the most urgent first, for a part of their aim. */
 #include "rq_impl.h"
 #include <string.h>
 
