soak.c: what a run asks at its end is in small functions; headers on board.c and the proxy

Whether entries serve again was asked in one long function with plain numbers, and whether an answer came whole stood twice. No check was touched and behaviour is unchanged.

--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -1,3 +1,4 @@
+/* What this instance believes of the platform's lists: the newest word on each entry. */
 #include "board.h"
 #include "be.h"
 #include "clock.h"
@@ -75,8 +76,7 @@
 	jlog_end(g);
 }
 
-/* A configuration that can't be read leaves the one before in force, but no longer confirmed.
- */
+/* A configuration that can't be read leaves the one before in force, but unconfirmed. */
 static void take_conf(const struct st_item *i, const char *from)
 {
 	struct err e;
--- a/test/soak.c
+++ b/test/soak.c
@@ -1,11 +1,13 @@
+/* A run of the soak: entries, servers and callers are started, then what is due is done. */
 #include "soak.h"
 #include "clock.h"
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define TURN_MS 5
+#define TURN_MS 5        /* between looks at what is due */
+#define START_MS 1500    /* entries hear of each other and read the lists */
+#define LOOK_US 100000   /* between questions whether an entry is ready */
 #define SETTLE_MS 4000   /* after the last fault: what is under way ends */
 #define RECOVER_MS 12000 /* after the last fault all serve again */
 #define STORE_PROXY 100  /* addresses: the ways of entries to the store ... */
@@ -53,7 +55,7 @@
 	for (i = 0; i < 2; i++) soak_add_server(s, "app", 0);
 	for (i = 0; i < 2; i++) soak_add_server(s, "app2", 0);
 	for (i = 0; i < SOAK_ENTRIES; i++) start_entry(&s->entry[i], i);
-	pw_run(1500);
+	pw_run(START_MS);
 	s->began_us = clock_us();
 	s->end_us = s->began_us + seconds * 1000000LL;
 	soak_draw_faults(s, seconds);
@@ -68,30 +70,51 @@
 	}
 }
 
+static int came_whole(const struct soak_call *k)
+{
+	return k->c->status == 200 && !k->c->err;
+}
+
+static int is_ready(const struct soak_entry *e)
+{
+	return pw_question(e->pw->ip, PW_READY, "/-/readiness", NULL) == 200;
+}
+
+/* 1, or 0 when such a request is not served at the entry. */
+static int serves(struct soak *s, int entry, enum soak_kind kind)
+{
+	struct soak_call *k = soak_send(s, kind, entry, 0);
+
+	pw_call_wait(k->c, (int)k->limit_ms);
+	if (came_whole(k)) return 1;
+	printf("  BROKEN not served again: entry %d kind %d status %d err %d\n", entry, kind,
+	       k->c->status, k->c->err);
+	return 0;
+}
+
 /* One of each kind at each entry, once it is ready; how many were not served. */
 static int not_served_again(struct soak *s)
 {
-	struct soak_call *k;
 	int64_t until = clock_us() + RECOVER_MS * 1000LL;
 	enum soak_kind kind;
 	int i, bad = 0;
 
 	for (i = 0; i < SOAK_ENTRIES; i++) {
-		while (pw_question(s->entry[i].pw->ip, PW_READY, "/-/readiness", NULL) != 200 &&
-		       clock_us() < until)
-			run_until(s, clock_us() + 100000);
-		for (kind = 0; kind < SOAK_KINDS; kind++) {
-			k = soak_send(s, kind, i, 0);
-			pw_call_wait(k->c, (int)k->limit_ms);
-			if (k->c->status == 200 && !k->c->err) continue;
-			bad++;
-			printf("  BROKEN not served again: entry %d kind %d status %d err %d\n",
-			       i, kind, k->c->status, k->c->err);
-		}
+		while (!is_ready(&s->entry[i]) && clock_us() < until)
+			run_until(s, clock_us() + LOOK_US);
+		for (kind = 0; kind < SOAK_KINDS; kind++) bad += !serves(s, i, kind);
 	}
 	return bad;
 }
 
+static uint32_t count_whole(const struct soak *s)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < s->calls->len; i++) n += came_whole(g_ptr_array_index(s->calls, i));
+	return n;
+}
+
 static void finish(struct soak *s, int broken)
 {
 	int i;
@@ -115,7 +138,6 @@
 int soak_run(uint32_t seed, int seconds)
 {
 	static struct soak s;
-	uint32_t i, whole = 0;
 	int broken;
 
 	start(&s, seed, seconds);
@@ -124,13 +146,8 @@
 	run_until(&s, clock_us() + SETTLE_MS * 1000LL);
 	broken = not_served_again(&s);
 	broken += soak_check(&s);
-	for (i = 0; i < s.calls->len; i++) {
-		const struct soak_call *k = g_ptr_array_index(s.calls, i);
-
-		whole += k->c->status == 200 && !k->c->err;
-	}
 	printf("seed %u: %u requests, %u whole, %u faults, broken promises %d\n", seed,
-	       s.calls->len, whole, s.faults->len, broken);
+	       s.calls->len, count_whole(&s), s.faults->len, broken);
 	finish(&s, broken);
 	return broken;
 }
--- a/test/soak_proxy.c
+++ b/test/soak_proxy.c
@@ -1,3 +1,4 @@
+/* A relay on each link of the soak: passes bytes on, holds them up or breaks off. */
 #include "soak_proxy.h"
 #include <stddef.h>
 #include <stdlib.h>
