mesh.c: the links to other instances are in mesh_link.c

Making links and writing to them is in mesh_link.c; functions were moved and named, none was changed in what it sends or when. Run: the build, test_pure, test_relay, test_entry, format-check, lint.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -1,21 +1,16 @@
-/* Links to the other instances, and heartbeats on them: who lives is who is heard. */
+/* The other instances, and heartbeats to them: who lives is who is heard. */
 #include "clock.h"
 #include "jlog.h"
 #include "mesh_impl.h"
 #include "met.h"
 #include <arpa/inet.h>
-#include <stddef.h>
 #include <string.h>
 
 #define BEAT_US 400000     /* each instance to each other one */
 #define DEAD_US 1500000    /* three beats missed and some way */
 #define FORGET_US 30000000 /* an instance not heard of for so long is not tried any more */
-/* Between two tries to connect: one a heartbeat, as an opening packet to an instance that
- * starts is lost for a second. */
-#define RECONNECT_US 350000
-#define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
-#define WHOLE_EVERY 5       /* beats between whole load messages: heals what was missed */
-#define MEMBERS_MAX 4096    /* instances: no fleet is so large */
+#define WHOLE_EVERY 5      /* beats between whole load messages: heals what was missed */
+#define MEMBERS_MAX 4096   /* instances: no fleet is so large */
 
 static const struct entry_cfg *cfg;
 static GPtrArray *members;
@@ -49,32 +44,7 @@
 	self_store_up = up;
 }
 
-static void on_link_end(struct cn *c, int err)
-{
-	(void)err;
-	cn_close(c);
-}
-
-static void on_link_data(struct cn *c, const char *p, size_t n)
-{
-	(void)c; /* nothing is said this way */
-	(void)p;
-	(void)n;
-}
-
-static void write_members(GString *out)
-{
-	char(*ip)[ENTRY_TEXT_MAX + 1] = g_malloc(members->len * sizeof *ip + 1);
-	uint32_t i;
-
-	for (i = 0; i < members->len; i++)
-		g_strlcpy(ip[i], ((struct member *)g_ptr_array_index(members, i))->ip,
-			  sizeof ip[i]);
-	mesh_write_members(out, ip, members->len);
-	g_free(ip);
-}
-
-static void write_beat(GString *out, const struct member *to)
+void mesh_write_own_beat(GString *out, const struct member *to)
 {
 	struct mesh_beat b = {
 		.ready = self_ready, .draining = self_draining, .store_up = self_store_up};
@@ -93,29 +63,6 @@
 	mesh_write_beat(out, &b);
 }
 
-static void on_link_up(struct cn *c)
-{
-	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
-	GString *out = g_string_new(NULL);
-
-	write_beat(out, m);
-	write_members(out);
-	mesh_write_all_loads(out);
-	cn_write(c, out->str, out->len);
-	g_string_free(out, TRUE);
-}
-
-static void connect_to(struct member *m)
-{
-	struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(cfg->peer_port)};
-
-	m->next_connect_us = clock_us() + RECONNECT_US;
-	if (inet_pton(AF_INET, m->ip, &to.sin_addr) != 1) return;
-	m->link = (struct cn){
-		.on_up = on_link_up, .on_data = on_link_data, .on_end = on_link_end};
-	cn_connect(&m->link, &to);
-}
-
 struct member *mesh_member_at(const char *ip)
 {
 	struct member *m;
@@ -143,26 +90,6 @@
 	if (members->len < MEMBERS_MAX) mesh_member_at(ip);
 }
 
-void mesh_send(struct member *m, const GString *frame)
-{
-	if (!cn_open(&m->link) || m->link.connecting) return;
-	if (cn_pending(&m->link) + frame->len > LINK_MAX) {
-		met_add(MET_PEER_DROPPED, 1);
-		cn_reset(&m->link);
-		return;
-	}
-	met_add(MET_PEER_MSGS_OUT, 1);
-	met_add(MET_PEER_BYTES_OUT, frame->len);
-	cn_write(&m->link, frame->str, frame->len);
-}
-
-void mesh_send_all(const GString *frame)
-{
-	uint32_t i;
-
-	for (i = 0; i < members->len; i++) mesh_send(g_ptr_array_index(members, i), frame);
-}
-
 static void log_member(const struct member *m, const char *event)
 {
 	GString *g = jlog_begin("fleet", event);
@@ -181,7 +108,7 @@
 		m->alive = 1;
 		log_member(m, "member_alive");
 		/* It shall know this instance, too, before its next heartbeat. */
-		if (!cn_open(&m->link)) connect_to(m);
+		if (!cn_open(&m->link)) mesh_connect(m);
 	}
 	mesh_learn_from(m);
 }
@@ -198,7 +125,7 @@
 {
 	GString *out = g_string_new(NULL);
 
-	write_beat(out, m);
+	mesh_write_own_beat(out, m);
 	if (with_loads) mesh_write_all_loads(out);
 	mesh_send(m, out);
 	g_string_free(out, TRUE);
@@ -208,13 +135,13 @@
 {
 	check_alive(m, now);
 	if (!cn_open(&m->link)) {
-		if (now >= m->next_connect_us) connect_to(m);
+		if (now >= m->next_connect_us) mesh_connect(m);
 		return;
 	}
 	if (m->link.connecting) {
 		if (now < m->next_connect_us) return;
 		cn_reset(&m->link);
-		connect_to(m);
+		mesh_connect(m);
 		return;
 	}
 	send_beat(m, beats % WHOLE_EVERY == 0);
--- /dev/null
+++ b/src/fleet/mesh_link.c
@@ -0,0 +1,84 @@
+/* Links to the other instances: made anew when they break, and only written to. */
+#include "clock.h"
+#include "mesh_impl.h"
+#include "met.h"
+#include <arpa/inet.h>
+#include <stddef.h>
+
+/* Between two tries to connect: one a heartbeat, as an opening packet to an instance that
+ * starts is lost for a second. */
+#define RECONNECT_US 350000
+#define LINK_MAX (6u << 20) /* bytes that wait for an instance that does not read */
+
+static void on_link_end(struct cn *c, int err)
+{
+	(void)err;
+	cn_close(c);
+}
+
+static void on_link_data(struct cn *c, const char *p, size_t n)
+{
+	(void)c; /* nothing is said this way */
+	(void)p;
+	(void)n;
+}
+
+static void write_members(GString *out)
+{
+	const GPtrArray *all = mesh_members();
+	char(*ip)[ENTRY_TEXT_MAX + 1] = g_malloc(all->len * sizeof *ip + 1);
+	uint32_t i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct member *m = g_ptr_array_index(all, i);
+
+		g_strlcpy(ip[i], m->ip, sizeof ip[i]);
+	}
+	mesh_write_members(out, ip, all->len);
+	g_free(ip);
+}
+
+static void on_link_up(struct cn *c)
+{
+	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
+	GString *out = g_string_new(NULL);
+
+	mesh_write_own_beat(out, m);
+	write_members(out);
+	mesh_write_all_loads(out);
+	cn_write(c, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+void mesh_connect(struct member *m)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_port = htons(mesh_cfg()->peer_port)};
+
+	m->next_connect_us = clock_us() + RECONNECT_US;
+	if (inet_pton(AF_INET, m->ip, &to.sin_addr) != 1) return;
+	m->link = (struct cn){
+		.on_up = on_link_up, .on_data = on_link_data, .on_end = on_link_end};
+	cn_connect(&m->link, &to);
+}
+
+void mesh_send(struct member *m, const GString *frame)
+{
+	if (!cn_open(&m->link) || m->link.connecting) return;
+	if (cn_pending(&m->link) + frame->len > LINK_MAX) {
+		met_add(MET_PEER_DROPPED, 1);
+		cn_reset(&m->link);
+		return;
+	}
+	met_add(MET_PEER_MSGS_OUT, 1);
+	met_add(MET_PEER_BYTES_OUT, frame->len);
+	cn_write(&m->link, frame->str, frame->len);
+}
+
+void mesh_send_all(const GString *frame)
+{
+	uint32_t i;
+
+	for (i = 0; i < mesh_members()->len; i++)
+		mesh_send(g_ptr_array_index(mesh_members(), i), frame);
+}
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -86,6 +86,12 @@
 struct member *mesh_member_at(const char *ip);
 /* A beat of m came: it lives. */
 void mesh_heard(struct member *m, const struct mesh_beat *b);
+/* What this instance tells of itself to m. */
+void mesh_write_own_beat(GString *out, const struct member *m);
+
+/* mesh_link.c */
+void mesh_connect(struct member *m);
+/* Nothing is sent where no link is up; one that is full is broken off. */
 void mesh_send(struct member *m, const GString *frame);
 void mesh_send_all(const GString *frame);
 
