--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -43,7 +43,11 @@
 	GHashTable *loads; /* id -> struct be_load as it told */
 };
 
-/* mesh_msg.c: one frame each, appended to out. */
+/* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
+#define MESH_BEAT_FIELDS 13
+#define MESH_ROW_FIELDS 8
+
+/* mesh_write.c: one frame each, appended to out. */
 void mesh_write_beat(GString *out, const struct mesh_beat *b);
 void mesh_write_loads(GString *out, const struct mesh_row *row, int n, int whole);
 void mesh_write_want(GString *out, struct board_revs after);
@@ -53,14 +57,14 @@
 void mesh_write_leaving(GString *out, const char *id);
 void mesh_write_members(GString *out, char (*ip)[ENTRY_TEXT_MAX + 1], int n);
 
-/* What comes in. Each returns 0 or -EBADMSG. */
-struct mesh_in {
+struct mesh_in { /* a link from another instance */
 	struct cn cn;
 	GString *buf;
 	struct member *from; /* after its first beat */
 };
 #define MESH_FRAME_MAX (4u << 20) /* bytes: the largest configuration is under a megabyte */
 
+/* mesh_read.c: what is malformed gives -EBADMSG, but an integer 0. */
 int mesh_read_beat(const msgpack_object_array *a, struct mesh_beat *b);
 int mesh_read_row(const msgpack_object *o, struct mesh_row *r);
 int mesh_read_want(const msgpack_object_array *a, struct board_revs *after);
@@ -70,23 +74,37 @@
 
 /* mesh_in.c: dispatches one whole frame. 0 or -EBADMSG. */
 int mesh_dispatch(struct mesh_in *in, const char *p, size_t n);
+
+/* mesh_accept.c: 0 or a negative errno. */
+int mesh_listen(void);
+
 /* mesh.c */
+const struct entry_cfg *mesh_cfg(void);
+const GPtrArray *mesh_members(void);
 int mesh_self_takes_callers(void);
+/* The one at this address, added if it is new. */
+struct member *mesh_member_at(const char *ip);
+/* A beat of m came: it lives. */
+void mesh_heard(struct member *m, const struct mesh_beat *b);
+/* What this instance tells of itself to m. */
+void mesh_write_own_beat(GString *out, const struct member *m);
+
+/* mesh_link.c */
+void mesh_connect(struct member *m);
+/* Nothing is sent where no link is up; one that is full is broken off. */
+void mesh_send(struct member *m, const GString *frame);
+void mesh_send_all(const GString *frame);
+
 /* mesh_know.c */
 void mesh_know_start(void);
 /* Takes what m just said of its lists: how sure it is, and that it knows more. */
 void mesh_learn_from(struct member *m);
 /* Asks m for what this instance lacks; not again while an answer may be under way. */
 void mesh_ask(struct member *m);
-struct member *mesh_member_at(const char *ip);
-void mesh_heard(struct member *m, const struct mesh_beat *b);
-void mesh_send(struct member *m, const GString *frame);
-const struct entry_cfg *mesh_cfg(void);
-const GPtrArray *mesh_members(void);
+
 /* mesh_loads.c */
 void mesh_take_loads(struct member *m, const msgpack_object_array *a);
 void mesh_drop_loads(struct member *m);
 void mesh_write_all_loads(GString *out);
 void mesh_loads_start(void);
-void mesh_send_all(const GString *frame);
 #endif
