A stopped source is asked as often as the target; a copy's dead engine is ejected; loads told to one

Causes: refusals of a copy were counted over the whole life of a stream, so that after three at the target one from the source ended it; an engine that refused the connection of a request for its copy was not ejected; a whole load message to one instance marked the changes as told to all (they came two seconds late to the others); an instance whose work on an engine had ended could be the one to ask for its report, and did not. Change: counted anew for each copy; ejected; marked when told to all; only those with work count. Tests: a_stopped_source_is_asked_as_often_as_the_target and a_copy_s_engine_that_is_gone_is_left_alone, both failed before; the two in the mesh have none. Left open: a whole load message carries 256 rows at most; a heartbeat's address is not checked.

--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -89,7 +89,7 @@
 		struct be *b = g_ptr_array_index(all, i);
 
 		if (whole ? idle(b) : !b->dirty) continue;
-		b->dirty = 0;
+		if (!whole) b->dirty = 0; /* a whole message goes to one instance */
 		g_strlcpy(row[n].id, b->id, sizeof row[n].id);
 		row[n++].load = b->own;
 	}
@@ -139,8 +139,9 @@
 
 	for (i = 0; i < mesh_members()->len; i++) {
 		struct member *m = g_ptr_array_index(mesh_members(), i);
+		const struct be_load *l = g_hash_table_lookup(m->loads, b->id);
 
-		if (!m->alive || !g_hash_table_contains(m->loads, b->id)) continue;
+		if (!m->alive || !l || !l->used) continue;
 		if (turn_of(m->said.name, b) < mine) return 0;
 	}
 	return 1;
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -104,6 +104,7 @@
 	l->hx = NULL;
 	if (l == r->next) {
 		log_broke(l, "copy_refused", err);
+		if (err == -ECONNREFUSED) be_refused_connection(l->be);
 		move_refused(r, l->not_run);
 		return;
 	}
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -69,6 +69,7 @@
 	}
 	be_ref(m->target);
 	move_count_inbound(m, r->job.prompt + rq_made(r));
+	m->refusals = 0;
 	move_log(r, "stream_move", 0);
 	m->state = MOVE_COPY;
 	move_order(r, 0);
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -49,6 +49,7 @@
 	move_count_inbound(m, 0);
 	be_unref(m->target);
 	m->target = be_ref(m->source);
+	m->refusals = 0;
 	move_use_handle(r);
 }
 
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -570,6 +570,53 @@
 	pw_end();
 }
 
+/* The target turns the copy away for good, the source, which still has it, for a moment. */
+static void a_stopped_source_is_asked_as_often_as_the_target(void)
+{
+	struct pw_entry *e = with_engines(2, 120);
+	struct pw_call *c;
+	struct pw_server *first, *target;
+
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(300);
+	first = pw_run_of(c->id, 0)->server;
+	pw_server_list(first == engines[0] ? engines[1] : engines[0], "draining");
+	pw_run(100);
+	target = pw_server_add("llm", 1);
+	target->copy_status = 503;
+	first->copy_refusals = 2;
+	pw_run(300);
+	pw_server_list(first, "draining");
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 120));
+	CU_ASSERT(target->copies > 0);
+	pw_end();
+}
+
+/* The engine that holds the copies died, too: found once, for all requests. */
+static void a_copy_s_engine_that_is_gone_is_left_alone(void)
+{
+	struct pw_entry *e = with_engines(3, 60);
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 9000);
+	struct pw_run *run;
+	int i;
+
+	pw_run(300);
+	run = pw_run_of(c->id, 0);
+	for (i = 0; i < 3; i++)
+		if (!strcmp(engines[i]->address, run->backup)) pw_server_die(engines[i]);
+	pw_server_die(run->server);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	for (i = 0; i < 4; i++) {
+		c = pw_ask(e, "POST", "/chat/", 9000);
+		CU_ASSERT(pw_call_wait(c, 3000));
+		CU_ASSERT(pw_stream_whole(c, 60));
+	}
+	/* The engine that broke off may be tried once more. */
+	CU_ASSERT(pw_metric(e, "saddlehead_retried_total{reason=\"connect\"}") <= 1);
+	pw_end();
+}
+
 static void an_engine_that_leaves_gets_no_new_work(void)
 {
 	struct pw_entry *e = with_engines(2, 5);
@@ -619,6 +666,10 @@
 	{"engines_are_asked_whether_they_leave_while_the_store_is_silent",
 	 engines_are_asked_whether_they_leave_while_the_store_is_silent},
 	{"a_stream_without_a_backup_is_moved", a_stream_without_a_backup_is_moved},
+	{"a_stopped_source_is_asked_as_often_as_the_target",
+	 a_stopped_source_is_asked_as_often_as_the_target},
+	{"a_copy_s_engine_that_is_gone_is_left_alone",
+	 a_copy_s_engine_that_is_gone_is_left_alone},
 	{"an_engine_that_leaves_gets_no_new_work", an_engine_that_leaves_gets_no_new_work},
 };
 
