A probe that failed says so in the log

Cause: an engine's report that was asked for and did not come left no line, found by reading the change. Change: probe_failed with server, error and status; nothing else. Test of the probes run again, green.

--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -10,6 +10,7 @@
 #include "dialect.h"
 #include "ev.h"
 #include "hx.h"
+#include "jlog.h"
 #include "mesh.h"
 #include "met.h"
 #include <errno.h>
@@ -52,11 +53,24 @@
 	mesh_tell_leaving(pr->be);
 }
 
+static void log_failed(const struct probe *pr, int err, int status)
+{
+	GString *g = jlog_begin("fleet", "probe_failed");
+
+	jlog_str(g, "backend", pr->be->id);
+	jlog_int(g, "error", err);
+	jlog_int(g, "status", status);
+	jlog_end(g);
+}
+
 static void on_end(struct hx *x, int err)
 {
 	struct probe *pr = x->user;
 
-	if (!err && x->hp.head.status == 200) take_report(pr);
+	if (!err && x->hp.head.status == 200)
+		take_report(pr);
+	else
+		log_failed(pr, err, x->hp.head.status);
 	if (err == -ECONNREFUSED) be_refused_connection(pr->be);
 	probe_free(pr);
 }
