A stream whose connection fell silent is moved away on the engine's word

Cause: a connection may go silent for good while new ones work. A stream without a running copy was then left until its caller gave up; with fewer copies kept, that is most streams. Change: after the silence that counts as an engine's death the memory is asked for by a move over a new connection; once the source has stopped, the stream goes on though its own connection never ends. Ruled out: asking the source once more after it has stopped (it answers that there is no such run). Test: a_stream_on_a_dead_connection_goes_on, failed before: the stream stayed at its 20th event.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -183,6 +183,8 @@
 /* rq_move.c */
 void move_init(struct rq *r);
 void move_begin(struct rq *r);
+/* The same without a notice: no event has come from its engine for long. */
+void move_from_silent(struct rq *r);
 /* The first event came, or another change that may let a move go on. */
 void move_go_on(struct rq *r);
 /* The source's stream ended without its end. 1: the move goes on without it. */
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -118,7 +118,12 @@
 
 	switch (r->move.state) {
 	case MOVE_SETTLE: move_go_on(r); return;
-	case MOVE_LAST: move_order(r, 1); return;
+	case MOVE_LAST:
+		if (r->move.stopped)
+			move_use_handle(r);
+		else
+			move_order(r, 1);
+		return;
 	case MOVE_NEXT: move_use_again(r); return;
 	case MOVE_NONE:
 	case MOVE_COPY: return;
@@ -141,6 +146,13 @@
 	move_go_on(r);
 }
 
+void move_from_silent(struct rq *r)
+{
+	if (!r->service->moves || !r->leg->hx) return;
+	r->move.tries = 0;
+	move_copy_begin(r);
+}
+
 void move_lost(struct rq *r, const char *why)
 {
 	move_stop(r);
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -49,7 +49,8 @@
 	rq_place(r);
 }
 
-/* A stream whose engine fell silent goes on from its running copy, where there is one. */
+/* A stream whose engine fell silent goes on from its running copy. Without one its memory is
+ * asked for: the connection alone may be dead, and the engine still answers on another. */
 static void on_stall_look(struct ev_timer *t)
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, stall_timer));
@@ -63,7 +64,7 @@
 	if (clock_us() - r->event_us < stall_us(r)) return;
 	r->event_us = clock_us();
 	be_failed(r->leg->be, "silent");
-	move_to_backup(r);
+	if (move_to_backup(r)) move_from_silent(r);
 }
 
 void rq_set_times(struct rq *r)
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -628,6 +628,24 @@
 	pw_end();
 }
 
+/* Nothing more comes on its connection, without a reset; the engine answers on others. */
+static void a_stream_on_a_dead_connection_goes_on(void)
+{
+	struct pw_entry *e = with_engines(1, 60);
+	struct pw_call *c;
+
+	engines[0]->mode = PW_SILENT;
+	engines[0]->break_after = 20;
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(300);
+	pw_server_add("llm", 1)->events = 60;
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_whole(c, 60));
+	CU_ASSERT(pw_run_of(c->id, 0)->stopped);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	pw_end();
+}
+
 /* The target turns the copy away for good, the source, which still has it, for a moment. */
 static void a_stopped_source_is_asked_as_often_as_the_target(void)
 {
@@ -728,6 +746,7 @@
 	 streams_of_two_instances_are_moved_one_after_the_other},
 	{"a_target_without_room_is_left_for_another",
 	 a_target_without_room_is_left_for_another},
+	{"a_stream_on_a_dead_connection_goes_on", a_stream_on_a_dead_connection_goes_on},
 	{"a_stopped_source_is_asked_as_often_as_the_target",
 	 a_stopped_source_is_asked_as_often_as_the_target},
 	{"a_copy_s_engine_that_is_gone_is_left_alone",
