Admission by forecast: a request waits while it can begin in time, else is told at once when to come back

Cause: what found no room waited a fixed quarter of its aim, whatever was known, and was told a fixed time to come back; an engine without room could be chosen, and waited for, while another one had room. Change: src/core/forecast.c works out when memory is free again from the loads of all instances (expected lengths, pace, requests that wait before it, the first of many engines). A request waits while that and the usual time to a first token leave it within its aim; once they don't it is refused with that time, spread, the most urgent soonest. Engines with room go first. Own histograms wait_seconds and wait_forecast_off_seconds, log line request_waited.

--- a/include/saddlehead/length.h
+++ b/include/saddlehead/length.h
@@ -8,6 +8,7 @@
 	double n, mean, var;     /* of ln(tokens) */
 	double hint_n, hint_var; /* of ln(hint / tokens) */
 	double token_us;         /* from one token to the next; 0: none was seen yet */
+	double start_us;         /* from sending to the first token; 0: none was seen yet */
 	uint32_t answers;        /* that came in time, streams or not */
 };
 
@@ -15,6 +16,8 @@
 void length_observe(struct length_stats *s, uint32_t tokens, uint32_t hint);
 /* It made so many tokens in so many microseconds, its first one not counted. */
 void length_observe_pace(struct length_stats *s, uint32_t tokens, int64_t took_us);
+/* Its first token came so many microseconds after it was sent. */
+void length_observe_start(struct length_stats *s, int64_t took_us);
 /* Tokens that one is still expected to make which made so many. most: the caller's bound, 0:
  * none. */
 uint32_t length_remaining(const struct length_stats *s, uint32_t hint, uint32_t most,
--- a/src/base/met.c
+++ b/src/base/met.c
@@ -51,9 +51,8 @@
 	"engines_kept", "table_version", "draining",      "watches",
 };
 static const char *const hist_names[MET_HIST_MAX] = {
-	"first_token_seconds",
-	"between_tokens_seconds",
-	"stall_seconds",
+	"first_token_seconds", "between_tokens_seconds",    "stall_seconds",
+	"wait_seconds",        "wait_forecast_off_seconds",
 };
 
 static atomic_uint_fast64_t counts[MET_COUNT_MAX];
--- a/src/core/length.c
+++ b/src/core/length.c
@@ -33,12 +33,20 @@
 	s->hint_var += (d * d - s->hint_var) / s->hint_n;
 }
 
-void length_observe_pace(struct length_stats *s, uint32_t tokens, int64_t took_us)
+static void learn(double *mean, double newest)
 {
-	double each = tokens ? (double)took_us / tokens : 0;
+	if (newest <= 0) return;
+	*mean = *mean > 0 ? *mean + (newest - *mean) * PACE_STEP : newest;
+}
 
-	if (each <= 0) return;
-	s->token_us = s->token_us > 0 ? s->token_us + (each - s->token_us) * PACE_STEP : each;
+void length_observe_start(struct length_stats *s, int64_t took_us)
+{
+	learn(&s->start_us, (double)took_us);
+}
+
+void length_observe_pace(struct length_stats *s, uint32_t tokens, int64_t took_us)
+{
+	if (tokens) learn(&s->token_us, (double)took_us / tokens);
 }
 
 static double blend(double known, double n, double guess)
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -98,14 +98,24 @@
 	c->draw = next_draw(c->draw);
 }
 
+static int any_fits(const struct place_site *s, int n, const struct place_job *j)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (s[i].usable && place_fits(&s[i], j)) return 1;
+	return 0;
+}
+
+/* Where it fits, if it fits anywhere: elsewhere it would wait with room to be had. */
 int place_generation(const struct place_site *s, int n, const struct place_job *j,
 		     uint32_t draw)
 {
 	struct choice c = {.draw = draw, .at = -1};
-	int i;
+	int i, must_fit = any_fits(s, n, j);
 
 	for (i = 0; i < n; i++) {
-		if (!s[i].usable) continue;
+		if (!s[i].usable || (must_fit && !place_fits(&s[i], j))) continue;
 		choose(&c, i, generation_cost(&s[i], j) / TIE);
 	}
 	return c.at;
--- a/src/fleet/be_sound.c
+++ b/src/fleet/be_sound.c
@@ -118,6 +118,12 @@
 	b->full_until_us = clock_us() + FULL_US;
 }
 
+int64_t be_usable_in(const struct be *b, int64_t now)
+{
+	if (b->state != BE_READY) return INT64_MAX;
+	return MAX(MAX(b->ejected_until_us, b->busy_until_us) - now, 0);
+}
+
 int be_usable(const struct be *b, int64_t now)
 {
 	return b->state == BE_READY && b->ejected_until_us <= now && b->busy_until_us <= now;
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -89,6 +89,8 @@
 void be_turned_away(struct be *b);
 /* It has no room for the memory of a stream: others are moved elsewhere for a moment. */
 void be_no_room(struct be *b);
+/* Microseconds until it may get new work, as far as is known; INT64_MAX: it leaves. */
+int64_t be_usable_in(const struct be *b, int64_t now);
 /* May get new work now. */
 int be_usable(const struct be *b, int64_t now);
 /* Entries that lapsed all together are better than nothing for a moment. */
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -43,7 +43,14 @@
 	MET_GAUGE_MAX
 };
 
-enum met_hist { MET_H_FIRST_TOKEN, MET_H_BETWEEN, MET_H_STALL, MET_HIST_MAX };
+enum met_hist {
+	MET_H_FIRST_TOKEN,
+	MET_H_BETWEEN,
+	MET_H_STALL,
+	MET_H_WAIT,         /* for room, of those that were sent then */
+	MET_H_FORECAST_OFF, /* between that wait and the one that was foreseen */
+	MET_HIST_MAX
+};
 
 void met_add(enum met_count c, uint64_t n);
 uint64_t met_get(enum met_count c);
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -9,6 +9,7 @@
 #include "hx.h"
 #include "met.h"
 #include "rq.h"
+#include <saddlehead/forecast.h>
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 
@@ -79,11 +80,12 @@
 	struct ev_timer end_timer, stall_timer;
 	struct leg *leg, *next; /* the one that answers; the one that will */
 	struct move move;
-	int waiting;     /* for memory, in the list of rq_wait.c */
-	int64_t wait_us; /* until when it waits */
-	int sends;       /* exchanges that were begun */
-	int unreached;   /* of them, those that reached no server */
-	int runs;        /* of them, those that may have run */
+	int waiting;         /* for memory, in the list of rq_wait.c */
+	int64_t waited_from; /* since when; 0: it has not waited */
+	int64_t foreseen_us; /* how long it was then expected to wait */
+	int sends;           /* exchanges that were begun */
+	int unreached;       /* of them, those that reached no server */
+	int runs;            /* of them, those that may have run */
 	int head_sent;
 	int status;
 	GString *answer; /* of a plain call, until it is whole */
@@ -136,11 +138,15 @@
 struct be *rq_pick_backup(struct leg *l);
 /* Whether the request as it is now fits into b's memory. */
 int rq_fits(const struct rq *r, const struct be *b);
+/* Microseconds until there is room for the request somewhere, after so many tokens that waited
+ * before it; FORECAST_NEVER: not as far as is known. */
+int64_t rq_room_in(const struct rq *r, uint64_t before);
 /* What all instances together have on b. */
 struct be_load rq_load_of(const struct be *b);
 
 /* rq_wait.c */
-/* 1 when r waits for memory from now on. b: where it would go, or NULL. */
+/* 1 when r waits for memory from now on, or is refused as it would wait for too long. b: where
+ * it would go, or NULL. */
 int rq_wait(struct rq *r, const struct be *b);
 void rq_stop_waiting(struct rq *r);
 
@@ -149,6 +155,8 @@
 void leg_count_out(struct leg *l);
 /* Its prompt is read: the first token came. */
 void leg_read(struct leg *l);
+/* Microseconds from one of its tokens to the next, as the route's were lately. */
+double rq_token_us(const struct rq *r);
 /* Counts its memory anew after it grew. */
 void leg_recount(struct leg *l);
 /* Its running copy is of no use any more. */
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -4,7 +4,6 @@
 #include <errno.h>
 
 #define DRAIN_TAKE_US 2000000 /* callers learn of a drain within about so long */
-#define TOKEN_US 9000         /* a token on a busy engine, until one was seen */
 #define DRAIN_MARGIN 2 /* nobody knows a length: one in six is twice as long as expected */
 #define RETRY_DRAIN_US 50000 /* another instance may serve it at once */
 
@@ -52,9 +51,7 @@
 
 static int64_t expected_us(const struct rq *r)
 {
-	double each = rq_lengths(r)->token_us;
-
-	return (int64_t)(r->job.growth * (each > 0 ? each : TOKEN_US));
+	return (int64_t)(r->job.growth * rq_token_us(r));
 }
 
 /* While this instance drains it takes nothing that would outlast it: at first by what is
--- a/src/relay/rq_load.c
+++ b/src/relay/rq_load.c
@@ -3,6 +3,7 @@
 #include "mesh.h"
 #include "rq_impl.h"
 
+#define TOKEN_US 9000     /* a token on a busy engine, until one was seen */
 #define GROWTH_MAX 100000 /* tokens: what grows beyond is seen when it is there */
 
 struct length_stats *rq_lengths(const struct rq *r)
@@ -18,6 +19,13 @@
 	return s;
 }
 
+double rq_token_us(const struct rq *r)
+{
+	double each = rq_lengths(r)->token_us;
+
+	return each > 0 ? each : TOKEN_US;
+}
+
 uint32_t rq_made(const struct rq *r)
 {
 	return r->seen.count * r->service->stride;
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -106,6 +106,33 @@
 	return chosen(r, i);
 }
 
+static void fill_forecast(struct forecast_site *s, const struct be *b, const struct rq *r,
+			  int64_t now)
+{
+	struct be_load all = rq_load_of(b);
+	uint32_t foreseen = all.held + all.backup;
+
+	*s = (struct forecast_site){
+		.usable_in_us = be_usable_in(b, now),
+		.tokens = r->service->tokens,
+		.used = all.used,
+		.growth = foreseen > all.used ? foreseen - all.used : 0,
+		.runs = all.runs,
+		.token_us = rq_token_us(r),
+	};
+}
+
+int64_t rq_room_in(const struct rq *r, uint64_t before)
+{
+	static struct forecast_site s[SITES_MAX];
+	const GPtrArray *list = be_of(r->service->name);
+	int64_t now = clock_us();
+	int i, n = list ? MIN((int)list->len, SITES_MAX) : 0;
+
+	for (i = 0; i < n; i++) fill_forecast(&s[i], g_ptr_array_index(list, i), r, now);
+	return forecast_room_us(s, n, r->job.prompt + r->job.growth / 2, before);
+}
+
 int rq_fits(const struct rq *r, const struct be *b)
 {
 	struct place_job now = {.prompt = r->job.prompt + rq_made(r), .growth = r->job.growth};
--- a/src/relay/rq_wait.c
+++ b/src/relay/rq_wait.c
@@ -1,11 +1,14 @@
-/* Requests that wait for an engine's memory: the most urgent first, for a part of their aim. */
+/* Requests that wait for an engine's memory: the most urgent first, and only while they are
+ * expected to begin in time. The rest are told at once when to come back. */
+#include "clock.h"
+#include "jlog.h"
 #include "rq_impl.h"
 #include <string.h>
 
-#define WAIT_PART 4          /* of the aim: a refusal that comes later helps nobody */
-#define WAIT_SAFE_US 20000   /* before it: for the refusal to arrive */
-#define WAIT_LOOK_US 10000   /* how often what waits is looked at */
-#define COME_BACK_US 1200000 /* memory for one more is free again after about so long */
+#define WAIT_LOOK_US 10000 /* how often what waits is looked at */
+#define START_TIMES 1.5    /* of the usual time to a first token: nine in ten come within it */
+#define LISTS_US 100000    /* the store answers in some ms, a start asks it at once */
+#define COME_BACK_MAX_US 5000000 /* what is foreseen for later may be otherwise by then */
 
 static GPtrArray *waiting; /* the most urgent first, then the oldest */
 static struct ev_timer waiting_timer;
@@ -25,33 +28,91 @@
 	met_set(MET_G_WAITING, waiting->len);
 }
 
-/* Something more urgent, or as urgent and older, waits for the same service. */
-static int must_queue(const struct rq *r)
+/* Tokens of memory that wait for the same service and go first. */
+static uint64_t tokens_before(const struct rq *r)
 {
+	uint64_t sum = 0;
 	uint32_t i;
 
 	for (i = 0; waiting && i < waiting->len; i++) {
 		const struct rq *o = g_ptr_array_index(waiting, i);
 
-		if (!strcmp(o->service->name, r->service->name) && before(o, r)) return 1;
+		if (strcmp(o->service->name, r->service->name) || !before(o, r)) continue;
+		sum += o->job.prompt + o->job.growth / 2;
 	}
-	return 0;
+	return sum;
+}
+
+/* How long r will wait for room after so many tokens of others. No engine at all is known for a
+ * moment after a start: their list is on its way. */
+static int64_t foresee(const struct rq *r, uint64_t first)
+{
+	if (!board_revs().backends) return LISTS_US;
+	return rq_room_in(r, first);
+}
+
+/* Whether its first token still comes within its aim after such a wait. */
+static int in_time(const struct rq *r, int64_t wait_us)
+{
+	int64_t left_us = r->began_us + r->route->aim_us - clock_us();
+	double start_us = rq_lengths(r)->start_us * START_TIMES;
+
+	return wait_us != FORECAST_NEVER && wait_us + (int64_t)start_us <= left_us;
+}
+
+/* Those that are refused come back spread over as long again, the most urgent first. */
+static int64_t come_back_us(const struct rq *r, int64_t wait_us)
+{
+	int64_t least = MIN(MAX(wait_us, RETRY_LATER_US), COME_BACK_MAX_US);
+	int64_t spread = least * (rq_priority(r) + 1) / 10;
+
+	return least + g_random_int_range(0, (gint32)spread + 1);
+}
+
+static void refuse(struct rq *r, int64_t wait_us)
+{
+	char detail[96];
+
+	if (wait_us == FORECAST_NEVER)
+		g_snprintf(detail, sizeof detail,
+			   "no engine will have room as far as is known");
+	else
+		g_snprintf(detail, sizeof detail, "room is foreseen in %d ms, too late",
+			   (int)(wait_us / 1000));
+	rq_stop_waiting(r);
+	rq_refuse(r, wait_us == FORECAST_NEVER ? REF_NO_ENGINE : REF_BUSY,
+		  come_back_us(r, wait_us), detail);
+}
+
+static void log_waited(const struct rq *r, int64_t waited_us)
+{
+	GString *g = jlog_begin("relay", "request_waited");
+
+	jlog_str(g, "request", r->in.id);
+	jlog_int(g, "waited_ms", waited_us / 1000);
+	jlog_int(g, "foreseen_ms", r->foreseen_us / 1000);
+	jlog_end(g);
+	if (!r->group) return;
+	met_observe(met_group(r->group->name), MET_H_WAIT, waited_us);
+	met_observe(met_group(r->group->name), MET_H_FORECAST_OFF,
+		    ABS(waited_us - r->foreseen_us));
 }
 
 /* 1 when it was sent or refused, 0 when it still waits. */
 static int try_waiting(struct rq *r)
 {
 	struct be *b = rq_pick(r, NULL);
+	int64_t now = clock_us(), wait_us;
 
 	if (b && rq_fits(r, b)) {
 		rq_stop_waiting(r);
+		log_waited(r, now - r->waited_from);
 		rq_place(r);
 		return 1;
 	}
-	if (ev_now() < r->wait_us) return 0;
-	rq_stop_waiting(r);
-	rq_refuse(r, b ? REF_BUSY : REF_NO_ENGINE, COME_BACK_US,
-		  b ? "no engine has memory for it" : "no usable engine is known");
+	wait_us = foresee(r, tokens_before(r));
+	if (in_time(r, wait_us)) return 0;
+	refuse(r, wait_us);
 	return 1;
 }
 
@@ -64,13 +125,7 @@
 	if (waiting->len) ev_in(t, WAIT_LOOK_US);
 }
 
-static int should_wait(struct rq *r, const struct be *b)
-{
-	if (!r->service->engine || r->sends || r->waiting || r->wait_us) return 0;
-	return !b || must_queue(r) || !rq_fits(r, b);
-}
-
-static void wait_for_room(struct rq *r)
+static void wait_for_room(struct rq *r, int64_t wait_us)
 {
 	uint32_t i;
 
@@ -80,14 +135,24 @@
 		if (!before(r, g_ptr_array_index(waiting, i - 1))) break;
 	g_ptr_array_insert(waiting, (int)i, r);
 	r->waiting = 1;
-	r->wait_us = r->began_us + r->route->aim_us / WAIT_PART - WAIT_SAFE_US;
+	r->waited_from = clock_us();
+	r->foreseen_us = wait_us;
 	met_set(MET_G_WAITING, waiting->len);
 	if (!waiting_timer.armed) ev_in(&waiting_timer, WAIT_LOOK_US);
 }
 
 int rq_wait(struct rq *r, const struct be *b)
 {
-	if (!should_wait(r, b)) return 0;
-	wait_for_room(r);
+	uint64_t first;
+	int64_t wait_us;
+
+	if (!r->service->engine || r->sends || r->waiting || r->waited_from) return 0;
+	first = tokens_before(r);
+	if (b && !first && rq_fits(r, b)) return 0;
+	wait_us = foresee(r, first);
+	if (in_time(r, wait_us))
+		wait_for_room(r, wait_us);
+	else
+		refuse(r, wait_us);
 	return 1;
 }
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -9,6 +9,7 @@
 #include "hostport.h"
 #include "hp.h"
 #include <errno.h>
+#include <saddlehead/forecast.h>
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 #include <math.h>
@@ -91,6 +92,24 @@
 	CU_ASSERT_EQUAL(place_generation(s, 2, &longer, 7), 1);
 }
 
+static void an_engine_with_room_goes_first(void)
+{
+	struct place_site s[2] = {
+		{.usable = 1, .tokens = 10000, .used = 8000, .held = 8000, .runs = 1},
+		{.usable = 1,
+		 .tokens = 10000,
+		 .used = 2000,
+		 .held = 9500,
+		 .runs = 1,
+		 .unread = 9000},
+	};
+	struct place_job j = {2000, 0};
+
+	CU_ASSERT_EQUAL(place_generation(s, 2, &j, 7), 1);
+	s[1].used = 8000; /* none has: by cost alone */
+	CU_ASSERT_EQUAL(place_generation(s, 2, &j, 7), 0);
+}
+
 static void equal_engines_are_drawn_evenly(void)
 {
 	struct place_site s[8];
@@ -183,6 +202,98 @@
 	CU_ASSERT_EQUAL(place_move(s, 4, &j, 1), 1); /* full: better than nowhere */
 }
 
+#define RUNS 12
+#define TRIES 400
+
+/* One engine played out: runs end as they come, those left grow; when need fits. */
+static double played_us(uint32_t tokens, const uint32_t *used, const double *ends_us, int n,
+			uint32_t need, double token_us)
+{
+	double at[RUNS], now = 0;
+	int i, k;
+
+	memcpy(at, ends_us, n * sizeof *at);
+	for (k = 0; k <= n; k++) {
+		double next = 1e18;
+		uint64_t sum = need;
+
+		for (i = 0; i < n; i++) {
+			if (at[i] <= now) continue;
+			sum += used[i] + (uint64_t)(now / token_us);
+			next = MIN(next, at[i]);
+		}
+		if (sum * 100 <= (uint64_t)tokens * 95) return now;
+		now = next;
+	}
+	return now;
+}
+
+/* The mean of the waits that came on so many engines side by side, by the mean foreseen. */
+static double foreseen_by_came(GRand *rnd, int engines)
+{
+	struct forecast_site s[8];
+	double foreseen = 0, came = 0;
+	int t, e, i;
+
+	for (t = 0; t < TRIES; t++) {
+		double first = 1e18;
+
+		for (e = 0; e < engines; e++) {
+			uint32_t used[RUNS];
+			double ends_us[RUNS];
+
+			s[e] = (struct forecast_site){
+				.tokens = 34000, .token_us = 8000, .runs = RUNS};
+			for (i = 0; i < RUNS; i++) {
+				double left = -800 * log(g_rand_double_range(rnd, 1e-6, 1));
+
+				used[i] = g_rand_int_range(rnd, 2300, 3000);
+				ends_us[i] = left * s[e].token_us;
+				s[e].used += used[i];
+				s[e].growth += 800;
+			}
+			first = MIN(first, played_us(s[e].tokens, used, ends_us, RUNS, 4000,
+						     s[e].token_us));
+		}
+		foreseen += forecast_room_us(s, engines, 4000, 0);
+		came += first;
+	}
+	return foreseen / came;
+}
+
+/* On the mean of many draws with exponential remaining lengths the wait that is foreseen is the
+ * one that comes. */
+static void a_wait_is_foreseen(void)
+{
+	GRand *rnd = g_rand_new_with_seed(5);
+	double one = foreseen_by_came(rnd, 1), four = foreseen_by_came(rnd, 4);
+
+	if (fabs(one - 1) > 0.25 || fabs(four - 1) > 0.35)
+		g_print("foreseen by came: %f, of four engines %f\n", one, four);
+	CU_ASSERT(fabs(one - 1) <= 0.25);
+	CU_ASSERT(fabs(four - 1) <= 0.35);
+	g_rand_free(rnd);
+}
+
+static void a_forecast_knows_what_is_free_busy_and_hopeless(void)
+{
+	struct forecast_site s[2] = {
+		{.tokens = 10000, .used = 9000, .growth = 1000, .runs = 4, .token_us = 9000},
+		{.tokens = 10000, .used = 9000, .growth = 100, .runs = 4, .token_us = 9000},
+	};
+	int64_t soon = forecast_room_us(s, 2, 2000, 0);
+
+	CU_ASSERT(soon > 0 && soon < forecast_room_us(s, 1, 2000, 0));
+	CU_ASSERT(forecast_room_us(s, 2, 2000, 8000) > soon); /* others come first */
+	s[1].usable_in_us = 5000000;
+	CU_ASSERT(forecast_room_us(s, 2, 2000, 0) > soon);
+	s[1] = (struct forecast_site){.tokens = 10000, .usable_in_us = 300};
+	CU_ASSERT_EQUAL(forecast_room_us(s, 2, 2000, 0), 300);
+	s[0].usable_in_us = s[1].usable_in_us = FORECAST_NEVER;
+	CU_ASSERT_EQUAL(forecast_room_us(s, 2, 2000, 0), FORECAST_NEVER);
+	CU_ASSERT_EQUAL(forecast_room_us(s, 0, 2000, 0), FORECAST_NEVER);
+}
+
 static void a_call_goes_to_the_quickest(void)
 {
 	struct place_site s[3] = {
@@ -494,12 +605,16 @@
 	{"a_generation_goes_where_least_waits", a_generation_goes_where_least_waits},
 	{"a_long_prompt_stays_away_from_running_streams",
 	 a_long_prompt_stays_away_from_running_streams},
+	{"an_engine_with_room_goes_first", an_engine_with_room_goes_first},
 	{"equal_engines_are_drawn_evenly", equal_engines_are_drawn_evenly},
 	{"room_is_what_is_left_for_half_of_the_growth",
 	 room_is_what_is_left_for_half_of_the_growth},
 	{"copies_need_free_memory", copies_need_free_memory},
 	{"copies_of_many_instances_are_spread", copies_of_many_instances_are_spread},
 	{"a_move_goes_where_memory_arrives_soonest", a_move_goes_where_memory_arrives_soonest},
+	{"a_wait_is_foreseen", a_wait_is_foreseen},
+	{"a_forecast_knows_what_is_free_busy_and_hopeless",
+	 a_forecast_knows_what_is_free_busy_and_hopeless},
 	{"a_call_goes_to_the_quickest", a_call_goes_to_the_quickest},
 	{"lengths_are_learnt_and_hints_weighed", lengths_are_learnt_and_hints_weighed},
 	{"repeats_of_all_instances_keep_within_the_allowance",
