--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -6,8 +6,8 @@
 #include <errno.h>
 #include <string.h>
 
-/* An engine that leaves is gone by then; one that doesn't is out for so long. At 1 s it got new
- * work once its streams were moved and nobody asked any more: 27 late streams a day, not 12. */
+/* An engine that leaves is gone by then; one that doesn't is out for so long. Less, and it
+ * would get new work before its end, once its streams were moved and nobody asked any more. */
 #define SUSPECT_US 3000000
 #define FORGET_US 30000000 /* a gone entry is remembered: late word must not revive it */
 
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -7,9 +7,6 @@
 #include "met.h"
 #include <string.h>
 
-/* Without a confirmation for so long the platform is away: it is confirmed every 0.9 to 1.8 s.
- */
-#define AWAY_US 2200000
 /* After its return entries that had lapsed come back within some two seconds. */
 #define BACK_US 2000000
 
@@ -59,7 +56,8 @@
 void board_confirm(uint64_t revision, int64_t at_us)
 {
 	if (!conf || revision != conf->revision || at_us <= confirmed_us) return;
-	if (confirmed_us != BOARD_NEVER && at_us - confirmed_us > AWAY_US) back_us = clock_us();
+	if (confirmed_us != BOARD_NEVER && at_us - confirmed_us > BOARD_OLD_US)
+		back_us = clock_us();
 	confirmed_us = at_us;
 }
 
@@ -116,7 +114,7 @@
 	int64_t now = clock_us();
 
 	if (confirmed_us == BOARD_NEVER) return 0;
-	return now - confirmed_us > AWAY_US || now - back_us < BACK_US;
+	return now - confirmed_us > BOARD_OLD_US || now - back_us < BACK_US;
 }
 
 static void take_backend(const struct st_item *i)
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -16,10 +16,9 @@
 #include "met.h"
 #include <errno.h>
 
-/* Older lists tell nothing: the store confirms them every 0.9 to 1.8 s while it answers. */
-#define LISTS_OLD_US 2200000
-/* The same where an instance was failed by the store: with engines taken away while the store
- * was silent, 9.6 streams of 217 a day broke and not 21.8 (12 days, standard error 3). */
+/* Lists that tell nothing any more where an instance was failed by the store: with engines
+ * taken away while the store was silent, 9.6 streams of 217 a day broke and not 21.8 (12 days,
+ * standard error 3). */
 #define DOUBT_OLD_US 1000000
 #define TICK_US \
 	100000 /* an engine gives some 1.5 s of notice, a move takes 0.2 to 0.4 s of it */
@@ -144,7 +143,7 @@
 {
 	int64_t age_us = clock_us() - board_confirmed_us();
 
-	return age_us > (mesh_store_in_doubt() ? DOUBT_OLD_US : LISTS_OLD_US);
+	return age_us > (mesh_store_in_doubt() ? DOUBT_OLD_US : BOARD_OLD_US);
 }
 
 static void on_tick(struct ev_timer *t)
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -52,7 +52,7 @@
 	uint32_t bad_row; /* bad ends without a good one between, each of another instance */
 	uint32_t bad_by;  /* whose the last of them was */
 	double answer_us; /* moving average of plain answers; 0: none yet */
-	int probed;       /* its report was asked for and has not come */
+	int probed;       /* its health check or report was asked for and has not come */
 	int dirty;        /* own load changed since peers were told */
 };
 
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -28,6 +28,9 @@
 void board_confirm(uint64_t revision, int64_t at_us);
 /* A time so long past that any age worked out from it is too great. */
 #define BOARD_NEVER (INT64_MIN / 2)
+/* Lists that were confirmed longer ago tell nothing, and the platform is taken to be away: it
+ * confirms them every 0.9 to 1.8 s while it answers. Microseconds. */
+#define BOARD_OLD_US 2200000
 /* When it was last sure, or BOARD_NEVER. */
 int64_t board_confirmed_us(void);
 /* Called after a new configuration is in force; set once, may be NULL. */
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -12,9 +12,8 @@
 
 #define SETTLE_US 400000    /* a prompt's memory crosses a link in 0.2 to 0.4 s */
 #define TURN_MAX_US 1000000 /* engines leave some two seconds after their notice */
-#define TURN_LOOK_US \
-	10000        /* how often one that waits for its turn looks; a move takes 200 ms */
-#define TURN_TIMES 2 /* a move to another data centre takes twice as long */
+#define TURN_LOOK_US 10000  /* between two looks at whose turn it is: a move takes 200 ms */
+#define TURN_TIMES 2        /* a move to another data centre takes twice as long */
 
 void move_log(const struct rq *r, const char *event, int status)
 {
