Tests of the platform path in seven files, one matter each

Cause: three files had grown to 946, 745 and 637 lines and held what waits, what leaves, what instances tell each other and what decides beside what they were named for. Change: test_wait, test_leave, test_mesh and test_place taken out; the key's question and the stream's server are asked for by one function each.

--- a/Makefile
+++ b/Makefile
@@ -52,12 +52,12 @@
 # Tests of the platform path: a small platform in the test's process, the real program beside it.
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_entry pw_store pw_server pw_run pw_conf pw_caller) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
-PW_TESTS = $(B)/test/test_relay $(B)/test/test_entry
+PW_TESTS = $(patsubst %,$(B)/test/test_%,relay wait leave entry mesh)
 $(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
 SOAK_OBJ = $(patsubst %,$(B)/test/%.o,soak soak_proxy soak_draw soak_server soak_fault soak_caller soak_check)
 $(B)/test/soak_main $(B)/test/test_soak: $(SOAK_OBJ) $(PW_OBJ)
 PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be*.c src/relay/evs.c platform/*.c))
-$(B)/test/test_pure $(B)/test/test_fuzz: $(PURE_OBJ)
+$(B)/test/test_pure $(B)/test/test_place $(B)/test/test_fuzz: $(PURE_OBJ)
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/test/fleet.o $(B)/libsaddlehead.a
--- a/test/pw.h
+++ b/test/pw.h
@@ -204,6 +204,8 @@
 /* The same with k1, an id, a deadline and a prompt. */
 struct pw_call *pw_ask(struct pw_entry *e, const char *method, const char *path,
 		       int deadline_ms);
+/* The status of a safe call with that key. */
+int pw_status_of_key(struct pw_entry *e, const char *key);
 void pw_call_leave(struct pw_call *c);
 /* Frees the calls of a test that ends. */
 void pw_calls_end(void);
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -97,6 +97,19 @@
 	return c;
 }
 
+int pw_status_of_key(struct pw_entry *e, const char *key)
+{
+	char fields[128];
+	struct pw_call *c;
+	static int n;
+
+	g_snprintf(fields, sizeof fields, "X-Request-Id: key%d\r\nX-Credential: %s\r\n", ++n,
+		   key);
+	c = pw_call(e, "GET", "/safe/", fields, NULL);
+	pw_call_wait(c, 2000);
+	return c->status;
+}
+
 void pw_call_leave(struct pw_call *c)
 {
 	if (c->x) hx_cancel(c->x);
--- /dev/null
+++ b/test/test_wait.c
@@ -0,0 +1,98 @@
+/* Requests that wait for an engine's memory, or are told at once when to come back. */
+#include "check.h"
+#include "pw.h"
+#include <stdlib.h>
+
+/* An engine with memory for two streams. */
+static struct pw_entry *with_little_memory(struct pw_server **s)
+{
+	pw_init();
+	pw_conf.tokens = 2500;
+	pw_conf.version++;
+	pw_conf_write();
+	*s = pw_server_add("llm", 1);
+	(*s)->events = 6;
+	return pw_entry_ready();
+}
+
+/* Ten streams of six events: the entry learns how long they are. */
+static void learn_lengths(struct pw_entry *e)
+{
+	int i;
+
+	for (i = 0; i < 10; i++)
+		CU_ASSERT(pw_call_wait(pw_ask(e, "POST", "/chat/", 5000), 2000));
+}
+
+static void what_can_begin_in_time_waits_for_room(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e = with_little_memory(&s);
+	struct pw_call *c[3];
+	int i;
+
+	learn_lengths(e);
+	s->events = 20; /* 200 ms, more than a quarter of the aim */
+	for (i = 0; i < 3; i++) c[i] = pw_ask(e, "POST", "/chat/", 5000);
+	pw_run(60);
+	CU_ASSERT_EQUAL(pw_runs_of(c[2]->id), 0);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_waiting"), 1);
+	CU_ASSERT(pw_call_wait(c[2], 2000));
+	CU_ASSERT_EQUAL(c[2]->status, 200);
+	CU_ASSERT(pw_log_has(e, "request_waited"));
+	pw_end();
+}
+
+static void what_can_t_begin_in_time_is_refused_at_once(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e = with_little_memory(&s);
+	struct pw_call *c[3];
+	int i;
+
+	s->events = 400;
+	for (i = 0; i < 2; i++) c[i] = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(50); /* by their callers' hints they run on for longer than the aim */
+	c[2] = pw_ask(e, "POST", "/chat/", 9000);
+	CU_ASSERT(pw_call_wait(c[2], 100));
+	CU_ASSERT_EQUAL(c[2]->status, 503);
+	CU_ASSERT_EQUAL(pw_runs_of(c[2]->id), 0);
+	CU_ASSERT(atof(c[2]->retry_after) >= 0.4);
+	CU_ASSERT(pw_log_has(e, "is foreseen in"));
+	for (i = 0; i < 2; i++) pw_call_leave(c[i]);
+	pw_end();
+}
+
+static void the_most_urgent_of_those_that_wait_goes_first(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e = with_little_memory(&s);
+	struct pw_call *c[2], *later, *urgent;
+	int i;
+
+	learn_lengths(e);
+	s->events = 20;
+	c[0] = pw_ask(e, "POST", "/chat/", 5000);
+	pw_run(100); /* room comes for one at a time */
+	c[1] = pw_ask(e, "POST", "/chat/", 5000);
+	pw_run(20);
+	later = pw_ask(e, "POST", "/chat/", 5000);
+	pw_run(20);
+	urgent = pw_ask(e, "POST", "/sum/", 5000);
+	for (i = 0; i < 2; i++) CU_ASSERT(pw_call_wait(c[i], 2000));
+	CU_ASSERT(pw_call_wait(later, 2000));
+	CU_ASSERT(pw_call_wait(urgent, 2000));
+	CU_ASSERT_EQUAL(urgent->status, 200);
+	CU_ASSERT(later->status == 503 || urgent->first_us < later->first_us);
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"what_can_begin_in_time_waits_for_room", what_can_begin_in_time_waits_for_room},
+	{"what_can_t_begin_in_time_is_refused_at_once",
+	 what_can_t_begin_in_time_is_refused_at_once},
+	{"the_most_urgent_of_those_that_wait_goes_first",
+	 the_most_urgent_of_those_that_wait_goes_first},
+};
+
+CHECK_MAIN(list)
