A few instances take callers, inform the rest and ask the store; the rest of a large fleet stands by

Ruled out: longer intervals alone (fleet squared stays), gossip (counts come after several rounds), owners of counts (a round trip for each request). docs/PLATFORM.md.

Change. src/core/roles.c (pure): by link width and hash the first 16 are active, 3 more are hubs without callers that watch and confirm; links only where one side is a hub; loads only to those that callers come to; a store that answers nobody is asked by two, by the rest together once in 2 s; on the first start the lists come from the few that watch. Whoever is refused a copy of the lists hears of four that have one.

Tests, failing before: one_of_many_stands_by, a_store_that_is_away_is_left_to_few, one_that_is_turned_away_asks_who_has_it, test_roles.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -49,8 +49,8 @@
 	"peer_fetches_refused",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
-	"waiting",      "running",       "open_requests", "members",
-	"engines_kept", "table_version", "draining",      "watches",
+	"waiting",       "running",  "open_requests", "members", "engines_kept",
+	"table_version", "draining", "watches",       "active",
 };
 static const char *const hist_names[MET_HIST_MAX] = {
 	"first_token_seconds", "between_tokens_seconds",    "stall_seconds",
--- /dev/null
+++ b/src/core/roles.c
@@ -0,0 +1,80 @@
+/* Rank, and what follows from it. */
+#include <saddlehead/roles.h>
+#include <stdlib.h>
+
+#define WATCHERS 3 /* two may be lost at once */
+/* Two ask a store that is away: one of them may be the one that it turns away. */
+#define ASKERS 2
+/* Of rest for each instance: what is asked in spite of others is half a call a second. */
+#define REST_EACH_US 2000000
+
+static int by_rank(const void *a, const void *b)
+{
+	const struct roles_peer *x = a, *y = b;
+
+	if (x->link_mbps != y->link_mbps) return x->link_mbps > y->link_mbps ? -1 : 1;
+	if (x->hash != y->hash) return x->hash < y->hash ? -1 : 1;
+	return 0;
+}
+
+void roles_choose(struct roles_peer *p, int n)
+{
+	int i, before = 0;
+
+	qsort(p, n, sizeof *p, by_rank);
+	for (i = 0; i < n; i++) {
+		int able = p[i].state != ROLES_AWAY;
+
+		p[i].active = able && before < ROLES_ACTIVE;
+		p[i].hub = able && before < ROLES_ACTIVE + ROLES_SPARE;
+		before += able;
+	}
+}
+
+/* Who was not heard yet does nothing for others. */
+static int is_up(const struct roles_peer *p)
+{
+	return p->hub && p->state == ROLES_ALIVE;
+}
+
+/* Whether self is among the first so many hubs; those without callers come first. */
+static int among_first(const struct roles_peer *p, int n, int most, int store_down_too)
+{
+	int i, active;
+
+	for (active = 0; active <= 1; active++) {
+		for (i = 0; i < n && most > 0; i++) {
+			if (!is_up(&p[i]) || p[i].active != active) continue;
+			if (p[i].store_down && !store_down_too) continue;
+			if (p[i].self) return 1;
+			most--;
+		}
+	}
+	return 0;
+}
+
+int roles_watches(const struct roles_peer *p, int n)
+{
+	return among_first(p, n, WATCHERS, 0);
+}
+
+int roles_asks(const struct roles_peer *p, int n)
+{
+	return !roles_store_answers(p, n) && among_first(p, n, ASKERS, 1);
+}
+
+int roles_store_answers(const struct roles_peer *p, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (is_up(&p[i]) && !p[i].store_down) return 1;
+	return 0;
+}
+
+int64_t roles_rest_us(int instances, uint32_t draw)
+{
+	uint64_t most = 2 * (uint64_t)instances * REST_EACH_US;
+
+	return (int64_t)((most >> 8) * (draw >> 8) >> 16);
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -196,7 +196,7 @@
 		return err_set(e, rc, STEP_PEER, c->ip, "can't listen for peers: %s",
 			       strerror(-rc));
 	st_init(&c->platform);
-	watch_start();
+	watch_start(c->first_start);
 	roster_start(c);
 	probe_start();
 	state_timer.fire = on_state;
--- a/src/fleet/mesh_fetch.c
+++ b/src/fleet/mesh_fetch.c
@@ -21,16 +21,27 @@
 /* While fetching: how long nothing may come. Else: when the next one is asked. */
 static struct ev_timer timer;
 
-static int knows_more(const struct member *m)
+static int is_more(struct board_revs revs)
 {
 	struct board_revs mine = board_revs();
 
-	return m->said.revs.conf > mine.conf || m->said.revs.backends > mine.backends;
+	return revs.conf > mine.conf || revs.backends > mine.backends;
+}
+
+/* By its own word, or by that of one that turned this instance away. */
+static int knows_more(const struct member *m)
+{
+	return is_more(m->said.revs) || is_more(m->held);
+}
+
+static int may_have_it(const struct member *m)
+{
+	return (m->alive && is_more(m->said.revs)) || is_more(m->held);
 }
 
 static int can_be_asked(const struct member *m)
 {
-	return m->alive && knows_more(m) && clock_us() >= m->fetch_after_us;
+	return may_have_it(m) && clock_us() >= m->fetch_after_us;
 }
 
 /* The wider its link, the likelier an instance is asked; it may not have told how wide. */
@@ -66,7 +77,7 @@
 	for (i = 0; i < all->len; i++) {
 		const struct member *m = g_ptr_array_index(all, i);
 
-		if (m->alive && knows_more(m)) return 1;
+		if (may_have_it(m)) return 1;
 	}
 	return 0;
 }
@@ -90,6 +101,8 @@
 static void try_another(void)
 {
 	fetch->from->fetch_after_us = clock_us() + REFUSED_US;
+	/* What others said of it was wrong, or is no more use than its own word. */
+	fetch->from->held = (struct board_revs){0};
 	drop();
 	look_again();
 }
@@ -125,7 +138,7 @@
 	(void)c;
 	received += n;
 	ev_in(&timer, SILENT_US);
-	if (mesh_cut_frames(fetch, p, n)) {
+	if (mesh_cut_frames(fetch, p, n) || fetch->turned_away) {
 		try_another();
 		return;
 	}
@@ -133,6 +146,7 @@
 	if (knows_more(fetch->from) && fetch->buf->len) return;
 	log_fetched();
 	drop();
+	mesh_beat_now(); /* it can be had here, too */
 	if (anybody_knows_more()) look_again();
 }
 
@@ -186,6 +200,11 @@
 	ev_in(&timer, g_random_int_range(0, spread));
 }
 
+void mesh_fetch_holder(struct member *m, struct board_revs held)
+{
+	m->held = held;
+}
+
 int mesh_fetching(void)
 {
 	return fetch && received;
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -11,7 +11,7 @@
 
 	if (mesh_read_beat(a, &b)) return -EBADMSG;
 	if (!strcmp(b.name, mesh_cfg()->instance)) return -EBADMSG;
-	in->from = mesh_member_at(b.ip);
+	if (!in->from || strcmp(in->from->ip, b.ip)) in->from = mesh_member_at(b.ip);
 	mesh_heard(in->from, &b);
 	return 0;
 }
@@ -85,7 +85,38 @@
 
 	for (k = 1; k < a->size; k++) {
 		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
-		mesh_learn(ip);
+		mesh_learn(ip, 0);
+	}
+	return 0;
+}
+
+static int take_peers(const msgpack_object_array *a)
+{
+	char ip[ENTRY_TEXT_MAX + 1];
+	uint32_t k;
+
+	for (k = 1; k + 1 < a->size; k += 2) {
+		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
+		mesh_learn(ip, mesh_mbps(&a->ptr[k + 1]));
+	}
+	return 0;
+}
+
+/* What it has itself, and who else has it. */
+static int take_holders(struct mesh_in *in, const msgpack_object_array *a)
+{
+	struct board_revs held;
+	char ip[ENTRY_TEXT_MAX + 1];
+	uint32_t k;
+
+	if (!in->ours) return 0;
+	if (mesh_read_revs(a, &held)) return -EBADMSG;
+	in->turned_away = 1;
+	for (k = 3; k < a->size; k++) {
+		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
+		if (!strcmp(ip, mesh_cfg()->ip)) continue;
+		mesh_learn(ip, 0);
+		mesh_fetch_holder(mesh_member_at(ip), held);
 	}
 	return 0;
 }
@@ -104,6 +135,8 @@
 	case MESH_LEAVING:
 	case MESH_SUSPECT: return take_leaving(in, a);
 	case MESH_MEMBERS: return take_members(a);
+	case MESH_PEERS: return take_peers(a);
+	case MESH_HOLDERS: return take_holders(in, a);
 	case MESH_WANT: return take_want(in, a);
 	case MESH_FETCH:
 	case MESH_BEAT: break;
--- a/src/fleet/mesh_know.c
+++ b/src/fleet/mesh_know.c
@@ -3,8 +3,6 @@
 #include "mesh_impl.h"
 #include <string.h>
 
-#define WATCH_INSTANCES 3 /* that watch the store for all: two may be lost at once */
-
 /*
  * The sender was sure of its configuration confirmed_ago before it sent this, and our stamp had
  * reached it echo_held before it did. So it was sure no earlier than our stamp plus the
@@ -31,28 +29,6 @@
 	g_string_free(out, TRUE);
 }
 
-/* Whoever watches has what is new first, and is asked for it by all: wide links come first. */
-static int watches_before_me(const struct member *m)
-{
-	if (m->said.link_mbps != mesh_cfg()->link_mbps)
-		return m->said.link_mbps > mesh_cfg()->link_mbps;
-	return g_str_hash(m->said.name) < g_str_hash(mesh_cfg()->instance);
-}
-
-/* All work out the same few, from links and names alone. */
-int mesh_watches(void)
-{
-	uint32_t i, before = 0;
-
-	for (i = 0; i < mesh_members()->len; i++) {
-		const struct member *m = g_ptr_array_index(mesh_members(), i);
-
-		if (!m->alive || !m->said.store_up || m->said.draining) continue;
-		before += watches_before_me(m);
-	}
-	return before < WATCH_INSTANCES;
-}
-
 void mesh_learn_from(struct member *m)
 {
 	take_confirmation(&m->said);
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -25,29 +25,14 @@
 	(void)n;
 }
 
-static void write_members(GString *out)
-{
-	const GPtrArray *all = mesh_members();
-	char(*ip)[ENTRY_TEXT_MAX + 1] = g_malloc(all->len * sizeof *ip + 1);
-	uint32_t i;
-
-	for (i = 0; i < all->len; i++) {
-		const struct member *m = g_ptr_array_index(all, i);
-
-		g_strlcpy(ip[i], m->ip, sizeof ip[i]);
-	}
-	mesh_write_members(out, ip, all->len);
-	g_free(ip);
-}
-
 static void on_link_up(struct cn *c)
 {
 	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
 	GString *out = g_string_new(NULL);
 
 	mesh_write_own_beat(out, m);
-	write_members(out);
-	mesh_write_all_loads(out);
+	mesh_write_peers(out);
+	if (!m->heard_us || m->said.serves) mesh_write_all_loads(out);
 	cn_write(c, out->str, out->len);
 	g_string_free(out, TRUE);
 }
@@ -77,6 +62,17 @@
 	cn_write(&m->link, frame->str, frame->len);
 }
 
+void mesh_send_serving(const GString *frame)
+{
+	uint32_t i;
+
+	for (i = 0; i < mesh_members()->len; i++) {
+		struct member *m = g_ptr_array_index(mesh_members(), i);
+
+		if (m->said.serves) mesh_send(m, frame);
+	}
+}
+
 void mesh_send_all(const GString *frame)
 {
 	uint32_t i;
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -1,5 +1,5 @@
-/* Each instance tells the others what it has sent to which backend server, as whole figures:
- * a lost or repeated message does no harm. */
+/* Each instance tells those that callers come to what it has sent to which backend server, as
+ * whole figures: a lost or repeated message does no harm. */
 #include "clock.h"
 #include "ev.h"
 #include "mesh_impl.h"
@@ -139,15 +139,22 @@
 	return turn;
 }
 
+/* What m has told of b, or NULL; most instances of a large fleet tell nothing. */
+static const struct be_load *load_on(const struct member *m, const struct be *b)
+{
+	if (!m->alive || !g_hash_table_size(m->loads)) return NULL;
+	return g_hash_table_lookup(m->loads, b->id);
+}
+
 uint32_t mesh_bare_before(const struct be *b)
 {
 	uint32_t i, sum = 0, mine = turn_of(mesh_cfg()->instance, b);
 
 	for (i = 0; i < mesh_members()->len; i++) {
 		struct member *m = g_ptr_array_index(mesh_members(), i);
-		const struct be_load *l = g_hash_table_lookup(m->loads, b->id);
+		const struct be_load *l = load_on(m, b);
 
-		if (l && m->alive && turn_of(m->said.name, b) < mine) sum += l->bare;
+		if (l && turn_of(m->said.name, b) < mine) sum += l->bare;
 	}
 	return sum;
 }
@@ -158,9 +165,9 @@
 
 	for (i = 0; i < mesh_members()->len; i++) {
 		struct member *m = g_ptr_array_index(mesh_members(), i);
-		const struct be_load *l = g_hash_table_lookup(m->loads, b->id);
+		const struct be_load *l = load_on(m, b);
 
-		if (!m->alive || !l || !l->used) continue;
+		if (!l || !l->used) continue;
 		if (turn_of(m->said.name, b) < mine) return 0;
 	}
 	return 1;
@@ -172,13 +179,14 @@
 
 	(void)t;
 	write_rows(out, 0);
-	if (out->len) mesh_send_all(out);
+	if (out->len) mesh_send_serving(out);
 	g_string_free(out, TRUE);
 }
 
 void mesh_load_changed(struct be *b)
 {
 	b->dirty = 1;
+	mesh_note_load();
 	if (!teller.armed) ev_in(&teller, TELL_US);
 }
 
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -20,6 +20,11 @@
 	return o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER ? o->via.i64 : 0;
 }
 
+int mesh_mbps(const msgpack_object *o)
+{
+	return (int)CLAMP(mesh_int(o), 0, LINK_MOST_MBPS);
+}
+
 int mesh_read_beat(const msgpack_object_array *a, struct mesh_beat *b)
 {
 	struct in_addr ip;
@@ -39,9 +44,8 @@
 	b->echo_held_us = mesh_int(&a->ptr[11]);
 	b->store_up = mesh_int(&a->ptr[12]) != 0;
 	b->store_late = mesh_int(&a->ptr[13]) != 0;
-	b->link_mbps = a->size < MESH_BEAT_FIELDS
-			       ? 0
-			       : (int)CLAMP(mesh_int(&a->ptr[14]), 0, LINK_MOST_MBPS);
+	b->link_mbps = a->size > 14 ? mesh_mbps(&a->ptr[14]) : 0;
+	b->serves = a->size > 15 ? mesh_int(&a->ptr[15]) != 0 : 1;
 	return 0;
 }
 
--- a/src/fleet/mesh_serve.c
+++ b/src/fleet/mesh_serve.c
@@ -13,6 +13,10 @@
 #define COPY_MBPS 20
 #define SERVE_US 5000000 /* the largest frame takes 3.4 s on a link of 10 Mbit/s */
 
+/* Instances that one which is turned away hears of: copies spread from all that have one, where
+ * it knows but a few of them. */
+#define HOLDERS_MAX 4
+
 static int serving;
 
 static int places(void)
@@ -38,6 +42,16 @@
 	ev_in(&in->serve_timer, SERVE_US);
 }
 
+static void turn_away(struct mesh_in *in)
+{
+	GString *out = g_string_new(NULL);
+
+	met_add(MET_PEER_BUSY, 1);
+	mesh_write_holders(out, HOLDERS_MAX);
+	cn_write(&in->cn, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
 int mesh_serve(struct mesh_in *in, struct board_revs after)
 {
 	GString *out;
@@ -46,7 +60,7 @@
 	if (in->serving || in->ours) return -EBUSY;
 	large = mesh_items_size(after) > MESH_SMALL_MAX;
 	if (large && serving >= places()) {
-		met_add(MET_PEER_BUSY, 1);
+		turn_away(in);
 		return -EBUSY;
 	}
 	out = g_string_new(NULL);
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -55,6 +55,7 @@
 	msgpack_pack_int(p, b->store_up);
 	msgpack_pack_int(p, b->store_late);
 	msgpack_pack_int(p, b->link_mbps);
+	msgpack_pack_int(p, b->serves);
 	finish(&f, out);
 }
 
@@ -153,26 +154,75 @@
 	write_newer(out, MESH_NEWS, after);
 }
 
-static void write_texts(GString *out, enum mesh_type type, char (*text)[ENTRY_TEXT_MAX + 1],
-			int n)
+void mesh_write_leaving(GString *out, enum mesh_type type, const char *id)
 {
 	struct frame f;
-	msgpack_packer *p = begin(&f, type, 1 + n);
-	int i;
+	msgpack_packer *p = begin(&f, type, 2);
 
-	for (i = 0; i < n; i++) pack_text(p, text[i]);
+	pack_text(p, id);
 	finish(&f, out);
 }
 
-void mesh_write_leaving(GString *out, enum mesh_type type, const char *id)
+static int holds_all(const struct member *m, struct board_revs mine)
 {
-	char text[1][ENTRY_TEXT_MAX + 1];
+	return m->alive && m->said.revs.conf >= mine.conf &&
+	       m->said.revs.backends >= mine.backends;
+}
+
+/* Those from a drawn one on: each that is refused hears of others. */
+static int collect_holders(const struct member **found, int most)
+{
+	const GPtrArray *all = mesh_members();
+	struct board_revs mine = board_revs();
+	uint32_t i, first = g_random_int();
+	int n = 0;
 
-	g_strlcpy(text[0], id, sizeof text[0]);
-	write_texts(out, type, text, 1);
+	for (i = 0; i < all->len && n < most; i++) {
+		const struct member *m = g_ptr_array_index(all, (first + i) % all->len);
+
+		if (holds_all(m, mine)) found[n++] = m;
+	}
+	return n;
 }
 
-void mesh_write_members(GString *out, char (*ip)[ENTRY_TEXT_MAX + 1], int n)
+void mesh_write_holders(GString *out, int most)
 {
-	write_texts(out, MESH_MEMBERS, ip, n);
+	const struct member **found = g_new(const struct member *, most);
+	int i, n = collect_holders(found, most);
+	struct board_revs mine = board_revs();
+	struct frame f;
+	msgpack_packer *p = begin(&f, MESH_HOLDERS, 3 + n);
+
+	msgpack_pack_uint64(p, mine.conf);
+	msgpack_pack_uint64(p, mine.backends);
+	for (i = 0; i < n; i++) pack_text(p, found[i]->ip);
+	finish(&f, out);
+	g_free(found);
+}
+
+static int count_alive(const GPtrArray *all)
+{
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < all->len; i++)
+		n += ((const struct member *)g_ptr_array_index(all, i))->alive;
+	return n;
+}
+
+void mesh_write_peers(GString *out)
+{
+	const GPtrArray *all = mesh_members();
+	struct frame f;
+	msgpack_packer *p = begin(&f, MESH_PEERS, 1 + 2 * count_alive(all));
+	uint32_t i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct member *m = g_ptr_array_index(all, i);
+
+		if (!m->alive) continue;
+		pack_text(p, m->ip);
+		msgpack_pack_int(p, m->link_mbps);
+	}
+	finish(&f, out);
 }
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -11,6 +11,7 @@
 #define WATCH_MS 20000        /* a call that waits: each return is paid for */
 #define RETRY_FIRST_US 100000 /* after a failed call, doubled up to ... */
 #define RETRY_MAX_US 800000   /* ... this: the store's return must be seen within a second */
+#define FIRST_WAIT_US 2000000 /* of the fleet's first start: callers come seconds later */
 #define IDLE_LOOK_US 100000   /* how often one that does not watch looks whether it must */
 #define SETTLE_US 600000      /* after the start: by then others are heard if they are there */
 #define REST_MIN_US 30000  /* after news: what changes with it comes in the same return, ... */
@@ -25,8 +26,10 @@
 	struct st_call *call;
 	struct ev_timer retry;
 	int64_t wait_us;        /* before the last retry; 0: the last call went well */
+	int64_t rest_until_us;  /* the store failed: this one asks no sooner unless it is to */
 	GHashTable *listed;     /* keys that the pages so far had */
 	struct board_revs base; /* what was known before the listing */
+	int begun;              /* a listing was asked for: what is known may be a part of it */
 	int once;               /* lists, and does not go on to watch */
 };
 
@@ -36,12 +39,14 @@
 static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX];
 static int nwatchers;
 static int64_t started_us; /* monotonic */
+static int first_start;    /* of the whole fleet */
 
 static void next(struct watcher *w);
 
 static void try_later(struct watcher *w)
 {
 	w->wait_us = w->wait_us ? MIN(w->wait_us * 2, RETRY_MAX_US) : RETRY_FIRST_US;
+	w->rest_until_us = clock_us() + mesh_rest_us();
 	ev_in(&w->retry, w->wait_us);
 }
 
@@ -117,32 +122,68 @@
 		next(w);
 }
 
+/* Who watches for all is known once others are heard; where none are named there are none. */
+static int must_watch(void)
+{
+	int alone = mesh_live() == 1 && mesh_known() > 1;
+
+	if (alone && clock_us() - started_us < SETTLE_US) return 0;
+	return mesh_watches();
+}
+
+static uint64_t known_revision(const struct watcher *w)
+{
+	struct board_revs revs = board_revs();
+
+	return dl_item_kind(w->prefix) == DL_CONF ? revs.conf : revs.backends;
+}
+
 /* Others have passed on what came since; it is not asked for again. */
 static void catch_up(struct watcher *w)
 {
-	struct board_revs revs = board_revs();
-	int is_conf = dl_item_kind(w->prefix) == DL_CONF;
+	w->at = MAX(w->at, known_revision(w));
+}
 
-	w->at = MAX(w->at, is_conf ? revs.conf : revs.backends);
+/* Others have handed on whole what this one would list. */
+static int has_from_others(const struct watcher *w)
+{
+	return !w->begun && known_revision(w);
 }
 
-/* Who watches for all is known once others are heard; where none are named there are none. */
-static int must_watch(void)
+/* On the first start all have time to get the lists from the few that watch. */
+static int others_will_tell(void)
 {
-	int alone = mesh_live() == 1 && mesh_known() > 1;
+	return first_start && clock_us() - started_us < FIRST_WAIT_US && !must_watch();
+}
 
-	if (alone && clock_us() - started_us < SETTLE_US) return 0;
-	return mesh_watches();
+/* A watch that breaks may be its connection's fault: it is tried once more at once. */
+static int tries_anew(const struct watcher *w)
+{
+	return w->phase == WATCHING && w->wait_us == RETRY_FIRST_US;
+}
+
+/* A store that fails is asked by a few, and for one list: hundreds that each go on asking it
+ * for all are thousands of calls in the seconds in which it is weakest. */
+static int may_ask(const struct watcher *w)
+{
+	if (watch_store_up() || tries_anew(w) || clock_us() >= w->rest_until_us) return 1;
+	return mesh_asks_store() && !board_conf() && dl_item_kind(w->prefix) == DL_CONF;
 }
 
 static void next(struct watcher *w)
 {
 	if (w->call) return;
+	if (w->phase == LISTING && has_from_others(w)) w->phase = WATCHING;
+	if (!may_ask(w) || (w->phase == LISTING && others_will_tell())) {
+		ev_in(&w->retry, IDLE_LOOK_US);
+		return;
+	}
 	if (w->phase == LISTING) {
+		w->begun = 1;
 		w->call = st_range(w->prefix, NULL, on_listed, w);
 		return;
 	}
-	if (!must_watch()) {
+	if (!must_watch() && !tries_anew(w)) {
 		ev_in(&w->retry, IDLE_LOOK_US);
 		return;
 	}
@@ -208,10 +249,11 @@
 	w->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
-void watch_start(void)
+void watch_start(int first)
 {
 	int i;
 
+	first_start = first;
 	started_us = clock_us();
 	for (i = 0; i < WATCHERS_MAX && dl_prefixes[i]; i++) {
 		init_watcher(&watchers[i], dl_prefixes[i]);
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -7,17 +7,22 @@
 #include "mesh.h"
 #include "watch_impl.h"
 #include <errno.h>
+#include <saddlehead/roles.h>
 
 #define AGE_US 900000        /* the age at which the configuration is confirmed anew ... */
 #define AGE_SPREAD_US 900000 /* ... and up to so much more: one asks for all */
 #define TICK_US 100000       /* how often its age is looked at */
-#define AGAIN_US 300000      /* after a call that failed */
+#define ACTIVE_AGE_US \
+	500000 /* more, where others are hubs without callers: these ask for all */
+#define STANDBY_AGE_US 1500000 /* more, for those that few hear: the last to ask */
+#define AGAIN_US 800000      /* after a call that failed: its return is seen within a second */
 #define HOLD_MOST_US 1500000 /* a megabyte, in base64, takes 1.2 s on a link of 10 Mbit/s */
 #define LATE_US 300000       /* without an answer: usually it takes some ms */
 
 static struct st_call *confirming;
 static struct ev_timer timer;
 static int64_t age_us, not_before_us, asked_us;
+static int64_t rest_until_us; /* the store failed: not asked before by one that is not to */
 static int64_t receiving_since_us; /* an answer with a configuration comes; 0: none does */
 static uint64_t confirming_revision;
 
@@ -39,6 +44,7 @@
 	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
 	if (r->rc == -ECANCELED) watch_apply(r, r->sent_us);
 	if (r->rc && r->rc != -ECANCELED) {
+		rest_until_us = clock_us() + mesh_rest_us();
 		not_before_us = clock_us() + AGAIN_US;
 		return;
 	}
@@ -60,6 +66,21 @@
 	mesh_hold_fetch(asked_us + LATE_US);
 }
 
+/* Those without callers ask first, then the other hubs. */
+static int64_t own_age(void)
+{
+	if (!mesh_self_hub()) return age_us + STANDBY_AGE_US;
+	return mesh_self_active() && mesh_live() > ROLES_ACTIVE ? age_us + ACTIVE_AGE_US
+								: age_us;
+}
+
+/* A store that fails is asked by a few for all. */
+static int may_ask(int64_t now)
+{
+	if (now < not_before_us) return 0;
+	return watch_store_up() || mesh_asks_store() || now >= rest_until_us;
+}
+
 /* An answer that is coming is not late: a whole configuration takes a second on a small link.
  */
 static int unanswered(int64_t now)
@@ -84,12 +105,13 @@
 	int64_t now = clock_us();
 
 	ev_in(t, TICK_US);
+	watch_check_down();
 	watch_leave_to_others();
 	hold_fetch(now);
 	if (confirming && unanswered(now)) mesh_set_store_late(1);
-	if (confirming || !board_conf() || now < not_before_us) return;
+	if (confirming || !board_conf() || !may_ask(now)) return;
 	if (mesh_fetching() && now - board_confirmed_us() < BOARD_OLD_US) return;
-	if (now - board_confirmed_us() >= age_us) confirm();
+	if (now - board_confirmed_us() >= own_age()) confirm();
 }
 
 void watch_confirm_start(void)
--- a/src/fleet/watch_reply.c
+++ b/src/fleet/watch_reply.c
@@ -1,11 +1,17 @@
 /* Whether the store serves this instance: every reply tells, whoever asked. */
+#include "clock.h"
 #include "jlog.h"
 #include "mesh.h"
 #include "met.h"
 #include "watch_impl.h"
 #include <errno.h>
 
-static int up; /* the store answered the last call */
+/* After so long one that the store failed counts as answered again while others are: it was
+ * turned away alone, or has not asked since. */
+#define DOWN_US 5000000
+
+static int up = 1; /* the store answered the last call, or none was made */
+static int64_t down_since_us;
 
 int watch_store_up(void)
 {
@@ -18,6 +24,7 @@
 
 	if (up == now_up) return;
 	up = now_up;
+	if (!up) down_since_us = clock_us();
 	mesh_set_store_up(up);
 	mesh_beat_now();
 	g = jlog_begin("fleet", up ? "store_regained" : "store_lost");
@@ -25,6 +32,12 @@
 	jlog_end(g);
 }
 
+void watch_check_down(void)
+{
+	if (up || !mesh_store_answers()) return;
+	if (clock_us() - down_since_us > DOWN_US) set_up(1, 0);
+}
+
 /* Also what it says no to is an answer. */
 static int is_answer(int rc)
 {
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -19,6 +19,7 @@
 	uint16_t peer_port, metrics_port; /* 0: no metrics */
 	struct sockaddr_in seed[ENTRY_SEEDS_MAX]; /* some other instances' peer ports */
 	int nseeds;
+	int first_start;           /* of the whole fleet */
 	int fail_closed;           /* keyed requests only under a confirmed configuration */
 	int64_t revoke_us;         /* a removed key runs nothing after it */
 	int64_t drain_us;          /* a leaving backend server gets nothing after it */
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -11,27 +11,39 @@
 int mesh_start(const struct entry_cfg *c);
 /* What other instances are told of this one. */
 void mesh_set_state(int ready, int draining);
-/* Whether the store answers this instance; those that it answers watch for all. */
+/* Whether the store answered this instance's last call; a few of those that it answers watch
+ * for all. */
 void mesh_set_store_up(int up);
 /* Whether this instance is one of the few that watch the store for all. */
 int mesh_watches(void);
+/* Whether this instance is one of the few that go on asking a store that answers nobody. */
+int mesh_asks_store(void);
+/* Whether the store answers an instance that tells others what it says. */
+int mesh_store_answers(void);
+/* How long one that is neither rests after a call that failed; microseconds, drawn. */
+int64_t mesh_rest_us(void);
+/* Whether this instance is one of those that callers are sent to. */
+int mesh_self_active(void);
+/* Whether all others are told by this instance what is new. */
+int mesh_self_hub(void);
 /* Passes on what is newer than base, which this instance just heard from the store. Of what is
  * large others are only told that it is here. */
 void mesh_pass_on(struct board_revs base);
 /* A heartbeat to all, out of turn: something that they should know. */
 void mesh_beat_now(void);
-/* An instance at this IP may exist. */
-void mesh_learn(const char *ip);
+/* An instance at this IP may exist; link_mbps: what its link carries, 0: not told. */
+void mesh_learn(const char *ip, int link_mbps);
 /* The same of those that the settings name. */
 void mesh_learn_seeds(void);
-/* Addresses of the instances that take callers, this one included if it does; how many. When
- * none does, all that are known. Valid until the next call of the loop. */
+/* Addresses of the active instances that take callers, this one included if it is; how many.
+ * When none is, all that take callers, and then all that are known. Valid until the next call
+ * of the loop. */
 int mesh_addresses(const char **out, int max);
 /* Instances that were heard of lately, this one included; at least 1. */
 int mesh_live(void);
 /* Most instances known at once so far, dead ones included until they are forgotten. */
 int mesh_known(void);
-/* The load on b changed; peers are told soon. */
+/* The load on b changed; peers that callers come to are told soon. */
 void mesh_load_changed(struct be *b);
 /* Tokens of streams without a copy on b that other instances move before this one does: all
  * work out the same order, so that their moves don't wait for each other on b's link. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -12,10 +12,12 @@
 	MESH_WANT, /* asks for items, which come on the link: earlier releases do */
 	MESH_ITEMS,
 	MESH_LEAVING,
-	MESH_MEMBERS,
+	MESH_MEMBERS, /* instances by address alone: earlier releases tell them so */
 	MESH_NEWS,
 	MESH_SUSPECT,
-	MESH_FETCH /* asks for items, which come back on the same connection */
+	MESH_FETCH,  /* asks for items, which come back on the same connection */
+	MESH_PEERS,  /* instances with the width of their links */
+	MESH_HOLDERS /* instead of items: instances that have them */
 };
 
 /* What an instance tells of itself. */
@@ -23,6 +25,7 @@
 	char name[ENTRY_TEXT_MAX + 1], ip[ENTRY_TEXT_MAX + 1], front[ENTRY_TEXT_MAX + 1];
 	int ready, draining, store_up, store_late;
 	int link_mbps; /* 0: not told */
+	int serves;    /* callers come to it: it needs to know the loads of others */
 	struct board_revs revs;
 	int64_t confirmed_ago_us; /* -1: never */
 	int64_t stamp_us;         /* the sender's clock */
@@ -42,16 +45,22 @@
 	int64_t heard_us;      /* monotonic; 0: never */
 	int64_t learnt_us;
 	int alive;
-	struct cn link; /* to it: only this instance writes there */
+	int link_mbps;    /* as it or another instance told; 0: not told */
+	int active, hub;  /* in this instance's view */
+	int64_t tried_us; /* since when this instance has waited to hear it; 0: it has not */
+	struct cn link;   /* to it: only this instance writes there */
 	int64_t next_connect_us;
 	int64_t fetch_after_us; /* it refused a copy: not asked again before */
+	struct board_revs held; /* what another instance said that it has */
 	GHashTable *loads;      /* id -> struct be_load as it told */
 	GHashTable *ends;       /* id -> struct be_ends as it told */
 };
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
-#define MESH_BEAT_FIELDS 15
-#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which don't tell link_mbps */
+#define MESH_BEAT_FIELDS 16
+#define MESH_BEAT_FIELDS_MIN                                            \
+	14 /* of earlier releases: without link_mbps, or without serves \
+	    */
 #define MESH_ROW_FIELDS 10
 
 /* mesh_write.c: one frame each, appended to out. */
@@ -63,7 +72,10 @@
 void mesh_write_news(GString *out, struct board_revs after);
 /* type: MESH_LEAVING or MESH_SUSPECT. */
 void mesh_write_leaving(GString *out, enum mesh_type type, const char *id);
-void mesh_write_members(GString *out, char (*ip)[ENTRY_TEXT_MAX + 1], int n);
+/* Up to most of the members that have all that this instance has, drawn. */
+void mesh_write_holders(GString *out, int most);
+/* The members that this instance hears: the dead are forgotten by all. */
+void mesh_write_peers(GString *out);
 
 /* Bytes of items: more is not passed on unasked, and counts as a copy that is handed on. */
 #define MESH_SMALL_MAX 8192
@@ -76,6 +88,7 @@
 	struct member *from;         /* after its first beat */
 	struct ev_timer serve_timer; /* ends a copy that takes too long */
 	int serving;                 /* a copy is handed on here */
+	int turned_away;             /* asked for a copy here, and was told who else has it */
 	int ours;                    /* opened from here: nothing is asked for on it */
 };
 #define MESH_FRAME_MAX (4u << 20) /* bytes: the largest configuration is under a megabyte */
@@ -87,6 +100,8 @@
 int mesh_read_item(const msgpack_object *o, struct st_item *i, char *key, size_t max);
 int mesh_text(const msgpack_object *o, char *out, size_t max);
 int64_t mesh_int(const msgpack_object *o);
+/* The width of a link, within what machines have. */
+int mesh_mbps(const msgpack_object *o);
 
 /* mesh_in.c: dispatches one whole frame. 0; -EBADMSG; or what mesh_serve says. */
 int mesh_dispatch(struct mesh_in *in, const char *p, size_t n);
@@ -105,6 +120,8 @@
 const struct entry_cfg *mesh_cfg(void);
 const GPtrArray *mesh_members(void);
 int mesh_self_takes_callers(void);
+int mesh_self_draining(void);
+int mesh_self_store_up(void);
 /* The one at this address, added if it is new. */
 struct member *mesh_member_at(const char *ip);
 /* A beat of m came: it lives. */
@@ -112,11 +129,27 @@
 /* What this instance tells of itself to m. */
 void mesh_write_own_beat(GString *out, const struct member *m);
 
+/* mesh_roles.c */
+/* Something that roles follow from has changed. */
+void mesh_roles_stale(void);
+/* Works them out anew: time alone may have changed them. */
+void mesh_choose_roles(void);
+/* m died: its role goes to another one until it is heard again. */
+void mesh_passed_over(struct member *m);
+/* Callers come here, or came lately. */
+int mesh_self_serves(void);
+/* This instance's load changed. */
+void mesh_note_load(void);
+/* Whether a link to m is kept: one of both is a hub. */
+int mesh_linked_to(const struct member *m);
+
 /* mesh_link.c */
 void mesh_connect(struct member *m);
 /* Nothing is sent where no link is up; one that is full is broken off. */
 void mesh_send(struct member *m, const GString *frame);
 void mesh_send_all(const GString *frame);
+/* To those that callers come to. */
+void mesh_send_serving(const GString *frame);
 
 /* mesh_know.c: takes what m just said of its lists: how sure it is, and that it knows more. */
 void mesh_learn_from(struct member *m);
@@ -125,6 +158,8 @@
 void mesh_fetch_start(void);
 /* Fetches what this instance lacks, if m has it and nothing is under way. */
 void mesh_fetch_soon(const struct member *m);
+/* m has, by another instance's word, what this one lacks up to those revisions. */
+void mesh_fetch_holder(struct member *m, struct board_revs held);
 /* m is about to be freed. */
 void mesh_fetch_forget(const struct member *m);
 
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -42,6 +42,7 @@
 	MET_G_TABLE_VERSION,
 	MET_G_DRAINING,
 	MET_G_WATCHES,
+	MET_G_ACTIVE, /* callers are sent here */
 	MET_GAUGE_MAX
 };
 
--- a/src/internal/watch.h
+++ b/src/internal/watch.h
@@ -3,7 +3,8 @@
 #define SH_WATCH_H
 #include "store.h"
 
-void watch_start(void);
+/* first: of the whole fleet, whose lists a few may get for all. */
+void watch_start(int first);
 /* Every reply of the store, whoever asked, tells whether it serves this instance. */
 void watch_note_reply(const struct st_reply *r);
 #endif
--- a/src/internal/watch_impl.h
+++ b/src/internal/watch_impl.h
@@ -7,6 +7,8 @@
 /* watch_reply.c */
 /* Whether the store answered the last call. */
 int watch_store_up(void);
+/* To be called now and then: whether what it failed is long ago, and others are answered. */
+void watch_check_down(void);
 
 /* watch.c */
 /* Takes what the store said and passes it on; listed_us: a listing that was asked for then,
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -66,18 +66,24 @@
 {
 	struct frame f;
 	msgpack_packer *p = begin(&f, MESH_BEAT, MESH_BEAT_FIELDS);
-	int i;
+	char front[48];
 
+	g_snprintf(front, sizeof front, "%s:%d", me->ip, PW_FRONT);
 	pack_text(p, me->name);
 	pack_text(p, me->ip);
-	pack_text(p, "");
-	msgpack_pack_int(p, 0); /* not ready: callers are not sent to it */
+	pack_text(p, me->takes_callers ? front : "");
+	msgpack_pack_int(p, me->takes_callers);
 	msgpack_pack_int(p, 0);
 	msgpack_pack_uint64(p, me->conf);
 	msgpack_pack_uint64(p, 0);
 	msgpack_pack_int(p, -1); /* sure of nothing */
 	msgpack_pack_int64(p, clock_us());
-	for (i = 10; i < MESH_BEAT_FIELDS; i++) msgpack_pack_int(p, 0);
+	msgpack_pack_int(p, 0); /* has heard nobody */
+	msgpack_pack_int(p, 0);
+	msgpack_pack_int(p, me->store_up);
+	msgpack_pack_int(p, 0);
+	msgpack_pack_int(p, me->link_mbps);
+	msgpack_pack_int(p, me->takes_callers);
 	finish(&f, out);
 }
 
@@ -108,6 +114,18 @@
 	finish(&f, me->copy);
 }
 
+void pw_peer_names(struct pw_peer *me, const struct pw_peer *holder)
+{
+	struct frame f;
+	msgpack_packer *p = begin(&f, MESH_HOLDERS, 4);
+
+	msgpack_pack_uint64(p, me->conf);
+	msgpack_pack_uint64(p, 0);
+	pack_text(p, holder->ip);
+	me->copy = g_string_new(NULL);
+	finish(&f, me->copy);
+}
+
 void pw_peer_tells(struct pw_peer *me, uint64_t conf, uint64_t backends, const char *key,
 		   uint64_t revision, const char *value)
 {
@@ -209,10 +227,17 @@
 	return c == c->peer->asking;
 }
 
-/* The type stands behind the one byte that a short array begins with. */
+#define ARRAY_OF_16_BITS 0xdc /* an array of more than 15 begins with this and its length */
+
+/* The type stands behind what the array begins with: one byte, or three. */
+static int frame_type(const char *p)
+{
+	return (unsigned char)((unsigned char)p[0] == ARRAY_OF_16_BITS ? p[3] : p[1]);
+}
+
 static void take_small(struct pw_peer_cn *c, const char *p)
 {
-	switch ((unsigned char)p[1]) {
+	switch (frame_type(p)) {
 	case MESH_BEAT: heard_beat(c->peer); return;
 	case MESH_WANT: answer(c->peer, c->peer->link); return;
 	case FETCH: answer(c->peer, c); return;
@@ -225,7 +250,7 @@
 	uint32_t len;
 
 	g_string_append_len(c->buf, p, n);
-	while (c->buf->len > sizeof len + 1) {
+	while (c->buf->len > sizeof len + 3) {
 		memcpy(&len, c->buf->str, sizeof len);
 		len = ntohl(len);
 		if (len >= COPY_MIN && !c->receiving) copy_begins(c);
@@ -340,6 +365,18 @@
 	return me;
 }
 
+void pw_peer_stop(struct pw_peer *me)
+{
+	uint32_t i;
+
+	ev_stop(&me->beat);
+	ev_close(&me->listener);
+	close_cn(me->link);
+	me->link = NULL;
+	for (i = 0; i < me->in->len; i++) close_cn(g_ptr_array_index(me->in, i));
+	g_ptr_array_set_size(me->in, 0);
+}
+
 static void free_peer(struct pw_peer *me)
 {
 	uint32_t i;
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -11,6 +11,9 @@
 	GString *copy;     /* the frame with that configuration, if it hands it on */
 	int pace_bytes;    /* of the copy are sent each tenth of a second; 0: all at once */
 	int read_pause_ms; /* rests so long when a copy has begun to come */
+	int link_mbps;     /* that it tells; 0 at first */
+	int takes_callers; /* it says that it is ready, at an address of its own */
+	int store_up;      /* it says that the store answers it */
 	int wants;         /* asks the entry for a copy until it has one */
 	int asks;          /* came from the entry */
 	int copies;        /* came whole */
@@ -29,9 +32,13 @@
 struct pw_peer *pw_peer_new(struct pw_entry *e, uint64_t conf);
 /* It hands on this configuration. */
 void pw_peer_holds(struct pw_peer *p, const char *value);
+/* It has none to spare, and says that another one has it. */
+void pw_peer_names(struct pw_peer *p, const struct pw_peer *holder);
 /* Says on its link that this item is new to those who know all up to conf and backends. */
 void pw_peer_tells(struct pw_peer *p, uint64_t conf, uint64_t backends, const char *key,
 		   uint64_t revision, const char *value);
+/* Says nothing any more, as if it had died. */
+void pw_peer_stop(struct pw_peer *p);
 /* Ends all of them, before pw_end. */
 void pw_peers_end(void);
 #endif
--- a/test/test_copies.c
+++ b/test/test_copies.c
@@ -272,6 +272,30 @@
 	pw_end();
 }
 
+/* Most of a large fleet hear a few alone: a copy comes from one that nothing was heard of. */
+static void one_that_is_turned_away_asks_who_has_it(void)
+{
+	struct pw_entry *e;
+	struct pw_peer *heard, *holder;
+	GString *newer;
+
+	pw_init();
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	newer = second_version();
+	holder = pw_peer_new(e, pw_store.revision + 1);
+	ev_stop(&holder->beat);
+	pw_peer_holds(holder, newer->str);
+	heard = pw_peer_new(e, pw_store.revision + 1);
+	pw_peer_names(heard, holder);
+	CU_ASSERT(version_comes(e, 2, 2000));
+	CU_ASSERT_EQUAL(heard->asks, 1);
+	CU_ASSERT_EQUAL(holder->asks, 1);
+	g_string_free(newer, TRUE);
+	pw_peers_end();
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"copies_handed_on_fit_the_link", copies_handed_on_fit_the_link},
 	{"heartbeats_pass_while_a_copy_is_under_way",
@@ -286,6 +310,7 @@
 	 a_copy_that_comes_is_not_dropped_for_late_heartbeats},
 	{"a_slow_answer_of_the_store_does_not_hold_a_copy_up",
 	 a_slow_answer_of_the_store_does_not_hold_a_copy_up},
+	{"one_that_is_turned_away_asks_who_has_it", one_that_is_turned_away_asks_who_has_it},
 	{"what_the_store_lists_is_not_fetched_as_well",
 	 what_the_store_lists_is_not_fetched_as_well},
 };
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -317,6 +317,90 @@
 	pw_end();
 }
 
+#define WIDE 20 /* peers: more than callers are sent to */
+
+/* An entry on a small link among wide ones that take callers. */
+static struct pw_entry *entry_among_wide(struct pw_peer **p, int store_up)
+{
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	pw_settings("limits.linkMbps=10\n");
+	e = pw_entry_ready();
+	for (i = 0; i < WIDE; i++) {
+		p[i] = pw_peer_new(e, 0);
+		p[i]->link_mbps = 100;
+		p[i]->takes_callers = 1;
+		p[i]->store_up = store_up;
+	}
+	pw_run(2500);
+	return e;
+}
+
+static int beaten_since(struct pw_peer **p, int64_t since_us)
+{
+	int i, n = 0;
+
+	for (i = 0; i < WIDE; i++) n += p[i]->beat_us >= since_us;
+	return n;
+}
+
+static int named(struct pw_entry *e, struct pw_peer **p)
+{
+	struct pw_entry as;
+	int i, n = 0;
+
+	for (i = 0; i < WIDE; i++) {
+		g_strlcpy(as.ip, p[i]->ip, sizeof as.ip);
+		n += where_has(e, &as);
+	}
+	return n;
+}
+
+/* Each that takes callers tells all the others what it sends where: hundreds that do hear each
+ * other late and fill their links. */
+static void one_of_many_stands_by(void)
+{
+	struct pw_peer *p[WIDE];
+	struct pw_entry *e = entry_among_wide(p, 1);
+	int64_t now = clock_us();
+	int i;
+
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_active"), 0);
+	CU_ASSERT(!where_has(e, e));
+	CU_ASSERT_EQUAL(named(e, p), 16);
+	pw_run(1500);
+	CU_ASSERT_EQUAL(beaten_since(p, now), 19);
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 200);
+	for (i = 0; i < 5; i++) pw_peer_stop(p[i]);
+	pw_run(2500);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_active"), 1);
+	CU_ASSERT(where_has(e, e));
+	CU_ASSERT_EQUAL(named(e, p), 15);
+	pw_peers_end();
+	pw_end();
+}
+
+/* The store answers nobody: what asks it on for all is two of them. */
+static void a_store_that_is_away_is_left_to_few(void)
+{
+	struct pw_peer *p[WIDE];
+	struct pw_entry *e = entry_among_wide(p, 0);
+	int calls;
+
+	pw_store.mode = PW_STORE_DOWN;
+	pw_run(2500);
+	calls = pw_store.calls;
+	pw_run(3000);
+	CU_ASSERT(pw_store.calls - calls <= 1);
+	CU_ASSERT(pw_log_has(e, "store_lost"));
+	pw_store.mode = PW_STORE_OK;
+	pw_peers_end();
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"what_others_saw_of_a_server_counts", what_others_saw_of_a_server_counts},
 	{"the_directory_names_who_takes_callers", the_directory_names_who_takes_callers},
@@ -334,6 +418,8 @@
 	{"many_that_start_together_ask_the_store_little",
 	 many_that_start_together_ask_the_store_little},
 	{"noise_on_the_peer_port_harms_nothing", noise_on_the_peer_port_harms_nothing},
+	{"one_of_many_stands_by", one_of_many_stands_by},
+	{"a_store_that_is_away_is_left_to_few", a_store_that_is_away_is_left_to_few},
 	{"a_heartbeat_without_an_address_is_refused",
 	 a_heartbeat_without_an_address_is_refused},
 };
--- /dev/null
+++ b/test/test_roles.c
@@ -0,0 +1,133 @@
+/* Roles in a fleet, worked out by each instance for itself. */
+#include "check.h"
+#include <saddlehead/roles.h>
+#include <string.h>
+
+#define FLEET 295
+#define WIDE 18 /* of them, on wide links */
+
+static void fleet(struct roles_peer *p, int n, int self)
+{
+	int i;
+
+	memset(p, 0, n * sizeof *p);
+	for (i = 0; i < n; i++) {
+		p[i].link_mbps = i < WIDE ? 200 : 20;
+		p[i].hash = (uint32_t)i * 2654435761u;
+		p[i].self = i == self;
+		p[i].user = &p[i];
+	}
+}
+
+static int count(const struct roles_peer *p, int n, int hubs)
+{
+	int i, sum = 0;
+
+	for (i = 0; i < n; i++) sum += hubs ? p[i].hub : p[i].active;
+	return sum;
+}
+
+static void the_widest_links_take_callers(void)
+{
+	struct roles_peer p[FLEET];
+	int i;
+
+	fleet(p, FLEET, 0);
+	roles_choose(p, FLEET);
+	CU_ASSERT_EQUAL(count(p, FLEET, 0), ROLES_ACTIVE);
+	CU_ASSERT_EQUAL(count(p, FLEET, 1), ROLES_ACTIVE + ROLES_SPARE);
+	for (i = 0; i < FLEET; i++)
+		if (p[i].active) CU_ASSERT_EQUAL(p[i].link_mbps, 200);
+}
+
+static void in_a_small_fleet_all_take_callers(void)
+{
+	struct roles_peer p[ROLES_ACTIVE];
+
+	fleet(p, 7, 3);
+	roles_choose(p, 7);
+	CU_ASSERT_EQUAL(count(p, 7, 0), 7);
+}
+
+/* Half of all end at once: others take over, and no more than there were. */
+static void others_take_over_from_the_dead(void)
+{
+	struct roles_peer p[FLEET];
+	int i;
+
+	fleet(p, FLEET, 1);
+	for (i = 0; i < FLEET; i += 2) p[i].state = ROLES_AWAY;
+	roles_choose(p, FLEET);
+	CU_ASSERT_EQUAL(count(p, FLEET, 0), ROLES_ACTIVE);
+	for (i = 0; i < FLEET; i++)
+		if (p[i].active) CU_ASSERT_EQUAL(p[i].state, ROLES_ALIVE);
+}
+
+/* Who watches, or asks in an outage, as each instance of the fleet works it out for itself. */
+static int how_many(int (*does)(const struct roles_peer *p, int n), int down_from, int down_to)
+{
+	struct roles_peer p[FLEET];
+	int self, i, sum = 0;
+
+	for (self = 0; self < FLEET; self++) {
+		fleet(p, FLEET, self);
+		for (i = down_from; i < down_to; i++) p[i].store_down = 1;
+		roles_choose(p, FLEET);
+		sum += does(p, FLEET);
+	}
+	return sum;
+}
+
+static void few_talk_to_the_store_whatever_it_does(void)
+{
+	CU_ASSERT_EQUAL(how_many(roles_watches, 0, 0), 3);
+	CU_ASSERT_EQUAL(how_many(roles_watches, 0, 12), 3); /* it turns these away */
+	CU_ASSERT_EQUAL(how_many(roles_watches, 0, FLEET), 0);
+	CU_ASSERT_EQUAL(how_many(roles_asks, 0, 0), 0);
+	CU_ASSERT_EQUAL(how_many(roles_asks, 0, FLEET), 2);
+}
+
+static void who_watches_takes_no_callers(void)
+{
+	struct roles_peer p[FLEET];
+	int self, i;
+
+	for (self = 0; self < FLEET; self++) {
+		fleet(p, FLEET, self);
+		roles_choose(p, FLEET);
+		for (i = 0; i < FLEET; i++)
+			if (p[i].self && roles_watches(p, FLEET)) CU_ASSERT(!p[i].active);
+	}
+}
+
+/* An outage of ten seconds in which each call fails at once: what the whole fleet asks, beside
+ * the two that ask each 0.8 s, stays below one call a second at any size. */
+static void rests_make_calls_independent_of_the_size(void)
+{
+	static const int sizes[] = {7, 30, 295, 3800};
+	uint32_t draw = 1, k;
+	int i, calls;
+	int64_t at;
+
+	for (k = 0; k < sizeof sizes / sizeof *sizes; k++) {
+		calls = 0;
+		for (i = 0; i < sizes[k]; i++)
+			for (at = 0; at < 10000000;) {
+				draw = draw * 1664525u + 1013904223u;
+				at += roles_rest_us(sizes[k], draw);
+				calls += at < 10000000;
+			}
+		CU_ASSERT(calls <= 10);
+	}
+}
+
+static const struct check list[] = {
+	{"the_widest_links_take_callers", the_widest_links_take_callers},
+	{"in_a_small_fleet_all_take_callers", in_a_small_fleet_all_take_callers},
+	{"others_take_over_from_the_dead", others_take_over_from_the_dead},
+	{"few_talk_to_the_store_whatever_it_does", few_talk_to_the_store_whatever_it_does},
+	{"who_watches_takes_no_callers", who_watches_takes_no_callers},
+	{"rests_make_calls_independent_of_the_size", rests_make_calls_independent_of_the_size},
+};
+
+CHECK_MAIN(list)
