A generation is drawn among as many engines as its rivals make worth while

Ruled out: fresher counts alone (1 ms in place of 3 before a change is told; the rest is way and queue), two random candidates (worse with fresh counts).

Change. place_generation draws from the n cheapest, n such that what n are dearer by and what meeting a rival's prompt costs come to least; rivals are this instance's rate times the others times 10 ms. Without rivals it is the cheapest as before.

Test. test/placing replays 160 and 320 generations a second on 122 engines with counts of a known age: many_that_choose_at_once_spread, a_burst_with_late_counts_stays_in_time.

--- /dev/null
+++ b/bench/bench_place.c
@@ -0,0 +1,68 @@
+/* Placing a generation: what a decision costs, and how long prompts wait where many instances
+ * decide by counts of a known age. */
+#include "clock.h"
+#include "placing.h"
+#include <saddlehead/place.h>
+#include <stdio.h>
+
+#define ROUNDS 20000
+
+static void cost(int engines)
+{
+	static struct place_site s[PLACE_SITES_MAX];
+	struct place_job j = {3000, 400, 1.0};
+	int64_t from;
+	int i, sum = 0;
+
+	for (i = 0; i < engines; i++)
+		s[i] = (struct place_site){.usable = 1,
+					   .slots = 24,
+					   .tokens = 33640,
+					   .runs = i % 7,
+					   .used = 900 * (i % 7),
+					   .unread = 1000 * (i % 3)};
+	from = clock_us();
+	for (i = 0; i < ROUNDS; i++) {
+		s[i % engines].runs = i % 7;
+		sum += place_generation(s, engines, &j, (uint32_t)i * 2654435761u);
+	}
+	printf("place_%d_engines_us %.2f\n", engines,
+	       (double)(clock_us() - from) / ROUNDS + (sum < 0));
+}
+
+static void table(double per_s)
+{
+	static const double ages_ms[] = {0, 2, 5, 10, 20, 50, 100, 200, 500};
+	static const int instances[] = {6, 16, 60, 300};
+	struct placing_load l = {.engines = 122, .per_s = per_s, .seconds = 30, .seed = 5};
+	size_t a, k;
+
+	printf("# %.0f generations a second: ms that a prompt waits, mean and p99; "
+	       "cheapest | drawn by rivals\n",
+	       per_s);
+	for (a = 0; a < sizeof ages_ms / sizeof *ages_ms; a++) {
+		printf("# age %3.0f ms:", ages_ms[a]);
+		for (k = 0; k < sizeof instances / sizeof *instances; k++) {
+			struct placing_result plain, drawn;
+
+			l.age_ms = ages_ms[a];
+			l.instances = instances[k];
+			l.reckons = 0;
+			plain = placing_run(&l);
+			l.reckons = 1;
+			drawn = placing_run(&l);
+			printf("  %3d: %4.0f %5.0f | %3.0f %4.0f", instances[k], plain.mean_ms,
+			       plain.p99_ms, drawn.mean_ms, drawn.p99_ms);
+		}
+		printf("\n");
+	}
+}
+
+int main(void)
+{
+	cost(125);
+	cost(1000);
+	table(160);
+	table(320);
+	return 0;
+}
--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -3,6 +3,8 @@
 #define SADDLEHEAD_PLACE_H
 #include <stdint.h>
 
+#define PLACE_SITES_MAX 1024 /* candidates that are looked at: the first ones */
+
 /* One backend server as a candidate. Loads are those of all instances together. */
 struct place_site {
 	int usable;
@@ -21,10 +23,13 @@
 struct place_job {
 	uint32_t prompt; /* tokens */
 	uint32_t growth; /* tokens it will make, as far as foreseen */
+	double rivals; /* generations that others send meanwhile and this instance can't know of
+			*/
 };
 
-/* For a generation: where its first token comes soonest and its memory fits. draw breaks ties.
- * The index, or -1 when none is usable. */
+/* For a generation: where its memory fits and its first token comes soonest, drawn among as
+ * many of the cheapest that its rivals seldom take the same. The index, or -1 when none is
+ * usable. */
 int place_generation(const struct place_site *s, int n, const struct place_job *j,
 		     uint32_t draw);
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -1,12 +1,13 @@
 /* Costs of backend servers for a request, and the cheapest of them. */
 #include <saddlehead/place.h>
+#include <stdlib.h>
 
 /* Weights of a generation's cost, in prompt tokens that would delay its first token as much. */
 #define RUN_COST 40        /* each request beside it slows every step a little */
 #define HOLD_UP_PERCENT 20 /* of a prompt, for each request that its reading holds up */
 #define PRESSURE_COST 4    /* each token of memory over the mark risks a preemption */
 #define QUEUE_COST 1000    /* each request more than an engine runs at once waits for another */
-#define TIE 64             /* costs closer than this are equal: draw among them */
+#define TIE 64             /* costs closer than this are equal */
 
 /* Parts of memory, in percent. */
 #define PRESSURE_PERCENT 85 /* the mark: lengths are guesses */
@@ -106,18 +107,60 @@
 	return 0;
 }
 
+/* A candidate by its cost, those of the same cost in random order. */
+struct ranked {
+	uint64_t cost;
+	uint32_t draw;
+	int at;
+};
+
+static int by_cost(const void *a, const void *b)
+{
+	const struct ranked *x = a, *y = b;
+
+	if (x->cost != y->cost) return x->cost < y->cost ? -1 : 1;
+	if (x->draw != y->draw) return x->draw < y->draw ? -1 : 1;
+	return 0;
+}
+
+/*
+ * Of how many of the cheapest one is drawn. All choosers believe about the same, so a rival
+ * takes the same one as often as there are few: then this prompt waits for the rival's, which
+ * is about as long. Drawing among more costs what they are dearer by. The number for which both
+ * together are least.
+ */
+static int pool_size(const struct ranked *r, int n, const struct place_job *j)
+{
+	double sum = 0, least = 0, meets = j->rivals * j->prompt / TIE;
+	int i, size = 0;
+
+	for (i = 0; i < n; i++) {
+		double cost;
+
+		sum += (double)(r[i].cost - r[0].cost);
+		cost = (sum + meets) / (i + 1);
+		if (size && cost > least) continue;
+		least = cost;
+		size = i + 1;
+	}
+	return size;
+}
+
 /* Where it fits, if it fits anywhere: elsewhere it would wait with room to be had. */
 int place_generation(const struct place_site *s, int n, const struct place_job *j,
 		     uint32_t draw)
 {
-	struct choice c = {.draw = draw, .at = -1};
-	int i, must_fit = any_fits(s, n, j);
+	struct ranked r[PLACE_SITES_MAX];
+	int i, m = 0, must_fit = any_fits(s, n, j);
 
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < n && m < PLACE_SITES_MAX; i++) {
 		if (!s[i].usable || (must_fit && !place_fits(&s[i], j))) continue;
-		choose(&c, i, generation_cost(&s[i], j) / TIE);
+		draw = next_draw(draw);
+		r[m++] = (struct ranked){generation_cost(&s[i], j) / TIE, draw, i};
 	}
-	return c.at;
+	if (!m) return -1;
+	qsort(r, m, sizeof *r, by_cost);
+	return r[drawn(next_draw(draw), (uint32_t)pool_size(r, m, j))].at;
 }
 
 /* When its memory has arrived, in tokens of a near link; those before it come first. */
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -311,6 +311,19 @@
 	return n;
 }
 
+int mesh_serving(void)
+{
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < members->len; i++) {
+		const struct member *m = g_ptr_array_index(members, i);
+
+		n += m->alive && m->said.serves;
+	}
+	return n;
+}
+
 int mesh_known(void)
 {
 	return most_known;
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -6,7 +6,9 @@
 #include "met.h"
 #include <string.h>
 
-#define TELL_US 3000 /* changes wait so long for others: a prompt is read in 200 ms */
+#define TELL_US                                                                              \
+	1000 /* changes wait so long for others: an engine that looks free is chosen by many \
+	      */
 #define ROWS_MAX 256 /* of one message */
 
 static struct ev_timer teller;
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -41,6 +41,8 @@
 int mesh_addresses(const char **out, int max);
 /* Instances that were heard of lately, this one included; at least 1. */
 int mesh_live(void);
+/* Other instances that callers come to, as far as they are heard. */
+int mesh_serving(void);
 /* Most instances known at once so far, dead ones included until they are forgotten. */
 int mesh_known(void);
 /* The load on b changed; peers that callers come to are told soon. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -133,6 +133,8 @@
 /* rq_pick.c */
 /* The best of the service but not_this (NULL: any); NULL: none is usable. */
 struct be *rq_pick(struct rq *r, const struct be *not_this);
+/* A generation was sent: others are taken to send as many. */
+void rq_count_placed(void);
 /* Where its memory should move from source. */
 struct be *rq_pick_target(struct rq *r, const struct be *source);
 /* Where a running copy of its memory should be kept, or NULL. */
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -1,10 +1,15 @@
 /* Which backend server a request goes to, its memory moves to, and its copy is kept at. */
 #include "clock.h"
+#include "mesh.h"
 #include "rq_impl.h"
+#include <math.h>
 #include <string.h>
 
-#define SITES_MAX 1024    /* candidates looked at: the first of the list */
 #define BACKUP_PERCENT 90 /* of an engine's memory: copies don't give way to requests */
+#define RATE_US 2000000   /* over which this instance's own sends are averaged */
+/* How late others hear of a send: it waits 1 ms for others, crosses between data centres in
+ * some ms, and is read when its receiver gets to it. */
+#define UNHEARD_US 10000
 
 struct be_load rq_load_of(const struct be *b)
 {
@@ -42,7 +47,7 @@
 {
 	const GPtrArray *list = be_of(r->service->name);
 	int64_t now = clock_us();
-	int i, any = 0, n = list ? MIN((int)list->len, SITES_MAX) : 0;
+	int i, any = 0, n = list ? MIN((int)list->len, PLACE_SITES_MAX) : 0;
 
 	for (i = 0; i < n; i++) {
 		const struct be *b = g_ptr_array_index(list, i);
@@ -64,14 +69,35 @@
 	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
 }
 
+static double rate;     /* generations placed in a second */
+static int64_t rate_us; /* when it was worked out */
+
+static double rate_now(void)
+{
+	return rate * exp(-(double)(clock_us() - rate_us) / RATE_US);
+}
+
+void rq_count_placed(void)
+{
+	rate = rate_now() + 1e6 / RATE_US;
+	rate_us = clock_us();
+}
+
+/* Each of the others is taken to send as much as this one. */
+static double rivals(void)
+{
+	return rate_now() * mesh_serving() * UNHEARD_US / 1e6;
+}
+
 struct be *rq_pick(struct rq *r, const struct be *not_this)
 {
-	static struct place_site s[SITES_MAX];
+	static struct place_site s[PLACE_SITES_MAX];
 	int n = collect(r, rq_cfg->data_centre, not_this, s), i;
 
-	if (r->service->engine)
+	if (r->service->engine) {
+		r->job.rivals = rivals();
 		i = place_generation(s, n, &r->job, g_random_int());
-	else
+	} else
 		i = place_call(s, n, g_random_int());
 	return chosen(r, i);
 }
@@ -85,7 +111,7 @@
 
 struct be *rq_pick_target(struct rq *r, const struct be *source)
 {
-	static struct place_site s[SITES_MAX];
+	static struct place_site s[PLACE_SITES_MAX];
 	struct place_job now = {.prompt = rq_held(r)};
 	int n = collect(r, source->zone, source, s), i;
 
@@ -97,7 +123,7 @@
 
 struct be *rq_pick_backup(struct leg *l)
 {
-	static struct place_site s[SITES_MAX];
+	static struct place_site s[PLACE_SITES_MAX];
 	struct rq *r = l->rq;
 	const GPtrArray *list = be_of(r->service->name);
 	struct place_job now = {.prompt = rq_held(r)};
@@ -129,10 +155,10 @@
 
 int64_t rq_room_in(const struct rq *r, uint64_t before)
 {
-	static struct forecast_site s[SITES_MAX];
+	static struct forecast_site s[PLACE_SITES_MAX];
 	const GPtrArray *list = be_of(r->service->name);
 	int64_t now = clock_us();
-	int i, n = list ? MIN((int)list->len, SITES_MAX) : 0;
+	int i, n = list ? MIN((int)list->len, PLACE_SITES_MAX) : 0;
 
 	for (i = 0; i < n; i++) fill_forecast(&s[i], g_ptr_array_index(list, i), r, now);
 	return forecast_room_us(s, n, r->job.prompt + r->job.growth / 2, before);
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -130,6 +130,7 @@
 		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "no time is left");
 		return;
 	}
+	if (r->service->engine) rq_count_placed();
 	leg_free(r->leg);
 	r->leg = leg_start(r, b, NULL, NULL);
 	if (!r->leg) rq_refuse(r, REF_INTERNAL, RETRY_LATER_US, "no connection can be made");
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -4,6 +4,7 @@
 #include "budget.h"
 #include "check.h"
 #include "clock.h"
+#include "placing.h"
 #include <math.h>
 #include <saddlehead/forecast.h>
 #include <saddlehead/length.h>
@@ -20,7 +21,7 @@
 		{.usable = 1, .near = 1, .tokens = 30000, .unread = 0, .runs = 2},
 		{.usable = 0, .near = 1, .tokens = 30000},
 	};
-	struct place_job j = {3000, 800};
+	struct place_job j = {.prompt = 3000, .growth = 800};
 
 	CU_ASSERT_EQUAL(place_generation(s, 3, &j, 7), 1);
 	s[1].held = s[1].used = 29000; /* its memory would run out */
@@ -35,7 +36,8 @@
 		{.usable = 1, .slots = 24, .runs = 6, .held = 9000, .tokens = 34000},
 		{.usable = 1, .slots = 24, .unread = 2000, .runs = 1, .tokens = 34000},
 	};
-	struct place_job shorter = {300, 800}, longer = {6000, 800};
+	struct place_job shorter = {.prompt = 300, .growth = 800},
+			 longer = {.prompt = 6000, .growth = 800};
 
 	CU_ASSERT_EQUAL(place_generation(s, 2, &shorter, 7), 0);
 	CU_ASSERT_EQUAL(place_generation(s, 2, &longer, 7), 1);
@@ -52,7 +54,7 @@
 		 .runs = 1,
 		 .unread = 9000},
 	};
-	struct place_job j = {2000, 0};
+	struct place_job j = {.prompt = 2000, .growth = 0};
 
 	CU_ASSERT_EQUAL(place_generation(s, 2, &j, 7), 1);
 	s[1].used = 8000; /* none has: by cost alone */
@@ -63,7 +65,7 @@
 {
 	struct place_site s[8];
 	int count[8] = {0}, n, i, k;
-	struct place_job j = {1000, 0};
+	struct place_job j = {.prompt = 1000, .growth = 0};
 	GRand *rnd = g_rand_new_with_seed(5);
 
 	for (n = 3; n <= 8; n++) {
@@ -80,10 +82,53 @@
 	g_rand_free(rnd);
 }
 
+/* The cheapest engine is the same for all that know the same: with counts 100 ms old 300
+ * choosers made prompts wait for 0.8 s at the mean. With fresh ones nothing is given up. */
+static void many_that_choose_at_once_spread(void)
+{
+	static const int instances[] = {6, 16, 300};
+	static const double ages_ms[] = {5, 100};
+	struct placing_load l = {
+		.engines = 122, .per_s = 160, .seconds = 20, .seed = 11, .reckons = 1};
+	struct placing_load plain = l;
+	struct placing_result fresh, r;
+	int i, k;
+
+	plain.instances = l.instances = 6;
+	plain.reckons = 0;
+	fresh = placing_run(&plain);
+	CU_ASSERT_DOUBLE_EQUAL(placing_run(&l).mean_ms, fresh.mean_ms, 0.01);
+	for (i = 0; i < 3; i++) {
+		for (k = 0; k < 2; k++) {
+			l.instances = instances[i];
+			l.age_ms = ages_ms[k];
+			r = placing_run(&l);
+			CU_ASSERT(r.mean_ms < (k ? 100 : 50));
+			CU_ASSERT(r.p99_ms < (k ? 700 : 500));
+		}
+	}
+}
+
+/* A burst of twice the requests on engines that are half taken by reading. */
+static void a_burst_with_late_counts_stays_in_time(void)
+{
+	struct placing_load l = {.engines = 122,
+				 .per_s = 320,
+				 .seconds = 20,
+				 .seed = 12,
+				 .reckons = 1,
+				 .instances = 16,
+				 .age_ms = 20};
+
+	CU_ASSERT(placing_run(&l).p99_ms < 1100); /* 1,700 by the cheapest */
+}
+
 static void room_is_what_is_left_for_half_of_the_growth(void)
 {
 	struct place_site s = {.usable = 1, .tokens = 10000, .used = 5000};
-	struct place_job fits = {4000, 500}, large = {4500, 1000}, huge = {20000, 0};
+	struct place_job fits = {.prompt = 4000, .growth = 500},
+			 large = {.prompt = 4500, .growth = 1000},
+			 huge = {.prompt = 20000, .growth = 0};
 
 	CU_ASSERT(place_fits(&s, &fits));
 	CU_ASSERT(!place_fits(&s, &large));
@@ -100,7 +145,7 @@
 		{.usable = 1, .tokens = 10000, .used = 1000, .held = 2500},
 		{.usable = 1, .near = 1, .tokens = 10000, .used = 1000, .held = 2500},
 		{.usable = 1, .tokens = 10000, .used = 1000, .held = 2500}};
-	struct place_job j = {3000, 0};
+	struct place_job j = {.prompt = 3000, .growth = 0};
 
 	CU_ASSERT_EQUAL(place_backup(s, 3, 0, &j, 90, 1), 1); /* near the source */
 	s[1].usable = 0;
@@ -117,7 +162,7 @@
 static void copies_of_many_instances_are_spread(void)
 {
 	struct place_site s[12];
-	struct place_job j = {3000, 0};
+	struct place_job j = {.prompt = 3000, .growth = 0};
 	GRand *rnd = g_rand_new_with_seed(5);
 	int i, count[12] = {0};
 
@@ -139,7 +184,7 @@
 		{.usable = 1, .tokens = 30000},
 		{.usable = 0, .near = 1, .tokens = 30000},
 	};
-	struct place_job j = {4000, 0};
+	struct place_job j = {.prompt = 4000, .growth = 0};
 	uint32_t draw;
 
 	for (draw = 0; draw < 20; draw++)
@@ -390,6 +435,8 @@
 	 a_long_prompt_stays_away_from_running_streams},
 	{"an_engine_with_room_goes_first", an_engine_with_room_goes_first},
 	{"equal_engines_are_drawn_evenly", equal_engines_are_drawn_evenly},
+	{"many_that_choose_at_once_spread", many_that_choose_at_once_spread},
+	{"a_burst_with_late_counts_stays_in_time", a_burst_with_late_counts_stays_in_time},
 	{"room_is_what_is_left_for_half_of_the_growth",
 	 room_is_what_is_left_for_half_of_the_growth},
 	{"copies_need_free_memory", copies_need_free_memory},
