Callers go to wide links, repeats of active instances get half of the allowance, listings are handed on whole

(1) Where six to ten of some 70 links are wide, 16 active ones take in narrow ones of 10 Mbit/s, on which all streams stand still while a new configuration comes. (2) The slack of repeats was divided by all known instances, of which few send. (3) Whoever has some pages of its first listing said that it had the newest of them, and would have handed on half a list for the whole; now that most get their lists from others this would matter. (4) Whether the allowance held a repeat back could not be told.

Change. roles_choose: beyond six, links under a quarter of the widest take no callers; half of the slack is the active instances'; board_set_partial; repeat_held_back in logs and counters, once a request.

--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -23,8 +23,8 @@
 struct place_job {
 	uint32_t prompt; /* tokens */
 	uint32_t growth; /* tokens it will make, as far as foreseen */
-	double rivals; /* generations that others send meanwhile and this instance can't know of
-			*/
+	/* Generations that others send meanwhile, of which this instance can't know. */
+	double rivals;
 };
 
 /* For a generation: where its memory fits and its first token comes soonest, drawn among as
--- a/include/saddlehead/roles.h
+++ b/include/saddlehead/roles.h
@@ -11,6 +11,12 @@
 /* Active instances, where there are so many: a loss of one meets a sixteenth of the callers,
  * and each knows within some ms what the others send. */
 #define ROLES_ACTIVE 16
+/* So many are active even where only some links are wide: a loss of one is felt, but not much.
+ */
+#define ROLES_ACTIVE_MIN 6
+/* A link of less than this part of the widest takes no callers beyond that: whoever holds a
+ * stream there waits while a new configuration comes, for most of a second on 10 Mbit/s. */
+#define ROLES_NARROW_PART 4
 /* Hubs beside them, which ask the store: whatever happens to one of these meets no caller. */
 #define ROLES_SPARE 3
 
@@ -32,7 +38,8 @@
 };
 
 /* Sorts the n peers by rank, the widest links first. Of those that are not away the first
- * ROLES_ACTIVE become active, these and the next ROLES_SPARE hubs. */
+ * ROLES_ACTIVE become active, or fewer where the next ones' links are narrow; these and the
+ * next ROLES_SPARE become hubs. */
 void roles_choose(struct roles_peer *p, int n);
 
 /* The rest take what roles_choose has left. */
--- a/src/base/met.c
+++ b/src/base/met.c
@@ -47,6 +47,7 @@
 	"engine_probes",
 	"peer_fetches",
 	"peer_fetches_refused",
+	"repeats_held_back",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",       "running",  "open_requests", "members", "engines_kept",
--- a/src/core/roles.c
+++ b/src/core/roles.c
@@ -17,17 +17,25 @@
 	return 0;
 }
 
+static int is_narrow(const struct roles_peer *p, int widest_mbps)
+{
+	return p->link_mbps * ROLES_NARROW_PART < widest_mbps;
+}
+
 void roles_choose(struct roles_peer *p, int n)
 {
-	int i, before = 0;
+	int i, active = 0, spare = 0, widest_mbps = 0;
 
 	qsort(p, n, sizeof *p, by_rank);
 	for (i = 0; i < n; i++) {
-		int able = p[i].state != ROLES_AWAY;
-
-		p[i].active = able && before < ROLES_ACTIVE;
-		p[i].hub = able && before < ROLES_ACTIVE + ROLES_SPARE;
-		before += able;
+		p[i].active = p[i].hub = 0;
+		if (p[i].state == ROLES_AWAY) continue;
+		widest_mbps = widest_mbps ? widest_mbps : p[i].link_mbps;
+		p[i].active = active < ROLES_ACTIVE_MIN ||
+			      (active < ROLES_ACTIVE && !is_narrow(&p[i], widest_mbps));
+		p[i].hub = p[i].active || spare < ROLES_SPARE;
+		active += p[i].active;
+		spare += p[i].hub && !p[i].active;
 	}
 }
 
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -20,6 +20,7 @@
 
 static GHashTable *notes;
 static struct board_revs revs;
+static int partial; /* the first listing of backend servers is not whole yet */
 static struct conf *conf;
 static int64_t confirmed_us = BOARD_NEVER;
 static int64_t back_us = -BACK_US; /* when the platform returned from being away */
@@ -50,7 +51,15 @@
 
 struct board_revs board_revs(void)
 {
-	return revs;
+	struct board_revs r = revs;
+
+	if (partial) r.backends = 0;
+	return r;
+}
+
+void board_set_partial(int now)
+{
+	partial = now;
 }
 
 void board_confirm(uint64_t revision, int64_t at_us)
@@ -196,6 +205,7 @@
 		struct st_item i = {.key = n->key, .revision = n->revision};
 		gsize len = 0;
 
+		if (partial && dl_item_kind(n->key) == DL_BACKEND) continue;
 		if (n->revision <=
 		    (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
 			continue;
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -122,18 +122,24 @@
 	return m;
 }
 
-void mesh_learn(const char *ip, int link_mbps)
+struct member *mesh_learnt(const char *ip, int link_mbps)
 {
 	struct in_addr a;
 	struct member *m;
 
-	if (!strcmp(ip, cfg->ip) || inet_pton(AF_INET, ip, &a) != 1) return;
-	if (members->len >= MEMBERS_MAX && !g_hash_table_contains(by_ip, ip)) return;
+	if (!strcmp(ip, cfg->ip) || inet_pton(AF_INET, ip, &a) != 1) return NULL;
+	if (members->len >= MEMBERS_MAX && !g_hash_table_contains(by_ip, ip)) return NULL;
 	m = mesh_member_at(ip);
 	m->learnt_us = clock_us();
-	if (m->link_mbps || !link_mbps) return;
+	if (m->link_mbps || !link_mbps) return m;
 	m->link_mbps = link_mbps;
 	mesh_roles_stale();
+	return m;
+}
+
+void mesh_learn(const char *ip)
+{
+	mesh_learnt(ip, 0);
 }
 
 static void log_member(const struct member *m, const char *event)
@@ -355,7 +361,7 @@
 
 	for (i = 0; i < cfg->nseeds; i++) {
 		inet_ntop(AF_INET, &cfg->seed[i].sin_addr, ip, sizeof ip);
-		mesh_learn(ip, 0);
+		mesh_learn(ip);
 	}
 }
 
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -42,14 +42,18 @@
 
 static int take_items(struct mesh_in *in, const msgpack_object_array *a)
 {
+	struct board_revs after;
 	char key[512];
 	struct st_item i;
 	uint32_t k;
 
+	if (mesh_read_revs(a, &after)) return -EBADMSG;
+
 	for (k = 3; k < a->size; k++) {
 		if (mesh_read_item(&a->ptr[k], &i, key, sizeof key)) return -EBADMSG;
 		board_apply(&i, in->from->said.name);
 	}
+	if (!after.backends && in->from->said.revs.backends) board_set_partial(0);
 	return 0;
 }
 
@@ -85,7 +89,7 @@
 
 	for (k = 1; k < a->size; k++) {
 		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
-		mesh_learn(ip, 0);
+		mesh_learnt(ip, 0);
 	}
 	return 0;
 }
@@ -97,7 +101,7 @@
 
 	for (k = 1; k + 1 < a->size; k += 2) {
 		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
-		mesh_learn(ip, mesh_mbps(&a->ptr[k + 1]));
+		mesh_learnt(ip, mesh_mbps(&a->ptr[k + 1]));
 	}
 	return 0;
 }
@@ -107,6 +111,7 @@
 {
 	struct board_revs held;
 	char ip[ENTRY_TEXT_MAX + 1];
+	struct member *m;
 	uint32_t k;
 
 	if (!in->ours) return 0;
@@ -114,9 +119,8 @@
 	in->turned_away = 1;
 	for (k = 3; k < a->size; k++) {
 		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
-		if (!strcmp(ip, mesh_cfg()->ip)) continue;
-		mesh_learn(ip, 0);
-		mesh_fetch_holder(mesh_member_at(ip), held);
+		m = mesh_learnt(ip, 0);
+		if (m) mesh_fetch_holder(m, held);
 	}
 	return 0;
 }
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -6,9 +6,8 @@
 #include "met.h"
 #include <string.h>
 
-#define TELL_US                                                                              \
-	1000 /* changes wait so long for others: an engine that looks free is chosen by many \
-	      */
+/* Changes wait so long for others: an engine that looks free is chosen by many. */
+#define TELL_US 1000
 #define ROWS_MAX 256 /* of one message */
 
 static struct ev_timer teller;
--- a/src/fleet/mesh_roles.c
+++ b/src/fleet/mesh_roles.c
@@ -8,8 +8,8 @@
 /* An instance that is named and not heard for so long is passed over: a link comes up within
  * some ms, and one whose opening packet was lost is opened anew meanwhile. */
 #define TRY_US 1500000
-#define TRY_AGAIN_US \
-	5000000 /* one that was passed over is tried anew; it says itself that it is back */
+/* One that was passed over is tried anew: usually it says itself that it is back. */
+#define TRY_AGAIN_US 5000000
 /* Requests here mark an instance as serving for so long, active or not: callers with an older
  * answer of the directory still come. */
 #define SERVES_US 5000000
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -94,7 +94,7 @@
 		if (!r->items[i].value || r->items[i].len >= sizeof ip) continue;
 		memcpy(ip, r->items[i].value, r->items[i].len);
 		ip[r->items[i].len] = '\0';
-		mesh_learn(ip, 0);
+		mesh_learn(ip);
 	}
 	ev_in(&list_timer, mesh_live() > 1 ? LIST_US : LIST_ALONE_US);
 }
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -88,12 +88,15 @@
 		/* Pages are no snapshot: what changed since the first is watched from there. */
 		w->at = r->at;
 	}
+	if (r->more && !w->base.backends && dl_item_kind(w->prefix) == DL_BACKEND)
+		board_set_partial(1);
 	apply_all(r, r->sent_us);
 	for (i = 0; i < r->n; i++) g_hash_table_add(w->listed, g_strdup(r->items[i].key));
 	if (r->more && r->n) {
 		w->call = st_range(w->prefix, r->items[r->n - 1].key, on_listed, w);
 		return;
 	}
+	if (dl_item_kind(w->prefix) == DL_BACKEND) board_set_partial(0);
 	board_apply_missing(w->prefix, w->listed, w->at);
 	g_hash_table_remove_all(w->listed);
 	mesh_pass_on(w->base);
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -12,8 +12,8 @@
 #define AGE_US 900000        /* the age at which the configuration is confirmed anew ... */
 #define AGE_SPREAD_US 900000 /* ... and up to so much more: one asks for all */
 #define TICK_US 100000       /* how often its age is looked at */
-#define ACTIVE_AGE_US \
-	500000 /* more, where others are hubs without callers: these ask for all */
+/* More, where others are hubs without callers: these ask for all. */
+#define ACTIVE_AGE_US 500000
 #define STANDBY_AGE_US 1500000 /* more, for those that few hear: the last to ask */
 #define AGAIN_US 800000      /* after a call that failed: its return is seen within a second */
 #define HOLD_MOST_US 1500000 /* a megabyte, in base64, takes 1.2 s on a link of 10 Mbit/s */
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -18,6 +18,9 @@
  * set of keys. */
 void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at);
 struct board_revs board_revs(void);
+/* Of the first listing of backend servers some pages have come: used here, but nothing is said
+ * or handed on of it before it is whole. Others would take it for all there is. */
+void board_set_partial(int now);
 /* Calls f for each item newer than the revisions of its kind, gone ones too. */
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg);
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -31,8 +31,8 @@
 void mesh_pass_on(struct board_revs base);
 /* A heartbeat to all, out of turn: something that they should know. */
 void mesh_beat_now(void);
-/* An instance at this IP may exist; link_mbps: what its link carries, 0: not told. */
-void mesh_learn(const char *ip, int link_mbps);
+/* An instance at this IP may exist. */
+void mesh_learn(const char *ip);
 /* The same of those that the settings name. */
 void mesh_learn_seeds(void);
 /* Addresses of the active instances that take callers, this one included if it is; how many.
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -124,6 +124,9 @@
 int mesh_self_store_up(void);
 /* The one at this address, added if it is new. */
 struct member *mesh_member_at(const char *ip);
+/* The one that another instance names, unless there are too many or this is none; link_mbps: 0
+ * if not told. */
+struct member *mesh_learnt(const char *ip, int link_mbps);
 /* A beat of m came: it lives. */
 void mesh_heard(struct member *m, const struct mesh_beat *b);
 /* What this instance tells of itself to m. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -86,6 +86,7 @@
 	int64_t foreseen_us;   /* how long it was then expected to wait ... */
 	int64_t worked_out_us; /* ... and would have been by the forecast alone */
 	int sends;             /* exchanges that were begun */
+	int held_back;         /* a repeat was, by the allowance */
 	int unreached;         /* of them, those that reached no server */
 	int runs;              /* of them, those that may have run */
 	int head_sent;
@@ -179,7 +180,7 @@
 /* It is sent anew, and nothing may hold it back. */
 void rq_count_repeat(const struct rq *r);
 /* 1 and counted as sent anew, or 0: the budget is used up, or it was sent too often. */
-int rq_may_repeat(const struct rq *r);
+int rq_may_repeat(struct rq *r);
 
 /* rq_answer.c */
 void leg_on_up(struct hx *x);
--- a/src/relay/rq_budget.c
+++ b/src/relay/rq_budget.c
@@ -1,6 +1,9 @@
 /* Repeats to a service: counted, and held back beyond this instance's part of them. */
+#include "jlog.h"
 #include "mesh.h"
+#include "met.h"
 #include "rq_impl.h"
+#include <saddlehead/roles.h>
 
 static struct budget_rule rule(void)
 {
@@ -35,10 +38,36 @@
 	budget_spend(budget_of(r->service->name), &now, ev_now());
 }
 
-int rq_may_repeat(const struct rq *r)
+/* Into how many equal parts the fleet's slack falls, of which this instance has one. Half of it
+ * is the active instances', who repeat nearly all there is to repeat; the rest share the other
+ * half, as callers may come to any of them. */
+static int parts(void)
+{
+	if (mesh_known() <= ROLES_ACTIVE) return mesh_known();
+	return 2 * (mesh_self_active() ? ROLES_ACTIVE : mesh_known());
+}
+
+/* Once for each request: a silent one is looked at again and again. */
+static void tell_held_back(struct rq *r)
+{
+	GString *g;
+
+	if (r->held_back) return;
+	r->held_back = 1;
+	met_add(MET_REPEATS_HELD, 1);
+	g = jlog_begin("relay", "repeat_held_back");
+	jlog_str(g, "request", r->in.id);
+	jlog_str(g, "service", r->service->name);
+	jlog_int(g, "sends", r->sends);
+	jlog_end(g);
+}
+
+int rq_may_repeat(struct rq *r)
 {
 	struct budget_rule now = rule();
 
 	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
-	return budget_take(budget_of(r->service->name), &now, mesh_known(), ev_now());
+	if (budget_take(budget_of(r->service->name), &now, parts(), ev_now())) return 1;
+	tell_held_back(r);
+	return 0;
 }
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -56,7 +56,7 @@
 }
 
 /* It may have run: whether it may once more. Counted as sent anew when it may. */
-static int may_run_again(const struct rq *r)
+static int may_run_again(struct rq *r)
 {
 	return rq_repeatable(r) && r->runs < r->route->attempts && rq_may_repeat(r);
 }
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -1,5 +1,6 @@
 /* The pure parts of the platform path: routes, events, heads, words. */
 #include "be.h"
+#include "board.h"
 #include "budget.h"
 #include "check.h"
 #include "clock.h"
@@ -231,6 +232,41 @@
 	conf_unref(empty);
 }
 
+static void count(const struct st_item *i, void *arg)
+{
+	(void)i;
+	(*(int *)arg)++;
+}
+
+static int handed_on(void)
+{
+	int n = 0;
+
+	board_each_newer((struct board_revs){0}, count, &n);
+	return n;
+}
+
+/* Who is handed half of a listing takes it for all there is, and never asks for the rest. */
+static void a_listing_that_is_not_whole_is_not_handed_on(void)
+{
+	static const char value[] =
+		"{\"service\":\"app\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":"
+		"\"v\","
+		"\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1}";
+	struct st_item i = {
+		.key = "servers/i-1", .value = value, .len = sizeof value - 1, .revision = 7};
+
+	board_init();
+	board_set_partial(1);
+	CU_ASSERT_EQUAL(board_apply(&i, "platform"), 1);
+	CU_ASSERT_PTR_NOT_NULL(be_find("i-1")); /* it may be used here */
+	CU_ASSERT_EQUAL(board_revs().backends, 0);
+	CU_ASSERT_EQUAL(handed_on(), 0);
+	board_set_partial(0);
+	CU_ASSERT_EQUAL(board_revs().backends, 7);
+	CU_ASSERT_EQUAL(handed_on(), 1);
+}
+
 static void addresses_are_checked(void)
 {
 	struct sockaddr_in a;
@@ -256,6 +292,8 @@
 	{"numbers_of_the_platform_are_bounded", numbers_of_the_platform_are_bounded},
 	{"an_empty_list_of_workspaces_lets_nobody_in",
 	 an_empty_list_of_workspaces_lets_nobody_in},
+	{"a_listing_that_is_not_whole_is_not_handed_on",
+	 a_listing_that_is_not_whole_is_not_handed_on},
 	{"addresses_are_checked", addresses_are_checked},
 };
 
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -34,6 +34,27 @@
 	pw_end();
 }
 
+/* Why a call that could have been repeated was not could not be told from logs. */
+static void a_repeat_that_is_held_back_is_told(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_settings("bounds.retryBudgetRatio=0\nbounds.budgetSlack=0\n");
+	s = pw_server_add("app", 0);
+	s->mode = PW_RESET;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/safe/", 2000);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 502);
+	CU_ASSERT_EQUAL(s->arrivals, 1);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_repeats_held_back_total"), 1);
+	CU_ASSERT(pw_log_has(e, "repeat_held_back"));
+	pw_end();
+}
+
 static void own_fields_of_a_caller_are_not_passed_on(void)
 {
 	struct pw_server *s;
@@ -446,6 +467,7 @@
 
 static const struct check list[] = {
 	{"a_call_reaches_a_server_of_its_service", a_call_reaches_a_server_of_its_service},
+	{"a_repeat_that_is_held_back_is_told", a_repeat_that_is_held_back_is_told},
 	{"own_fields_of_a_caller_are_not_passed_on", own_fields_of_a_caller_are_not_passed_on},
 	{"what_no_table_allows_is_refused", what_no_table_allows_is_refused},
 	{"malformed_requests_are_refused_and_nothing_is_sent_on",
