--- /dev/null
+++ b/src/fleet/mesh_members.c
@@ -0,0 +1,190 @@
+/* The other instances that are known: named by others, heard, dead, forgotten. */
+#include "clock.h"
+#include "jlog.h"
+#include "mesh_impl.h"
+#include <arpa/inet.h>
+#include <string.h>
+
+#define DEAD_US 1500000 /* three beats missed and some way */
+#define QUIET_DEAD_US (MESH_QUIET_BEATS * DEAD_US)
+#define FORGET_US 30000000 /* an instance not heard of for so long is not tried any more */
+#define MEMBERS_MAX 4096   /* instances: no fleet is so large */
+
+static GPtrArray *members;
+static GHashTable *by_ip; /* the same, by address */
+static int most_known = 1;
+
+const GPtrArray *mesh_members(void)
+{
+	return members;
+}
+
+struct member *mesh_member_at(const char *ip)
+{
+	struct member *m = g_hash_table_lookup(by_ip, ip);
+
+	if (m) return m;
+	m = g_new0(struct member, 1);
+	g_strlcpy(m->ip, ip, sizeof m->ip);
+	m->link.ev.fd = -1;
+	m->learnt_us = clock_us();
+	m->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_ptr_array_add(members, m);
+	g_hash_table_insert(by_ip, m->ip, m);
+	mesh_roles_stale();
+	most_known = MAX(most_known, (int)members->len + 1);
+	return m;
+}
+
+struct member *mesh_learnt(const char *ip, int link_mbps)
+{
+	struct in_addr a;
+	struct member *m;
+
+	if (!strcmp(ip, mesh_cfg()->ip) || inet_pton(AF_INET, ip, &a) != 1) return NULL;
+	if (members->len >= MEMBERS_MAX && !g_hash_table_contains(by_ip, ip)) return NULL;
+	m = mesh_member_at(ip);
+	m->learnt_us = clock_us();
+	if (m->link_mbps || !link_mbps) return m;
+	m->link_mbps = link_mbps;
+	mesh_roles_stale();
+	return m;
+}
+
+void mesh_learn(const char *ip)
+{
+	mesh_learnt(ip, 0);
+}
+
+void mesh_learn_seeds(void)
+{
+	char ip[INET_ADDRSTRLEN];
+	int i;
+
+	for (i = 0; i < mesh_cfg()->nseeds; i++) {
+		inet_ntop(AF_INET, &mesh_cfg()->seed[i].sin_addr, ip, sizeof ip);
+		mesh_learn(ip);
+	}
+}
+
+static void log_member(const struct member *m, const char *event)
+{
+	GString *g = jlog_begin("fleet", event);
+
+	jlog_str(g, "member", m->said.name);
+	jlog_str(g, "ip", m->ip);
+	jlog_int(g, "ready", m->said.ready);
+	jlog_end(g);
+}
+
+/* It has heard nothing of them while nobody came to it. */
+static void tell_loads(struct member *m)
+{
+	GString *out = g_string_new(NULL);
+
+	mesh_write_all_loads(out);
+	mesh_send(m, out);
+	g_string_free(out, TRUE);
+}
+
+/* What roles follow from. */
+static int changes_roles(const struct member *m, const struct mesh_beat *b)
+{
+	return !m->alive || m->said.draining != b->draining ||
+	       m->said.store_up != b->store_up || m->link_mbps != b->link_mbps;
+}
+
+void mesh_heard(struct member *m, const struct mesh_beat *b)
+{
+	int begins_to_serve = b->serves && !m->said.serves;
+
+	if (changes_roles(m, b)) mesh_roles_stale();
+	m->said = *b;
+	m->link_mbps = b->link_mbps;
+	m->heard_us = clock_us();
+	if (!m->alive) {
+		m->alive = 1;
+		log_member(m, "member_alive");
+		/* It shall know this instance, too, before its next heartbeat. */
+		if (!cn_open(&m->link) && mesh_linked_to(m)) mesh_connect(m);
+	}
+	if (begins_to_serve) tell_loads(m);
+	mesh_learn_from(m);
+}
+
+static void check_alive(struct member *m, int64_t now)
+{
+	int64_t dead_us = m->said.serves || m->hub ? DEAD_US : QUIET_DEAD_US;
+
+	if (!m->alive || now - m->heard_us < dead_us) return;
+	m->alive = 0;
+	mesh_drop_loads(m);
+	mesh_passed_over(m);
+	log_member(m, "member_dead");
+}
+
+static int forgotten(struct member *m, int64_t now)
+{
+	if (now - MAX(m->heard_us, m->learnt_us) < FORGET_US) return 0;
+	mesh_drop_loads(m);
+	mesh_fetch_forget(m);
+	mesh_in_forget(m);
+	cn_reset(&m->link);
+	g_hash_table_remove(by_ip, m->ip);
+	mesh_roles_stale();
+	g_hash_table_destroy(m->loads);
+	g_hash_table_destroy(m->ends);
+	return 1;
+}
+
+void mesh_check_members(int64_t now)
+{
+	uint32_t i;
+
+	for (i = members->len; i-- > 0;) {
+		struct member *m = g_ptr_array_index(members, i);
+
+		if (forgotten(m, now)) {
+			g_ptr_array_remove_index_fast(members, i);
+			ev_free_later(m);
+			continue;
+		}
+		check_alive(m, now);
+	}
+}
+
+int mesh_live(void)
+{
+	uint32_t i;
+	int n = 1;
+
+	for (i = 0; i < members->len; i++)
+		n += ((struct member *)g_ptr_array_index(members, i))->alive;
+	return n;
+}
+
+int mesh_serving(void)
+{
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < members->len; i++) {
+		const struct member *m = g_ptr_array_index(members, i);
+
+		n += m->alive && m->said.serves;
+	}
+	return n;
+}
+
+int mesh_known(void)
+{
+	return most_known;
+}
+
+void mesh_members_start(void)
+{
+	members = g_ptr_array_new();
+	by_ip = g_hash_table_new(g_str_hash, g_str_equal);
+	mesh_learn_seeds();
+}
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -116,12 +116,20 @@
 /* m is about to be freed: what still comes from it is not read. */
 void mesh_in_forget(const struct member *m);
 
+/* Nobody is sent to an instance that serves none: that it died may be known later, for a third
+ * of the messages of most of a large fleet. Beats of those that serve, to one of the others. */
+#define MESH_QUIET_BEATS 3
+
 /* mesh.c */
 const struct entry_cfg *mesh_cfg(void);
-const GPtrArray *mesh_members(void);
 int mesh_self_takes_callers(void);
 int mesh_self_draining(void);
 int mesh_self_store_up(void);
+/* What this instance tells of itself to m. */
+void mesh_write_own_beat(GString *out, const struct member *m);
+
+/* mesh_members.c */
+const GPtrArray *mesh_members(void);
 /* The one at this address, added if it is new. */
 struct member *mesh_member_at(const char *ip);
 /* The one that another instance names, unless there are too many or this is none; link_mbps: 0
@@ -129,8 +137,9 @@
 struct member *mesh_learnt(const char *ip, int link_mbps);
 /* A beat of m came: it lives. */
 void mesh_heard(struct member *m, const struct mesh_beat *b);
-/* What this instance tells of itself to m. */
-void mesh_write_own_beat(GString *out, const struct member *m);
+/* Finds the dead, and forgets those not heard of for long. */
+void mesh_check_members(int64_t now);
+void mesh_members_start(void);
 
 /* mesh_roles.c */
 /* Something that roles follow from has changed. */
