An instance that stops tells the others at once

One that drains is no hub any more, so its heartbeats came each 1.2 s, and the directory named it that long.

Change. mesh_set_state sends a heartbeat to all when the drain begins.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -18,9 +18,13 @@
 
 void mesh_set_state(int ready, int draining)
 {
+	int drains = draining && !self_draining;
+
 	if (self_draining != draining) mesh_roles_stale();
 	self_ready = ready;
 	self_draining = draining;
+	/* It is no hub from now on, and its next heartbeat may be a second away. */
+	if (drains) mesh_beat_now();
 }
 
 int mesh_self_draining(void)
