Tests of large fleets in files of their own; the parts of the repeats' allowance are pure

Change: test_standby, test_placing, roles_parts with parts_of_all_are_no_more_than_the_whole; places of fields in a heartbeat have names.

--- a/Makefile
+++ b/Makefile
@@ -54,13 +54,13 @@
 # Tests of the platform path: a small platform in the test's process, the real program beside it.
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_entry pw_store pw_server pw_run pw_conf pw_caller pw_peer pw_query) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
-PW_TESTS = $(patsubst %,$(B)/test/test_%,relay wait leave entry mesh copies)
+PW_TESTS = $(patsubst %,$(B)/test/test_%,relay wait leave entry mesh standby copies)
 $(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
 SOAK_OBJ = $(patsubst %,$(B)/test/%.o,soak soak_proxy soak_draw soak_server soak_fault soak_caller soak_check)
 $(B)/test/soak_main $(B)/test/test_soak: $(SOAK_OBJ) $(PW_OBJ)
 PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be*.c src/fleet/board.c src/relay/evs.c platform/*.c))
 $(B)/test/test_pure $(B)/test/test_place $(B)/test/test_fuzz: $(PURE_OBJ)
-$(B)/test/test_place $(B)/bench/bench_place: $(B)/test/placing.o
+$(B)/test/test_placing $(B)/bench/bench_place: $(B)/test/placing.o
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/test/fleet.o $(B)/libsaddlehead.a
--- a/src/core/roles.c
+++ b/src/core/roles.c
@@ -80,9 +80,16 @@
 	return 0;
 }
 
+int roles_parts(int instances, int active)
+{
+	if (instances <= ROLES_ACTIVE) return instances;
+	return 2 * (active ? ROLES_ACTIVE : instances);
+}
+
+/* From 0 to twice the mean. */
 int64_t roles_rest_us(int instances, uint32_t draw)
 {
-	uint64_t most = 2 * (uint64_t)instances * REST_EACH_US;
+	double mean_us = (double)instances * REST_EACH_US;
 
-	return (int64_t)((most >> 8) * (draw >> 8) >> 16);
+	return (int64_t)(2 * mean_us * draw / UINT32_MAX);
 }
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -44,8 +44,8 @@
 	b->echo_held_us = mesh_int(&a->ptr[11]);
 	b->store_up = mesh_int(&a->ptr[12]) != 0;
 	b->store_late = mesh_int(&a->ptr[13]) != 0;
-	b->link_mbps = a->size > 14 ? mesh_mbps(&a->ptr[14]) : 0;
-	b->serves = a->size > 15 ? mesh_int(&a->ptr[15]) != 0 : 1;
+	b->link_mbps = a->size > MESH_BEAT_LINK ? mesh_mbps(&a->ptr[MESH_BEAT_LINK]) : 0;
+	b->serves = a->size > MESH_BEAT_SERVES ? mesh_int(&a->ptr[MESH_BEAT_SERVES]) != 0 : 1;
 	return 0;
 }
 
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -58,9 +58,9 @@
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
 #define MESH_BEAT_FIELDS 16
-#define MESH_BEAT_FIELDS_MIN                                            \
-	14 /* of earlier releases: without link_mbps, or without serves \
-	    */
+#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next two */
+#define MESH_BEAT_LINK 14       /* where link_mbps stands */
+#define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_ROW_FIELDS 10
 
 /* mesh_write.c: one frame each, appended to out. */
--- a/src/relay/rq_budget.c
+++ b/src/relay/rq_budget.c
@@ -38,15 +38,6 @@
 	budget_spend(budget_of(r->service->name), &now, ev_now());
 }
 
-/* Into how many equal parts the fleet's slack falls, of which this instance has one. Half of it
- * is the active instances', who repeat nearly all there is to repeat; the rest share the other
- * half, as callers may come to any of them. */
-static int parts(void)
-{
-	if (mesh_known() <= ROLES_ACTIVE) return mesh_known();
-	return 2 * (mesh_self_active() ? ROLES_ACTIVE : mesh_known());
-}
-
 /* Once for each request: a silent one is looked at again and again. */
 static void tell_held_back(struct rq *r)
 {
@@ -65,9 +56,10 @@
 int rq_may_repeat(struct rq *r)
 {
 	struct budget_rule now = rule();
+	int parts = roles_parts(mesh_known(), mesh_self_active());
 
 	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
-	if (budget_take(budget_of(r->service->name), &now, parts(), ev_now())) return 1;
+	if (budget_take(budget_of(r->service->name), &now, parts, ev_now())) return 1;
 	tell_held_back(r);
 	return 0;
 }
--- a/test/pw.h
+++ b/test/pw.h
@@ -232,4 +232,6 @@
 void pw_ignore_end(struct cn *c, int err);
 /* GET on another port of an entry; the status, body into out. */
 int pw_question(const char *ip, int port, const char *target, GString *out);
+/* Whether an entry's directory names the one at this address to callers. */
+int pw_where_names(struct pw_entry *asked, const char *ip);
 #endif
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -254,3 +254,17 @@
 	(void)err;
 	cn_close(c);
 }
+
+int pw_where_names(struct pw_entry *asked, const char *ip)
+{
+	GString *out = g_string_new(NULL);
+	char text[64];
+	int named;
+
+	pw_question(asked->ip, PW_DIRECTORY, "/-/resolution?name=test.example&region=r&zone=a",
+		    out);
+	g_snprintf(text, sizeof text, "\"%s:%d\"", ip, PW_FRONT);
+	named = strstr(out->str, text) != NULL;
+	g_string_free(out, TRUE);
+	return named;
+}
--- /dev/null
+++ b/test/test_placing.c
@@ -0,0 +1,51 @@
+/* Loads that many instances place at once: what waits stays short. */
+#include "check.h"
+#include "placing.h"
+
+/* The cheapest engine is the same for all that know the same: with counts 100 ms old 300
+ * choosers made prompts wait for 0.8 s at the mean. With fresh ones nothing is given up. */
+static void many_that_choose_at_once_spread(void)
+{
+	static const int instances[] = {6, 16, 300};
+	static const double ages_ms[] = {5, 100};
+	struct placing_load l = {
+		.engines = 122, .per_s = 160, .seconds = 20, .seed = 11, .reckons = 1};
+	struct placing_load plain = l;
+	struct placing_result fresh, r;
+	int i, k;
+
+	plain.instances = l.instances = 6;
+	plain.reckons = 0;
+	fresh = placing_run(&plain);
+	CU_ASSERT_DOUBLE_EQUAL(placing_run(&l).mean_ms, fresh.mean_ms, 0.01);
+	for (i = 0; i < 3; i++) {
+		for (k = 0; k < 2; k++) {
+			l.instances = instances[i];
+			l.age_ms = ages_ms[k];
+			r = placing_run(&l);
+			CU_ASSERT(r.mean_ms < (k ? 100 : 50));
+			CU_ASSERT(r.p99_ms < (k ? 700 : 500));
+		}
+	}
+}
+
+/* A burst of twice the requests on engines that are half taken by reading. */
+static void a_burst_with_late_counts_stays_in_time(void)
+{
+	struct placing_load l = {.engines = 122,
+				 .per_s = 320,
+				 .seconds = 20,
+				 .seed = 12,
+				 .reckons = 1,
+				 .instances = 16,
+				 .age_ms = 20};
+
+	CU_ASSERT(placing_run(&l).p99_ms < 1100); /* 1,700 by the cheapest */
+}
+
+static const struct check list[] = {
+	{"many_that_choose_at_once_spread", many_that_choose_at_once_spread},
+	{"a_burst_with_late_counts_stays_in_time", a_burst_with_late_counts_stays_in_time},
+};
+
+CHECK_MAIN(list)
--- a/test/test_roles.c
+++ b/test/test_roles.c
@@ -143,6 +143,21 @@
 	}
 }
 
+/* Repeats of all together must stay within the allowance, whoever is active. */
+static void parts_of_all_are_no_more_than_the_whole(void)
+{
+	int n, i;
+
+	for (n = 1; n <= 3800; n++) {
+		double sum = 0;
+
+		for (i = 0; i < n; i++) sum += 1.0 / roles_parts(n, i < ROLES_ACTIVE);
+		CU_ASSERT(sum <= 1 + 1e-9);
+	}
+	CU_ASSERT(roles_parts(295, 1) <
+		  roles_parts(295, 0) / 10); /* who repeats has most of it */
+}
+
 static const struct check list[] = {
 	{"the_widest_links_take_callers", the_widest_links_take_callers},
 	{"narrow_links_take_callers_only_where_wide_ones_are_few",
@@ -151,6 +166,7 @@
 	{"others_take_over_from_the_dead", others_take_over_from_the_dead},
 	{"few_talk_to_the_store_whatever_it_does", few_talk_to_the_store_whatever_it_does},
 	{"who_watches_takes_no_callers", who_watches_takes_no_callers},
+	{"parts_of_all_are_no_more_than_the_whole", parts_of_all_are_no_more_than_the_whole},
 	{"rests_make_calls_independent_of_the_size", rests_make_calls_independent_of_the_size},
 };
 
--- /dev/null
+++ b/test/test_standby.c
@@ -0,0 +1,122 @@
+/* One of a large fleet: who takes callers, informs the rest and asks the store. */
+#include "check.h"
+#include "clock.h"
+#include "pw.h"
+#include "pw_peer.h"
+
+#define WIDE 20 /* peers: more than callers are sent to */
+
+/* An entry on a smaller link than all the others, which take callers. */
+static struct pw_entry *entry_among_wide(struct pw_peer **p, int store_up)
+{
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	pw_settings("limits.linkMbps=50\n");
+	e = pw_entry_ready();
+	for (i = 0; i < WIDE; i++) {
+		p[i] = pw_peer_new(e, 0);
+		p[i]->link_mbps = 100;
+		p[i]->takes_callers = 1;
+		p[i]->store_up = store_up;
+	}
+	pw_run(2500);
+	return e;
+}
+
+static int beaten_since(struct pw_peer **p, int64_t since_us)
+{
+	int i, n = 0;
+
+	for (i = 0; i < WIDE; i++) n += p[i]->beat_us >= since_us;
+	return n;
+}
+
+static int named(struct pw_entry *e, struct pw_peer **p)
+{
+	int i, n = 0;
+
+	for (i = 0; i < WIDE; i++) n += pw_where_names(e, p[i]->ip);
+	return n;
+}
+
+/* Each that takes callers tells all the others what it sends where: hundreds that do hear each
+ * other late and fill their links. */
+static void one_of_many_stands_by(void)
+{
+	struct pw_peer *p[WIDE];
+	struct pw_entry *e = entry_among_wide(p, 1);
+	int64_t now = clock_us();
+	int i;
+
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_active"), 0);
+	CU_ASSERT(!pw_where_names(e, e->ip));
+	CU_ASSERT_EQUAL(named(e, p), 16);
+	pw_run(1500);
+	CU_ASSERT_EQUAL(beaten_since(p, now), 19);
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 200);
+	for (i = 0; i < 5; i++) pw_peer_stop(p[i]);
+	pw_run(2500);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_active"), 1);
+	CU_ASSERT(pw_where_names(e, e->ip));
+	CU_ASSERT_EQUAL(named(e, p), 15);
+	pw_peers_end();
+	pw_end();
+}
+
+/* All of a fleet start: hundreds that list from the store at once are not needed, as callers
+ * come seconds later. Whoever hears nothing of the lists asks for itself. */
+static void on_the_first_start_few_list(void)
+{
+	struct pw_peer *p[WIDE];
+	struct pw_entry *e;
+	char settings[128];
+	int i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	g_snprintf(settings, sizeof settings,
+		   "limits.linkMbps=10\nfirstStart=true\nseedNodes=%s:1\n", pw_ip(100));
+	pw_settings(settings);
+	e = pw_entry_start();
+	for (i = 0; i < WIDE; i++) {
+		p[i] = pw_peer_new(e, 0);
+		p[i]->link_mbps = 100;
+		p[i]->takes_callers = p[i]->store_up = 1;
+	}
+	pw_run(1500);
+	CU_ASSERT_EQUAL(pw_store.calls, 0);
+	pw_run(1500);
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 200);
+	CU_ASSERT(pw_store.calls >= 2);
+	pw_peers_end();
+	pw_end();
+}
+
+/* The store answers nobody: what asks it on for all is two of them. */
+static void a_store_that_is_away_is_left_to_few(void)
+{
+	struct pw_peer *p[WIDE];
+	struct pw_entry *e = entry_among_wide(p, 0);
+	int calls;
+
+	pw_store.mode = PW_STORE_DOWN;
+	pw_run(2500);
+	calls = pw_store.calls;
+	pw_run(3000);
+	CU_ASSERT(pw_store.calls - calls <= 1);
+	CU_ASSERT(pw_log_has(e, "store_lost"));
+	pw_store.mode = PW_STORE_OK;
+	pw_peers_end();
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"one_of_many_stands_by", one_of_many_stands_by},
+	{"on_the_first_start_few_list", on_the_first_start_few_list},
+	{"a_store_that_is_away_is_left_to_few", a_store_that_is_away_is_left_to_few},
+};
+
+CHECK_MAIN(list)
