Instances that stand by don't find out alone that the store is away

Change. roles_may_ask (pure): one that stands by draws a rest when its configuration grows old, and asks only after it. Test: calls_in_an_outage_do_not_grow_with_the_fleet (30, 295, 3,800 instances), red with the hub's condition taken out.

--- a/include/saddlehead/roles.h
+++ b/include/saddlehead/roles.h
@@ -60,6 +60,18 @@
  */
 int roles_parts(int instances, int active);
 
+/* An instance whose configuration grows too old. */
+struct roles_old {
+	int hub;
+	int asks;              /* roles_asks */
+	int store_up;          /* the store answered its last call, or it made none */
+	int64_t rest_until_us; /* drawn (roles_rest_us) when its configuration grew old */
+};
+
+/* Whether it asks the store itself. One that stands by hears of the store from hubs and does
+ * not find out alone: hundreds that each try once are a burst of calls in every outage. */
+int roles_may_ask(const struct roles_old *o, int64_t now_us);
+
 /* Microseconds that an instance which is not to ask rests before it asks all the same: the
  * whole fleet does so about once in two seconds, whatever its size. draw: any number. */
 int64_t roles_rest_us(int instances, uint32_t draw);
--- a/src/core/roles.c
+++ b/src/core/roles.c
@@ -86,6 +86,12 @@
 	return 2 * (active ? ROLES_ACTIVE : instances);
 }
 
+int roles_may_ask(const struct roles_old *o, int64_t now_us)
+{
+	if (o->asks || (o->hub && o->store_up)) return 1;
+	return now_us >= o->rest_until_us;
+}
+
 /* From 0 to twice the mean. */
 int64_t roles_rest_us(int instances, uint32_t draw)
 {
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -22,7 +22,7 @@
 static struct st_call *confirming;
 static struct ev_timer timer;
 static int64_t age_us, not_before_us, asked_us;
-static int64_t rest_until_us; /* the store failed: not asked before by one that is not to */
+static int64_t rest_until_us;      /* not asked before by one that is not to; 0: not drawn */
 static int64_t receiving_since_us; /* an answer with a configuration comes; 0: none does */
 static uint64_t confirming_revision;
 
@@ -74,11 +74,16 @@
 								: age_us;
 }
 
-/* A store that fails is asked by a few for all. */
 static int may_ask(int64_t now)
 {
+	struct roles_old o = {.hub = mesh_self_hub(),
+			      .asks = mesh_asks_store(),
+			      .store_up = watch_store_up()};
+
 	if (now < not_before_us) return 0;
-	return watch_store_up() || mesh_asks_store() || now >= rest_until_us;
+	if (!rest_until_us) rest_until_us = now + mesh_rest_us();
+	o.rest_until_us = rest_until_us;
+	return roles_may_ask(&o, now);
 }
 
 /* An answer that is coming is not late: a whole configuration takes a second on a small link.
@@ -109,9 +114,12 @@
 	watch_leave_to_others();
 	hold_fetch(now);
 	if (confirming && unanswered(now)) mesh_set_store_late(1);
-	if (confirming || !board_conf() || !may_ask(now)) return;
+	if (confirming || !board_conf()) return;
 	if (mesh_fetching() && now - board_confirmed_us() < BOARD_OLD_US) return;
-	if (now - board_confirmed_us() >= own_age()) confirm();
+	if (now - board_confirmed_us() < own_age())
+		rest_until_us = 0;
+	else if (may_ask(now))
+		confirm();
 }
 
 void watch_confirm_start(void)
--- a/test/test_roles.c
+++ b/test/test_roles.c
@@ -143,6 +143,74 @@
 	}
 }
 
+#define OUTAGE_US 16000000
+#define TICK_US 100000   /* how often an instance looks at its configuration's age */
+#define AGAIN_US 800000  /* between two calls of one */
+#define OLD_US 1500000   /* when the first grow old; hubs before the rest, by up to ... */
+#define SPREAD_US 900000 /* ... this */
+
+struct asking {
+	struct roles_old o;
+	int64_t old_us, not_before_us;
+};
+
+static uint32_t next_draw(uint32_t *draw)
+{
+	*draw = *draw * 1664525u + 1013904223u;
+	return *draw;
+}
+
+static void begin_outage(struct asking *a, int n, uint32_t *draw)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		int hub = i < ROLES_ACTIVE + ROLES_SPARE;
+		int64_t spread_us = next_draw(draw) / 4294967296.0 * SPREAD_US;
+
+		a[i].old_us = (hub ? OLD_US : OLD_US + SPREAD_US) + spread_us;
+		a[i].not_before_us = 0;
+		a[i].o = (struct roles_old){.hub = hub, .store_up = 1};
+		a[i].o.rest_until_us = a[i].old_us + roles_rest_us(n, next_draw(draw));
+	}
+}
+
+/* Whether a[i] asks at that time; its call fails. */
+static int asks(struct asking *a, int i, int n, int64_t now_us, uint32_t *draw)
+{
+	/* By then all hubs have found out that it answers nobody. */
+	a[i].o.asks = i < 2 && now_us > OLD_US + SPREAD_US;
+	if (now_us < a[i].old_us || now_us < a[i].not_before_us) return 0;
+	if (!roles_may_ask(&a[i].o, now_us)) return 0;
+	a[i].o.store_up = 0;
+	a[i].not_before_us = now_us + AGAIN_US;
+	a[i].o.rest_until_us = now_us + roles_rest_us(n, next_draw(draw));
+	return 1;
+}
+
+/* Calls of a whole fleet to a store that answers nobody. */
+static int calls_in_an_outage(int n, uint32_t *draw)
+{
+	static struct asking a[3800];
+	int64_t now_us;
+	int i, calls = 0;
+
+	begin_outage(a, n, draw);
+	for (now_us = 0; now_us < OUTAGE_US; now_us += TICK_US)
+		for (i = 0; i < n; i++) calls += asks(a, i, n, now_us, draw);
+	return calls;
+}
+
+static void calls_in_an_outage_do_not_grow_with_the_fleet(void)
+{
+	static const int sizes[] = {30, 295, 3800};
+	uint32_t draw = 7, k;
+
+	for (k = 0; k < sizeof sizes / sizeof *sizes; k++)
+		CU_ASSERT(calls_in_an_outage(sizes[k], &draw) <=
+			  80); /* 2 x 16 s / 0.8 s, 19 first ones */
+}
+
 /* Repeats of all together must stay within the allowance, whoever is active. */
 static void parts_of_all_are_no_more_than_the_whole(void)
 {
@@ -166,6 +234,8 @@
 	{"others_take_over_from_the_dead", others_take_over_from_the_dead},
 	{"few_talk_to_the_store_whatever_it_does", few_talk_to_the_store_whatever_it_does},
 	{"who_watches_takes_no_callers", who_watches_takes_no_callers},
+	{"calls_in_an_outage_do_not_grow_with_the_fleet",
+	 calls_in_an_outage_do_not_grow_with_the_fleet},
 	{"parts_of_all_are_no_more_than_the_whole", parts_of_all_are_no_more_than_the_whole},
 	{"rests_make_calls_independent_of_the_size", rests_make_calls_independent_of_the_size},
 };
