--- a/src/base/met.c
+++ b/src/base/met.c
@@ -51,10 +51,20 @@
 	"backends_ended",
 	"entries_unreadable",
 	"requests_blocked",
+	"cold_passed_over",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
-	"waiting",       "running",  "open_requests", "members", "engines_kept",
-	"table_version", "draining", "watches",       "active",  "blocked",
+	"waiting",
+	"running",
+	"open_requests",
+	"members",
+	"engines_kept",
+	"table_version",
+	"draining",
+	"watches",
+	"active",
+	"blocked",
+	"drained_data_centres",
 };
 static const char *const hist_names[MET_HIST_MAX] = {
 	"first_token_seconds", "between_tokens_seconds",    "stall_seconds",
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,6 +3,7 @@
 #include "be.h"
 #include "board.h"
 #include "clock.h"
+#include "cold.h"
 #include "dialect.h"
 #include "ev.h"
 #include "hs.h"
@@ -29,6 +30,7 @@
 #define CONF_IDLE_US 15000000
 #define INNER_IDLE_US 10000000 /* connections that ask for readiness, addresses and metrics */
 #define LEAVING_PART 0.9       /* of the time after which nothing may reach a leaving server */
+#define DRAINED_PART 0.5       /* the same of a drained data centre: word of it may come late */
 
 static struct entry_cfg *cfg;
 static struct hs_listener front, ready, directory, metrics;
@@ -170,12 +172,19 @@
 	mesh_woke();
 }
 
+static void set_needs(const struct entry_cfg *c)
+{
+	be_need_us = c->drain_us * LEAVING_PART;
+	be_drain_need_us = c->drain_dc_us * DRAINED_PART;
+	cold_set_bound(c->cold_over, c->cold_slack);
+}
+
 int entry_start(struct entry_cfg *c, struct err *e)
 {
 	int rc;
 
 	cfg = c;
-	be_need_us = c->drain_us * LEAVING_PART;
+	set_needs(c);
 	be_on_leaving = rq_on_leaving;
 	be_on_ended = rq_on_ended;
 	be_is_instance = mesh_is_instance;
@@ -206,12 +215,15 @@
 	cfg->fail_closed = c->fail_closed;
 	cfg->revoke_us = c->revoke_us;
 	cfg->drain_us = c->drain_us;
+	cfg->drain_dc_us = c->drain_dc_us;
+	cfg->cold_over = c->cold_over;
+	cfg->cold_slack = c->cold_slack;
 	cfg->grace_us = c->grace_us;
 	cfg->answer_ttl_max_us = c->answer_ttl_max_us;
 	cfg->retry_ratio = c->retry_ratio;
 	cfg->retry_slack = c->retry_slack;
 	cfg->retry_window_us = c->retry_window_us;
-	be_need_us = c->drain_us * LEAVING_PART;
+	set_needs(c);
 	jlog_end(g);
 }
 
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -10,6 +10,9 @@
 /* An engine that leaves is gone by then; one that doesn't is out for so long. Less, and it
  * would get new work before its end, once its streams were moved and nobody asked any more. */
 #define SUSPECT_US 3000000
+/* What is listed after the first entry by more is new, or back, and perhaps cold; what was
+ * there at this instance's start has served all the while. */
+#define FIRST_LIST_US 1000000
 #define FORGET_US 30000000 /* a gone entry is remembered: late word must not revive it */
 
 void (*be_on_leaving)(struct be *b);
@@ -19,6 +22,7 @@
 
 static GHashTable *by_id, *by_service;
 static GPtrArray *all;
+static int64_t first_us; /* when the first entry came; 0: none yet */
 
 static void init(void)
 {
@@ -104,6 +108,9 @@
 	b->address = g_strdup(i->address);
 	b->sa = *sa;
 	b->since_us = clock_us();
+	b->drained_us = be_dc_is_drained(b->zone) ? b->since_us : 0;
+	if (!first_us) first_us = b->since_us;
+	if (b->since_us - first_us > FIRST_LIST_US) b->back_us = b->since_us;
 	g_hash_table_insert(by_id, b->id, b);
 	g_ptr_array_add(all, b);
 	add_to_service(b);
@@ -181,6 +188,7 @@
 	forget_old(now);
 	b = life_of(i, &sa);
 	if (!b) return 0;
+	if (b->unreadable || b->state == BE_GONE) b->back_us = now;
 	b->slots = i->slots;
 	if (i->born_ms) b->born_ms = i->born_ms;
 	b->unreadable = 0;
@@ -272,7 +280,8 @@
 
 int be_leaves(const struct be *b)
 {
-	return b->state != BE_READY || b->suspect_until_us > clock_us();
+	if (b->state != BE_READY || b->drained_us) return 1;
+	return b->suspect_until_us > clock_us();
 }
 
 int64_t be_left_for_us(const struct be *b)
@@ -280,6 +289,7 @@
 	int64_t since_us = b->state == BE_READY ? b->suspect_us : b->since_us;
 
 	if (since_us - b->suspect_us < SUSPECT_US) since_us = b->suspect_us;
+	if (b->state == BE_READY && b->drained_us) since_us = b->drained_us;
 	return clock_us() - since_us;
 }
 
--- /dev/null
+++ b/src/fleet/be_drain.c
@@ -0,0 +1,85 @@
+/* Data centres that operators drain: nothing new goes to their backend servers. */
+#include "be.h"
+#include "clock.h"
+#include "jlog.h"
+#include "met.h"
+#include <string.h>
+
+int64_t be_drain_need_us;
+
+static GHashTable *drained; /* names of data centres */
+
+int be_dc_is_drained(const char *dc)
+{
+	return drained && g_hash_table_contains(drained, dc);
+}
+
+static void add_once(GPtrArray *names, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < names->len; i++)
+		if (!strcmp(g_ptr_array_index(names, i), name)) return;
+	g_ptr_array_add(names, g_strdup(name));
+}
+
+GPtrArray *be_dcs(void)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	gpointer name;
+	uint32_t i;
+
+	for (i = 0; i < be_all()->len; i++)
+		add_once(names, ((const struct be *)g_ptr_array_index(be_all(), i))->zone);
+	if (!drained) return names;
+	g_hash_table_iter_init(&it, drained);
+	while (g_hash_table_iter_next(&it, &name, NULL)) add_once(names, name);
+	return names;
+}
+
+static void set(const char *dc, int on)
+{
+	if (!drained) drained = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (on)
+		g_hash_table_add(drained, g_strdup(dc));
+	else
+		g_hash_table_remove(drained, dc);
+}
+
+static void log_drain(const char *dc, int on)
+{
+	GString *g = jlog_begin("fleet", on ? "data_centre_drained" : "data_centre_taken_back");
+
+	jlog_str(g, "data_centre", dc);
+	jlog_end(g);
+}
+
+static void drain(struct be *b, int on)
+{
+	int left = be_leaves(b);
+
+	b->drained_us = on ? clock_us() : 0;
+	if (!on) b->back_us = clock_us(); /* it may have turned cold meanwhile */
+	if (on && !left && be_on_leaving) be_on_leaving(b);
+}
+
+int be_may_go_on(const struct be *b)
+{
+	return !b->drained_us || clock_us() - b->drained_us < be_drain_need_us;
+}
+
+void be_drain_dc(const char *dc, int on)
+{
+	uint32_t i;
+
+	if (be_dc_is_drained(dc) == on) return;
+	set(dc, on);
+	met_set(MET_G_DRAINED, g_hash_table_size(drained));
+	log_drain(dc, on);
+	for (i = 0; i < be_all()->len; i++) {
+		struct be *b = g_ptr_array_index(be_all(), i);
+
+		if (!strcmp(b->zone, dc)) drain(b, on);
+	}
+}
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -9,6 +9,7 @@
 
 /* After its return entries that had lapsed come back within some two seconds. */
 #define BACK_US 2000000
+#define DIGEST_MULTIPLIER 2654435761u /* odd, with bits all over: revisions are close */
 
 struct note {
 	char *key;
@@ -16,7 +17,9 @@
 	uint64_t revision;
 };
 
+const char board_platform[] = "platform";
 void (*board_on_conf)(struct conf *c);
+void (*board_on_drain)(const char *from);
 
 static GHashTable *notes;
 static struct board_revs revs;
@@ -146,6 +149,13 @@
 	log_unread(i->key, i->revision, field, "missing, or not as it should be");
 }
 
+/* Whatever the key holds: it names the data centre, and stands for the drain. */
+static void take_drain(const struct st_item *i, const char *from)
+{
+	be_drain_dc(dl_drained_dc(i->key), i->value != NULL);
+	if (board_on_drain) board_on_drain(from);
+}
+
 static void keep_note(const struct st_item *i)
 {
 	struct note *n = g_new0(struct note, 1);
@@ -169,6 +179,7 @@
 		revs.conf = MAX(revs.conf, i->revision);
 		take_conf(i, from);
 		break;
+	case DL_DRAIN: take_drain(i, from); break;
 	case DL_BACKEND:
 		revs.backends = MAX(revs.backends, i->revision);
 		take_backend(i);
@@ -196,11 +207,59 @@
 	for (i = 0; i < missing->len; i++) {
 		struct st_item gone = {.key = g_ptr_array_index(missing, i), .revision = at};
 
-		board_apply(&gone, "platform");
+		board_apply(&gone, board_platform);
 	}
 	g_ptr_array_free(missing, TRUE);
 }
 
+static int is_drain(const struct note *n)
+{
+	return dl_item_kind(n->key) == DL_DRAIN;
+}
+
+static struct st_item item_of(const struct note *n)
+{
+	struct st_item i = {.key = n->key, .revision = n->revision};
+	gsize len = 0;
+
+	if (n->value) i.value = g_bytes_get_data(n->value, &len);
+	i.len = len;
+	return i;
+}
+
+void board_each_drain(void (*f)(const struct st_item *i, void *arg), void *arg)
+{
+	GHashTableIter it;
+	gpointer n;
+
+	g_hash_table_iter_init(&it, notes);
+	while (g_hash_table_iter_next(&it, NULL, &n)) {
+		struct st_item i = item_of(n);
+
+		if (is_drain(n)) f(&i, arg);
+	}
+}
+
+static void add_to_digest(const struct st_item *i, void *sum)
+{
+	*(uint64_t *)sum ^= (g_str_hash(i->key) | 1) * (i->revision * DIGEST_MULTIPLIER + 1);
+}
+
+uint64_t board_drains_digest(void)
+{
+	uint64_t sum = 0;
+
+	board_each_drain(add_to_digest, &sum);
+	return sum;
+}
+
+uint64_t board_revision_of(const char *key)
+{
+	const struct note *n = g_hash_table_lookup(notes, key);
+
+	return n && n->value ? n->revision : 0;
+}
+
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg)
 {
@@ -210,15 +269,13 @@
 	g_hash_table_iter_init(&it, notes);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct note *n = value;
-		struct st_item i = {.key = n->key, .revision = n->revision};
-		gsize len = 0;
+		struct st_item i = item_of(n);
 
+		if (is_drain(n)) continue;
 		if (partial && dl_item_kind(n->key) == DL_BACKEND) continue;
 		if (n->revision <=
 		    (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
 			continue;
-		if (n->value) i.value = g_bytes_get_data(n->value, &len);
-		i.len = len;
 		f(&i, arg);
 	}
 }
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -81,7 +81,8 @@
 			      .store_late = self_store_late,
 			      .link_mbps = cfg->link_mbps,
 			      .serves = mesh_self_serves(),
-			      .verdicts = poison_digest()};
+			      .verdicts = poison_digest(),
+			      .drains = board_drains_digest()};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
@@ -223,6 +224,8 @@
 	cfg = c;
 	mesh_members_start();
 	mesh_loads_start();
+	mesh_drains_start();
+	mesh_rank_start();
 	mesh_fetch_start();
 	beat_timer.fire = on_beat;
 	ev_in(&beat_timer, 0);
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -32,6 +32,8 @@
 
 	mesh_write_own_beat(out, m);
 	mesh_write_peers(out);
+	/* Before the verdicts: with them one that starts has all that it waits for. */
+	mesh_write_drains(out);
 	mesh_write_verdicts(out);
 	if (!m->heard_us || m->said.serves) mesh_write_all_loads(out);
 	cn_write(c, out->str, out->len);
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -51,6 +51,7 @@
 	msgpack_pack_int(p, b->link_mbps);
 	msgpack_pack_int(p, b->serves);
 	msgpack_pack_uint64(p, b->verdicts);
+	msgpack_pack_uint64(p, b->drains);
 	mesh_frame_end(&f, out);
 }
 
@@ -110,10 +111,8 @@
 	(*(int *)arg)++;
 }
 
-static void pack_item(const struct st_item *i, void *arg)
+void mesh_pack_item(msgpack_packer *p, const struct st_item *i)
 {
-	msgpack_packer *p = arg;
-
 	msgpack_pack_array(p, 3);
 	mesh_pack_text(p, i->key);
 	msgpack_pack_uint64(p, i->revision);
@@ -125,6 +124,11 @@
 	msgpack_pack_bin_body(p, i->value, i->len);
 }
 
+static void pack_item(const struct st_item *i, void *arg)
+{
+	mesh_pack_item(arg, i);
+}
+
 static void write_newer(GString *out, enum mesh_type type, struct board_revs after)
 {
 	struct mesh_frame f;
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -8,6 +8,7 @@
 #include "be.h"
 #include "board.h"
 #include "clock.h"
+#include "cold.h"
 #include "dialect.h"
 #include "ev.h"
 #include "hx.h"
@@ -133,6 +134,7 @@
 	struct hx *x = hx_new(pr);
 
 	met_add(MET_PROBES, 1);
+	cold_sent(b, conf_service(board_conf(), b->service));
 	if (check)
 		dl_write_check(out, b, check);
 	else
@@ -143,10 +145,12 @@
 	if (hx_start(x, &b->sa, out, CONNECT_US)) probe_free(pr);
 }
 
-/* Only streams are moved, and only engines are told to. */
+/* Only streams are moved, and only engines are told to. Those of a drained data centre are
+ * left alone: their streams are leaving anyway. */
 static int worth_asking(const struct be *b, const struct conf_service *s)
 {
-	if (b->state != BE_READY || b->probed || !b->own.used) return 0;
+	if (b->state != BE_READY || b->drained_us || b->probed || !b->own.used) return 0;
+	if (cold_wait_us(b, s, clock_us())) return 0;
 	return s && s->engine && (s->moves || s->backups) && mesh_first_user(b);
 }
 
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -20,7 +20,7 @@
 enum phase { LISTING, WATCHING };
 
 struct watcher {
-	const char *prefix;
+	struct dl_list list; /* of the keys that begin so */
 	enum phase phase;
 	uint64_t at; /* changes up to this revision are applied */
 	struct st_call *call;
@@ -36,7 +36,7 @@
 #define WATCHERS_MAX 4 /* lists that the platform may have */
 
 /* Checkers list once more what watchers have told. */
-static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX];
+static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX], drains_checker;
 static int nwatchers;
 static int64_t started_us; /* monotonic */
 static int first_start;    /* of the whole fleet */
@@ -56,7 +56,7 @@
 	size_t i;
 
 	for (i = 0; i < r->n; i++) {
-		board_apply(&r->items[i], "platform");
+		board_apply(&r->items[i], board_platform);
 		if (listed_us && dl_item_kind(r->items[i].key) == DL_CONF)
 			board_confirm(r->items[i].revision, listed_us);
 	}
@@ -88,16 +88,15 @@
 		/* Pages are no snapshot: what changed since the first is watched from there. */
 		w->at = r->at;
 	}
-	if (r->more && !w->base.backends && dl_item_kind(w->prefix) == DL_BACKEND)
-		board_set_partial(1);
+	if (r->more && !w->base.backends && w->list.of == DL_BACKEND) board_set_partial(1);
 	apply_all(r, r->sent_us);
 	for (i = 0; i < r->n; i++) g_hash_table_add(w->listed, g_strdup(r->items[i].key));
 	if (r->more && r->n) {
-		w->call = st_range(w->prefix, r->items[r->n - 1].key, on_listed, w);
+		w->call = st_range(w->list.prefix, r->items[r->n - 1].key, on_listed, w);
 		return;
 	}
-	if (dl_item_kind(w->prefix) == DL_BACKEND) board_set_partial(0);
-	board_apply_missing(w->prefix, w->listed, w->at);
+	if (w->list.of == DL_BACKEND) board_set_partial(0);
+	board_apply_missing(w->list.prefix, w->listed, w->at);
 	g_hash_table_remove_all(w->listed);
 	mesh_pass_on(w->base);
 	if (w->once) return;
@@ -138,7 +137,7 @@
 {
 	struct board_revs revs = board_revs();
 
-	return dl_item_kind(w->prefix) == DL_CONF ? revs.conf : revs.backends;
+	return w->list.of == DL_CONF ? revs.conf : revs.backends;
 }
 
 /* Others have passed on what came since; it is not asked for again. */
@@ -170,7 +169,7 @@
 static int may_ask(const struct watcher *w)
 {
 	if (watch_store_up() || tries_anew(w) || clock_us() >= w->rest_until_us) return 1;
-	return mesh_asks_store() && !board_conf() && dl_item_kind(w->prefix) == DL_CONF;
+	return mesh_asks_store() && !board_conf() && w->list.of == DL_CONF;
 }
 
 static void next(struct watcher *w)
@@ -183,7 +182,7 @@
 	}
 	if (w->phase == LISTING) {
 		w->begun = 1;
-		w->call = st_range(w->prefix, NULL, on_listed, w);
+		w->call = st_range(w->list.prefix, NULL, on_listed, w);
 		return;
 	}
 	if (!must_watch() && !tries_anew(w)) {
@@ -191,7 +190,7 @@
 		return;
 	}
 	catch_up(w);
-	w->call = st_watch(w->prefix, w->at, WATCH_MS, on_watched, w);
+	w->call = st_watch(w->list.prefix, w->at, WATCH_MS, on_watched, w);
 }
 
 static void on_retry(struct ev_timer *t)
@@ -212,7 +211,7 @@
 	int i;
 
 	for (i = 0; i < nwatchers; i++)
-		if (dl_item_kind(watchers[i].prefix) == DL_CONF && watchers[i].call &&
+		if (watchers[i].list.of == DL_CONF && watchers[i].call &&
 		    st_received(watchers[i].call))
 			return 1;
 	return 0;
@@ -231,11 +230,19 @@
 	int i;
 
 	for (i = 0; i < nwatchers; i++) {
-		if (dl_item_kind(watchers[i].prefix) == DL_CONF || checkers[i].call) continue;
-		checkers[i].call = st_range(checkers[i].prefix, NULL, on_listed, &checkers[i]);
+		if (watchers[i].list.of == DL_CONF || checkers[i].call) continue;
+		checkers[i].call =
+			st_range(checkers[i].list.prefix, NULL, on_listed, &checkers[i]);
 	}
 }
 
+void watch_check_drains(void)
+{
+	struct watcher *w = &drains_checker;
+
+	if (!w->call) w->call = st_range(w->list.prefix, NULL, on_listed, w);
+}
+
 void watch_leave_to_others(void)
 {
 	int i;
@@ -245,9 +252,9 @@
 			start_again(&watchers[i]);
 }
 
-static void init_watcher(struct watcher *w, const char *prefix)
+static void init_watcher(struct watcher *w, struct dl_list list)
 {
-	w->prefix = prefix;
+	w->list = list;
 	w->retry.fire = on_retry;
 	w->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -258,9 +265,11 @@
 
 	first_start = first;
 	started_us = clock_us();
-	for (i = 0; i < WATCHERS_MAX && dl_prefixes[i]; i++) {
-		init_watcher(&watchers[i], dl_prefixes[i]);
-		init_watcher(&checkers[i], dl_prefixes[i]);
+	init_watcher(&drains_checker, (struct dl_list){dl_drains, DL_DRAIN});
+	drains_checker.once = 1;
+	for (i = 0; i < WATCHERS_MAX && dl_lists[i].prefix; i++) {
+		init_watcher(&watchers[i], dl_lists[i]);
+		init_watcher(&checkers[i], dl_lists[i]);
 		checkers[i].once = 1;
 		nwatchers++;
 		next(&watchers[i]);
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -1,5 +1,6 @@
 /* The configuration's age: before it grows too old one instance asks for all whether it is
  * still the newest, and lists the rest anew. */
+#include "be.h"
 #include "board.h"
 #include "clock.h"
 #include "dialect.h"
@@ -42,7 +43,10 @@
 	mesh_set_store_late(0);
 	watch_note_reply(r);
 	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
-	if (r->rc == -ECANCELED) watch_apply(r, r->sent_us);
+	if (r->rc == -ECANCELED) {
+		watch_apply(r, r->sent_us);
+		watch_check_drains(); /* what is gone is not named in the answer */
+	}
 	if (r->rc && r->rc != -ECANCELED) {
 		rest_until_us = clock_us() + mesh_rest_us();
 		not_before_us = clock_us() + AGAIN_US;
@@ -54,16 +58,28 @@
 	age_us = draw_age();
 }
 
-/* Asks whether the revision held here is still the newest: a condition without a change. */
+/* Asks whether what is held here of the configuration, and of the drains of data centres, is
+ * still the newest: conditions without a change. */
 static void confirm(void)
 {
-	struct st_change ask = {.if_key = dl_conf_key};
+	struct st_condition held[ST_CONDITIONS_MAX];
+	struct st_change ask = {.conditions = held};
+	GPtrArray *dcs = be_dcs(), *keys = g_ptr_array_new_with_free_func(g_free);
+	uint32_t i;
 
 	confirming_revision = board_conf()->revision;
-	ask.if_revision = confirming_revision;
+	held[ask.nconditions++] = (struct st_condition){dl_conf_key, confirming_revision};
+	for (i = 0; i < dcs->len && ask.nconditions < ST_CONDITIONS_MAX; i++) {
+		char *key = g_strconcat(dl_drains, g_ptr_array_index(dcs, i), NULL);
+
+		g_ptr_array_add(keys, key);
+		held[ask.nconditions++] = (struct st_condition){key, board_revision_of(key)};
+	}
 	asked_us = clock_us();
 	confirming = st_commit(&ask, on_confirmed, NULL);
 	mesh_hold_fetch(asked_us + LATE_US);
+	g_ptr_array_unref(keys);
+	g_ptr_array_unref(dcs);
 }
 
 /* Those without callers ask first, then the other hubs. */
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -35,10 +35,13 @@
 	char *service, *zone, *address;
 	struct sockaddr_in sa;
 	enum be_state state;
-	int unreadable; /* its entry is, for now */
+	int unreadable;     /* its entry is, for now */
+	int64_t drained_us; /* since when its data centre has been drained; 0: it is not */
 	uint32_t slots;
 	int64_t since_us;      /* monotonic: when state became what it is */
-	int64_t cold_until_us; /* slow until then */
+	int64_t cold_until_us; /* cold until then, as it told */
+	int64_t back_us;       /* when it came to be used, or was taken back; 0: long ago */
+	int64_t cold_sent_us;  /* when this instance last sent it a request while it was cold */
 	int64_t lapsed_us; /* its entry is missing since the platform's return; 0: it is not */
 	/* It may be leaving, though no entry can say so now: */
 	int64_t suspect_us, suspect_until_us;
@@ -88,11 +91,21 @@
 /* Those whose entries did not come back are gone; to be called every tenth of a second or so.
  */
 void be_check_lapsed(void);
+/* Operators drain a data centre, or take it back: its servers get nothing new meanwhile, and
+ * what runs there goes on elsewhere where it can. */
+void be_drain_dc(const char *dc, int drained);
+int be_dc_is_drained(const char *dc);
+/* Whether a stream whose memory is there alone may still go on there: not where its data centre
+ * has been drained for be_drain_need_us, even if it is lost. */
+int be_may_go_on(const struct be *b);
+/* Names of the data centres where servers stand, or which are drained. Free with
+ * g_ptr_array_unref. */
+GPtrArray *be_dcs(void);
 /* It may leave: what runs there is moved, and it gets no new work for a moment unless it is
  * said again. */
 void be_suspect(struct be *b, const char *said_by);
 void be_told_suspect(const char *id, int64_t born_ms, const char *said_by);
-/* Whether it leaves, is gone, or may be leaving. */
+/* Whether it leaves, is gone, or may be leaving, or its data centre is drained. */
 int be_leaves(const struct be *b);
 /* Microseconds since it was first known that it does. */
 int64_t be_left_for_us(const struct be *b);
@@ -103,7 +116,7 @@
 struct be *be_ref(struct be *b);
 void be_unref(struct be *b);
 
-/* be_sound.c */
+/* be_sound.c: */
 /* An exchange went well or not: one that fails too often is ejected for a while, in a cap. */
 void be_succeeded(struct be *b, int64_t took_us);
 void be_failed(struct be *b, const char *why);
@@ -137,4 +150,6 @@
 extern void (*be_on_new)(struct be *b);
 /* How long after its notice a backend server may still get work in need; microseconds. */
 extern int64_t be_need_us;
+/* How long after a drain its servers may still get what can go nowhere else; microseconds. */
+extern int64_t be_drain_need_us;
 #endif
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -23,10 +23,17 @@
 /* Of the first listing of backend servers some pages have come: used here, but nothing is said
  * or handed on of it before it is whole. Others would take it for all there is. */
 void board_set_partial(int now);
-/* Calls f for each item newer than the revisions of its kind, gone ones too. */
+/* Calls f for each item newer than the revisions of its kind, gone ones too; drains apart. */
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg);
 
+/* Calls f for each key of a drain that ever stood, as far as is known: gone ones too. */
+void board_each_drain(void (*f)(const struct st_item *i, void *arg), void *arg);
+/* Two instances with the same digest know the same drains. */
+uint64_t board_drains_digest(void);
+/* The revision at which a key stands; 0: it does not, as far as is known. */
+uint64_t board_revision_of(const char *key);
+
 /* The newest configuration, or NULL before the first. */
 struct conf *board_conf(void);
 /* The configuration of that revision was surely the newest at that time (monotonic). */
@@ -40,4 +47,8 @@
 int64_t board_confirmed_us(void);
 /* Called after a new configuration is in force; set once, may be NULL. */
 extern void (*board_on_conf)(struct conf *c);
+/* Called after news of a drain, with whoever told it; set once, may be NULL. */
+extern void (*board_on_drain)(const char *from);
+/* Whose word the platform's own is. */
+extern const char board_platform[];
 #endif
--- a/src/internal/conf.h
+++ b/src/internal/conf.h
@@ -35,6 +35,8 @@
 	char *name;
 	uint32_t connections; /* one server takes from all instances; 0: not told */
 	char *check;          /* path of a server's health check; NULL: not told */
+	int64_t cold_us;      /* after its start a server is cold so long; 0: it is not */
+	double cold_per_s;    /* requests a second that it bears while cold; 0: not told */
 	/* Model engines only: */
 	int engine;
 	uint32_t slots;       /* requests at once */
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -78,10 +78,22 @@
 enum dl_health dl_read_check(const struct hp_head *h, const char *id);
 
 /* The platform's lists. */
-extern const char *const dl_prefixes[]; /* of the keys to watch, NULL at the end */
+enum dl_item {
+	DL_OTHER,
+	DL_CONF,
+	DL_DRAIN, /* of a data centre, while the key stands; whatever it holds */
+	DL_BACKEND
+};
+struct dl_list {
+	const char *prefix; /* of its keys */
+	enum dl_item of;    /* what it is listed for */
+};
+extern const struct dl_list dl_lists[]; /* to be watched; the prefix NULL at the end */
 extern const char *const dl_conf_key;
-enum dl_item { DL_OTHER, DL_CONF, DL_BACKEND };
+extern const char *const dl_drains; /* the prefix of their keys */
 enum dl_item dl_item_kind(const char *key);
+/* The data centre that the key of a drain names. */
+const char *dl_drained_dc(const char *key);
 /* The id of the backend server whose entry the key is. */
 const char *dl_backend_id(const char *key);
 /* NULL and e set when it is none. */
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -19,12 +19,14 @@
 	uint16_t peer_port, metrics_port; /* 0: no metrics */
 	struct sockaddr_in seed[ENTRY_SEEDS_MAX]; /* some other instances' peer ports */
 	int nseeds;
-	int first_start;           /* of the whole fleet */
-	int fail_closed;           /* keyed requests only under a confirmed configuration */
-	int64_t revoke_us;         /* a removed key runs nothing after it */
-	int64_t drain_us;          /* a leaving backend server gets nothing after it */
-	int64_t grace_us;          /* from the signal to stop until the kill */
-	int64_t answer_ttl_max_us; /* callers keep an address at most so long */
+	int first_start;              /* of the whole fleet */
+	int fail_closed;              /* keyed requests only under a confirmed configuration */
+	int64_t revoke_us;            /* a removed key runs nothing after it */
+	int64_t drain_us;             /* a leaving backend server gets nothing after it */
+	int64_t drain_dc_us;          /* the same of servers in a data centre that is drained */
+	int64_t grace_us;             /* from the signal to stop until the kill */
+	int64_t answer_ttl_max_us;    /* callers keep an address at most so long */
+	double cold_over, cold_slack; /* a cold server falls over: see saddlehead/cold.h */
 	double retry_ratio, retry_slack; /* repeats in a window: ratio x requests + slack */
 	int64_t retry_window_us;
 };
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -61,6 +61,12 @@
 uint32_t mesh_bare_before(const struct be *b);
 /* Whether this instance is the first, in that order, of those with work on b. */
 int mesh_first_user(const struct be *b);
+/* Of those that send to b, how far this instance is from the first in that order; those that
+ * died lately keep their places, which others do not fill. rank >= sharers: it has none. */
+struct mesh_rank {
+	uint32_t sharers, rank;
+};
+struct mesh_rank mesh_rank(const struct be *b);
 /* b said itself that it leaves: peers are told at once. */
 void mesh_tell_leaving(const struct be *b);
 /* The same of b whose health check fails. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -21,7 +21,8 @@
 	MESH_ENDED,     /* a server ended, and what ran there */
 	MESH_THROUGH,   /* a run came through of what servers ended under */
 	MESH_UNDER_WAY, /* so many runs of it have not answered yet */
-	MESH_VERDICTS   /* what is blamed for ends of servers, or is not any longer */
+	MESH_VERDICTS,  /* what is blamed for ends of servers, or is not any longer */
+	MESH_DRAINS     /* keys of drained data centres, and of those taken back */
 };
 
 /* Of verdicts: some, all that the sender has, all that it and others have. */
@@ -39,6 +40,7 @@
 	int64_t echo_us;          /* the receiver's stamp that came last; 0: none */
 	int64_t echo_held_us;     /* since it came */
 	uint64_t verdicts;        /* digest of what it knows to be blamed */
+	uint64_t drains;          /* the same of drained data centres */
 };
 
 struct mesh_row {
@@ -66,11 +68,12 @@
 };
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
-#define MESH_BEAT_FIELDS 17
-#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next three */
+#define MESH_BEAT_FIELDS 18
+#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next four */
 #define MESH_BEAT_LINK 14       /* where link_mbps stands */
 #define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_BEAT_VERDICTS 16   /* where verdicts stands */
+#define MESH_BEAT_DRAINS 17     /* where drains stands */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10 /* of earlier releases, which leave out the next one */
 #define MESH_ROW_BORN 10       /* where born_ms stands */
@@ -83,6 +86,8 @@
 msgpack_packer *mesh_frame_begin(struct mesh_frame *f, enum mesh_type type, int fields);
 void mesh_frame_end(struct mesh_frame *f, GString *out);
 void mesh_pack_text(msgpack_packer *p, const char *s);
+/* As mesh_read_item reads it. */
+void mesh_pack_item(msgpack_packer *p, const struct st_item *i);
 
 /* mesh_write.c: one frame each, appended to out. */
 void mesh_write_beat(GString *out, const struct mesh_beat *b);
@@ -212,6 +217,19 @@
 /* A frame of its types. 0 or -EBADMSG. */
 int mesh_take_poison(const struct member *m, const msgpack_object_array *a);
 
+/* mesh_rank.c */
+void mesh_rank_start(void);
+
+/* mesh_drains.c */
+void mesh_drains_start(void);
+/* All drains that this instance knows, also those that are over; nothing where it knows none.
+ */
+void mesh_write_drains(GString *out);
+/* Tells them to m if it knows others. */
+void mesh_heal_drains(struct member *m);
+/* A frame of its type. 0 or -EBADMSG. */
+int mesh_take_drains(const struct member *m, const msgpack_object_array *a);
+
 /* mesh_loads.c */
 void mesh_init_loads(struct member *m);
 void mesh_take_loads(struct member *m, const msgpack_object_array *a);
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -34,6 +34,7 @@
 	MET_BACKENDS_ENDED,     /* untold, while requests of this instance ran there */
 	MET_ENTRIES_UNREADABLE, /* of backend servers, by other writers */
 	MET_BLOCKED,            /* requests that were blamed for it, here or elsewhere */
+	MET_COLD_PASSED_OVER,   /* choices in which a cold server had its share already */
 	MET_COUNT_MAX
 };
 
@@ -48,6 +49,7 @@
 	MET_G_WATCHES,
 	MET_G_ACTIVE,  /* callers are sent here */
 	MET_G_BLOCKED, /* requests that are blamed now */
+	MET_G_DRAINED, /* data centres that are drained */
 	MET_GAUGE_MAX
 };
 
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -229,6 +229,8 @@
 void move_from_silent(struct rq *r);
 /* The first event came, or another change that may let a move go on. */
 void move_go_on(struct rq *r);
+/* The source was told to stop: its stream ends without its end. */
+int move_stops_source(const struct rq *r);
 /* The source's stream ended without its end. 1: the move goes on without it. */
 int move_source_ended(struct rq *r);
 void move_stop(struct rq *r);
--- a/src/internal/store.h
+++ b/src/internal/store.h
@@ -28,11 +28,17 @@
 
 typedef void st_done(const struct st_reply *r, void *user);
 
-/* One change, made only if its condition holds. */
+struct st_condition {
+	const char *key;
+	uint64_t revision; /* that it stands at; 0: the key is absent */
+};
+#define ST_CONDITIONS_MAX 32 /* of one change: the service takes no more */
+
+/* One change, made only if all its conditions hold. */
 struct st_change {
-	const char *if_key;   /* NULL: no condition */
-	uint64_t if_revision; /* 0: the key is absent */
-	const char *put_key;  /* NULL: nothing is written, the condition alone is asked */
+	const struct st_condition *conditions;
+	int nconditions;
+	const char *put_key; /* NULL: nothing is written, the condition alone is asked */
 	const char *value;
 	size_t len;
 	uint64_t lease; /* 0: none */
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -208,6 +208,12 @@
 	if (r && r->leg && r->leg->hx) hx_pause(r->leg->hx, 0);
 }
 
+static void move_elsewhere(struct rq *r)
+{
+	move_stop(r);
+	if (r->leg && be_leaves(r->leg->be)) move_begin(r);
+}
+
 void rq_on_leaving(struct be *b)
 {
 	uint32_t i;
@@ -219,7 +225,10 @@
 		r = g_ptr_array_index(rq_all, i);
 		if (!r->leg) continue;
 		if (r->leg->backup == b) leg_drop_backup(r->leg);
-		if (r->leg->be == b) move_begin(r);
+		if (r->leg->be == b)
+			move_begin(r);
+		else if (r->move.target == b && r->move.state == MOVE_COPY)
+			move_elsewhere(r);
 	}
 }
 
@@ -231,9 +240,7 @@
 		leg_server_ended(r->next);
 		return;
 	}
-	if (r->move.target != b || r->move.state == MOVE_NONE) return;
-	move_stop(r);
-	if (r->leg && be_leaves(r->leg->be)) move_begin(r);
+	if (r->move.target == b && r->move.state != MOVE_NONE) move_elsewhere(r);
 }
 
 void rq_on_ended(struct be *b)
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -70,9 +70,12 @@
 {
 	struct rq *r = l->rq;
 
-	leg_note_broken(l, err);
+	/* Engines that did as they were told were taken for failing, and got no work. */
+	if (!move_stops_source(r)) {
+		leg_note_broken(l, err);
+		be_failed(l->be, "broke off");
+	}
 	log_broke(l, "may_have_run", err);
-	be_failed(l->be, "broke off");
 	if (move_source_ended(r)) return;
 	r->runs++;
 	if (!move_to_backup(r)) return;
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -165,6 +165,13 @@
 	rq_fail(r, REF_STREAM_LOST, why);
 }
 
+int move_stops_source(const struct rq *r)
+{
+	const struct move *m = &r->move;
+
+	return m->state == MOVE_LAST || (m->state == MOVE_NEXT && m->stopped);
+}
+
 int move_source_ended(struct rq *r)
 {
 	struct move *m = &r->move;
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -92,6 +92,15 @@
 	return be_left_for_us(r->move.source) < LAST_US;
 }
 
+/* Where the rest finds no room it goes on at its source, if it still may then: one that
+ * nothing drives away runs to its end there. */
+static int may_stop(const struct rq *r)
+{
+	const struct be *b = r->move.source;
+
+	return !b->drained_us || be_may_go_on(b) || b->state != BE_READY;
+}
+
 static void on_copied(struct rq *r, int status, const struct dl_moved *moved)
 {
 	drop_unless_same(&r->move, moved);
@@ -101,6 +110,10 @@
 			move_order(r, 0);
 			return;
 		}
+		if (!may_stop(r)) {
+			move_stop(r);
+			return;
+		}
 		r->move.state = MOVE_LAST;
 		move_order(r, 1);
 		return;
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -17,6 +17,10 @@
 
 static void go_on_at(struct rq *r, struct be *b, const struct be *copy_at, const char *copy)
 {
+	if (!be_may_go_on(b)) {
+		move_lost(r, "its memory is in a data centre that is drained");
+		return;
+	}
 	r->move.state = MOVE_NEXT;
 	rq_count_repeat(r);
 	r->next = leg_start(r, b, copy_at, copy);
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -1,6 +1,8 @@
 /* Which backend server a request goes to, its memory moves to, and its copy is kept at. */
 #include "clock.h"
+#include "cold.h"
 #include "mesh.h"
+#include "met.h"
 #include "rq_impl.h"
 #include <math.h>
 #include <string.h>
@@ -21,13 +23,21 @@
 				.inbound = b->own.inbound + b->others.inbound};
 }
 
+/* Microseconds until b may get new work of r's service; INT64_MAX: not as far as is known. */
+static int64_t usable_in(const struct be *b, const struct rq *r, int64_t now)
+{
+	int64_t in_us = be_usable_in(b, now);
+
+	return in_us == INT64_MAX ? in_us : MAX(in_us, cold_wait_us(b, r->service, now));
+}
+
 static void fill_site(struct place_site *s, const struct be *b, const struct rq *r,
 		      const char *dc, int64_t now)
 {
 	struct be_load all = rq_load_of(b);
 
 	*s = (struct place_site){
-		.usable = be_usable(b, now),
+		.usable = usable_in(b, r, now) == 0,
 		.near = !strcmp(b->zone, dc),
 		.slots = b->slots,
 		.runs = all.runs,
@@ -47,19 +57,22 @@
 {
 	const GPtrArray *list = be_of(r->service->name);
 	int64_t now = clock_us();
-	int i, any = 0, n = list ? MIN((int)list->len, PLACE_SITES_MAX) : 0;
+	int i, any = 0, passed_over = 0, n = list ? MIN((int)list->len, PLACE_SITES_MAX) : 0;
 
 	for (i = 0; i < n; i++) {
 		const struct be *b = g_ptr_array_index(list, i);
 
 		fill_site(&s[i], b, r, dc, now);
+		passed_over |= !s[i].usable && be_usable(b, now);
 		if (b == not_this) s[i].usable = 0;
 		any |= s[i].usable;
 	}
+	if (passed_over) met_add(MET_COLD_PASSED_OVER, 1);
 	for (i = 0; i < n && !any; i++) {
 		const struct be *b = g_ptr_array_index(list, i);
 
-		s[i].usable = b != not_this && be_last_resort(b, now);
+		s[i].usable = b != not_this && be_last_resort(b, now) &&
+			      !cold_wait_us(b, r->service, now);
 	}
 	return n;
 }
@@ -144,7 +157,7 @@
 	uint32_t foreseen = all.held + all.backup;
 
 	*s = (struct forecast_site){
-		.usable_in_us = be_usable_in(b, now),
+		.usable_in_us = usable_in(b, r, now),
 		.tokens = r->service->tokens,
 		.used = all.used,
 		.growth = foreseen > all.used ? foreseen - all.used : 0,
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -1,5 +1,6 @@
 /* Sending a request to the backend server that was chosen for it. */
 #include "clock.h"
+#include "cold.h"
 #include "jlog.h"
 #include "mesh.h"
 #include "rq_impl.h"
@@ -84,6 +85,7 @@
 	if (l->backup) be_ref(l->backup);
 	evs_init(&l->evs);
 	r->sends++;
+	cold_sent(b, r->service);
 	log_sent(l, copy);
 	l->hx = hx_new(l);
 	l->hx->on_up = leg_on_up;
--- a/test/pw.h
+++ b/test/pw.h
@@ -138,7 +138,9 @@
 
 struct pw_server {
 	char id[64], service[64], ip[32], address[48];
+	char zone[16];   /* "a" at first, where entries are, too */
 	int64_t born_ms; /* of this life; 0: not told */
+	int cold_ms;     /* that its entry tells */
 	struct hs_listener listener;
 	int64_t leaving_us; /* when its entry first said that it leaves, or went */
 	enum pw_mode mode;
@@ -166,6 +168,8 @@
 const char *pw_server_ip(void);
 const char *pw_second_ip(void);
 void pw_servers_end(void);
+/* The same in a data centre. */
+struct pw_server *pw_server_add_in(const char *service, int engine, const char *zone);
 /* Writes its entry; state "ready" or "draining". */
 void pw_server_list(struct pw_server *s, const char *state);
 void pw_server_unlist(struct pw_server *s);
@@ -221,6 +225,7 @@
 	int version, timeout_ms, extra_routes, attempts;
 	int tokens;       /* memory of an engine */
 	int link_mbps;    /* over which it moves */
+	int cold_per_s;   /* requests that a server of app bears in its first second; 0: any */
 	const char *keys; /* JSON list of w1's keys */
 	const char *safe_service;
 };
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -19,9 +19,12 @@
 GString *pw_conf_text(void)
 {
 	GString *s = g_string_new(NULL);
-	char safe[64], name[32];
+	char safe[64], name[32], cold[64] = "";
 	int i;
 
+	if (pw_conf.cold_per_s)
+		g_snprintf(cold, sizeof cold, ",\"coldStartS\":1.0,\"coldPerS\":%d",
+			   pw_conf.cold_per_s);
 	g_snprintf(safe, sizeof safe, ",\"maxAttempts\":%d", pw_conf.attempts);
 	g_string_printf(s, "{\"version\":%d,\"routes\":[", pw_conf.version);
 	route(s, "chat", "streaming", "llm", 1, ",\"maxAttempts\":3");
@@ -40,14 +43,14 @@
 		"health\",\"maxConnections\":100,"
 		"\"engine\":{\"slots\":48,\"kvCacheTokens\":%d,\"kvTokenBytes\":131072,"
 		"\"linkMbps\":%d.0,\"moves\":true,\"backups\":true,\"handleS\":5.0}},"
-		"{\"name\":\"app\",\"maxConnections\":100},{\"name\":\"app2\","
+		"{\"name\":\"app\",\"maxConnections\":100%s},{\"name\":\"app2\","
 		"\"maxConnections\":100}],"
 		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
 		"\"headerTimeoutMs\":600,"
 		"\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"w1\",\"apiKeys\":%s,"
 		"\"priority\":1},"
 		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
-		pw_conf.tokens, pw_conf.link_mbps, pw_conf.keys);
+		pw_conf.tokens, pw_conf.link_mbps, cold, pw_conf.keys);
 	return s;
 }
 
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -84,7 +84,8 @@
 	msgpack_pack_int(p, 0);
 	msgpack_pack_int(p, me->link_mbps);
 	msgpack_pack_int(p, me->takes_callers);
-	msgpack_pack_uint64(p, 0); /* knows of nothing that is blamed */
+	msgpack_pack_uint64(p, 0); /* knows of nothing that is blamed ... */
+	msgpack_pack_uint64(p, 0); /* ... or drained */
 	finish(&f, out);
 }
 
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -172,6 +172,15 @@
 	return s;
 }
 
+struct pw_server *pw_server_add_in(const char *service, int engine, const char *zone)
+{
+	struct pw_server *s = pw_server_new(service, engine);
+
+	g_strlcpy(s->zone, zone, sizeof s->zone);
+	pw_server_list(s, "ready");
+	return s;
+}
+
 struct pw_entry *pw_init_with(struct pw_server **s, int n)
 {
 	int i;
@@ -190,6 +199,7 @@
 	pw_server_rename(s);
 	g_strlcpy(s->service, service, sizeof s->service);
 	g_snprintf(s->address, sizeof s->address, "%s:%d", pw_server_ip(), PW_SERVER + serial);
+	g_strlcpy(s->zone, "a", sizeof s->zone);
 	s->engine = engine;
 	s->work_ms = 5;
 	s->copy_ms = 5;
@@ -211,9 +221,10 @@
 	if (s->born_ms)
 		g_snprintf(born, sizeof born, ",\"born\":%" G_GINT64_FORMAT, s->born_ms);
 	g_snprintf(value, sizeof value,
-		   "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"version\":\"v1\","
-		   "\"slots\":%d,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1%s}",
-		   s->service, s->address, s->engine ? 48 : 6, state, born);
+		   "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
+		   "\"slots\":%d,\"state\":\"%s\",\"coldRemainingMs\":%d,\"sequence\":1%s}",
+		   s->service, s->address, s->zone, s->engine ? 48 : 6, state, s->cold_ms,
+		   born);
 	pw_store_put(key, value);
 }
 
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -301,9 +301,17 @@
 {
 	GString *out = g_string_new("{\"items\":[");
 	struct json_object *rows;
+	size_t i, n = pf_array(o, "expectedRevision", &rows);
+	int items = 0;
+
+	for (i = 0; i < n; i++) {
+		const char *key = pf_text(json_object_array_get_idx(rows, i), "privateKey");
+		const struct entry *e = g_hash_table_lookup(entries, key);
 
-	pf_array(o, "expectedRevision", &rows);
-	json_items(out, pf_text(json_object_array_get_idx(rows, 0), "privateKey"), 0, 0);
+		if (!e || !e->value) continue;
+		if (items++) g_string_append_c(out, ',');
+		json_item(out, key, e);
+	}
 	g_string_append(out, "]}");
 	answer(h, 412, out->str);
 	g_string_free(out, TRUE);
--- /dev/null
+++ b/test/test_drain.c
@@ -0,0 +1,326 @@
+/* Operators drain data centres: nothing new goes there until they take them back. */
+#include "check.h"
+#include "clock.h"
+#include "pw.h"
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEARD_MS 200    /* a watch tells within some ms */
+#define CONFIRM_MS 2500 /* silent watches: a confirmation notices, at most 1.8 s later */
+
+static void drain(const char *data_centre)
+{
+	char key[64];
+
+	g_snprintf(key, sizeof key, "op/evacuate/%s", data_centre);
+	pw_store_put(key, "{}");
+}
+
+static void take_back(const char *data_centre)
+{
+	char key[64];
+
+	g_snprintf(key, sizeof key, "op/evacuate/%s", data_centre);
+	pw_store_remove(key);
+}
+
+/* Calls at each entry in turn; how many of them reached s. */
+static int arrivals_of_calls(struct pw_server *s, struct pw_entry **e, int n)
+{
+	int i;
+
+	s->arrivals = 0;
+	for (i = 0; i < 12; i++) CU_ASSERT_EQUAL(pw_status_of_key(e[i % n], "k1"), 200);
+	return s->arrivals;
+}
+
+static void a_drained_data_centre_gets_nothing_new(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e;
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	far = pw_server_add_in("app", 0, "b");
+	near->work_ms = 40; /* the other one is chosen while it may be */
+	e = pw_entry_ready();
+	CU_ASSERT(arrivals_of_calls(far, &e, 1) > 0);
+	drain("b");
+	pw_run(HEARD_MS);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, &e, 1), 0);
+	take_back("b");
+	pw_run(HEARD_MS);
+	CU_ASSERT(arrivals_of_calls(far, &e, 1) > 0);
+	pw_end();
+}
+
+/* Also where a first try there was its repeat's reason, and where nothing else is left. */
+static void all_data_centres_drained_means_refused_at_once(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	s[0] = pw_server_add("app", 0);
+	s[1] = pw_server_add_in("app", 0, "b");
+	e = pw_entry_ready();
+	drain("a");
+	drain("b");
+	pw_run(HEARD_MS);
+	for (i = 0; i < 2; i++) s[i]->arrivals = 0;
+	c = pw_ask(e, "GET", "/safe/", 4000);
+	CU_ASSERT(pw_call_wait(c, 200));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(atof(c->retry_after) > 0);
+	CU_ASSERT_EQUAL(s[0]->arrivals + s[1]->arrivals, 0);
+	pw_end();
+}
+
+static void repeats_do_not_go_there(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	far = pw_server_add_in("app", 0, "b");
+	e = pw_entry_ready();
+	drain("b");
+	pw_run(HEARD_MS);
+	near->mode = PW_ERROR;
+	c = pw_ask(e, "GET", "/safe/", 4000);
+	CU_ASSERT(pw_call_wait(c, 1000));
+	CU_ASSERT_EQUAL(near->arrivals, 2);
+	CU_ASSERT_EQUAL(far->arrivals, 0);
+	pw_end();
+}
+
+/* What runs there goes on elsewhere, with its memory and without a pause that a reader sees. */
+static void streams_leave_a_drained_data_centre(void)
+{
+	struct pw_server *far, *near;
+	struct pw_entry *e;
+	struct pw_call *c[3];
+	int i;
+
+	pw_init();
+	far = pw_server_add_in("llm", 1, "b");
+	far->events = 400;
+	e = pw_entry_ready();
+	for (i = 0; i < 3; i++) c[i] = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(300);
+	near = pw_server_add("llm", 1);
+	near->events = 400;
+	pw_run(HEARD_MS);
+	drain("b");
+	pw_run(1500);
+	for (i = 0; i < 3; i++) CU_ASSERT_EQUAL(pw_runs_of(c[i]->id), 2);
+	CU_ASSERT(!pw_log_has(e, "backend_ejected")); /* they stopped as they were told */
+	for (i = 0; i < 3; i++) {
+		CU_ASSERT(pw_call_wait(c[i], 6000));
+		CU_ASSERT(pw_stream_whole(c[i], 400));
+		CU_ASSERT(c[i]->gap_us < 180000);
+		CU_ASSERT_EQUAL(pw_runs_of(c[i]->id), 2);
+		if (pw_runs_of(c[i]->id) != 2) continue;
+		CU_ASSERT(strchr(pw_run_of(c[i]->id, 1)->copy, '/') != NULL);
+	}
+	pw_end();
+}
+
+/* A stream that lost its engine had its copy there. */
+static void no_stream_goes_on_from_a_copy_there(void)
+{
+	struct pw_server *engine, *with_copy;
+	struct pw_call *c[6];
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	engine = pw_server_add("llm", 1);
+	with_copy = pw_server_add_in("llm", 1, "b");
+	engine->events = with_copy->events = 300;
+	e = pw_entry_ready();
+	for (i = 0; i < 6; i++) c[i] = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(600);
+	CU_ASSERT(engine->arrivals > 0);
+	engine->move_ms = 5000; /* what runs at the other one stays there meanwhile */
+	drain("b");
+	pw_run(50);
+	with_copy->copies = 0;
+	pw_server_die(engine);
+	pw_run(500);
+	CU_ASSERT_EQUAL(with_copy->copies, 0);
+	for (i = 0; i < 6; i++) pw_call_leave(c[i]);
+	pw_end();
+}
+
+/* Two instances; the store turns the second away, which hears of it from the first. */
+static void who_the_store_turns_away_hears_of_it(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e[2];
+	char settings[64];
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	near->work_ms = 40;
+	far = pw_server_add_in("app", 0, "b");
+	e[0] = pw_entry_ready();
+	g_snprintf(settings, sizeof settings, PW_SECOND_STORE, pw_second_ip());
+	pw_settings(settings);
+	e[1] = pw_entry_ready();
+	pw_run(800);
+	pw_store.second_mode = PW_STORE_DOWN;
+	pw_store_cut_second();
+	pw_run(300);
+	drain("b");
+	pw_run(HEARD_MS);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, e, 2), 0);
+	take_back("b");
+	pw_run(HEARD_MS);
+	CU_ASSERT(arrivals_of_calls(far, &e[1], 1) > 0);
+	pw_end();
+}
+
+/* The store is away, and one starts: others tell it before it serves. */
+static void who_starts_hears_of_it_before_it_serves(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e[2];
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	near->work_ms = 40;
+	far = pw_server_add_in("app", 0, "b");
+	e[0] = pw_entry_ready();
+	e[1] = pw_entry_ready();
+	pw_run(800);
+	drain("b");
+	pw_run(HEARD_MS);
+	pw_entry_kill(e[1], SIGKILL);
+	pw_entry_wait(e[1], 500);
+	pw_store.mode = PW_STORE_DOWN;
+	pw_run(100);
+	pw_entry_again(e[1]);
+	pw_run(1500);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, &e[1], 1), 0);
+	pw_end();
+}
+
+/* Neither a drain nor its end is told by watches that have fallen silent. */
+static void silent_watches_hide_no_drain(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e;
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	near->work_ms = 40;
+	far = pw_server_add_in("app", 0, "b");
+	e = pw_entry_ready();
+	pw_run(800);
+	pw_store.watches_silent = 1;
+	drain("b");
+	pw_run(CONFIRM_MS);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, &e, 1), 0);
+	take_back("b");
+	pw_run(CONFIRM_MS);
+	CU_ASSERT(arrivals_of_calls(far, &e, 1) > 0);
+	pw_end();
+}
+
+/* It was taken back while the store was away, and the store forgot that since. */
+static void a_forgotten_history_hides_no_end_of_a_drain(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e;
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	near->work_ms = 40;
+	far = pw_server_add_in("app", 0, "b");
+	e = pw_entry_ready();
+	drain("b");
+	pw_run(HEARD_MS);
+	pw_store.mode = PW_STORE_DOWN;
+	pw_store.watches_silent = 1;
+	pw_run(300);
+	take_back("b");
+	pw_store_compact();
+	pw_run(300);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, &e, 1), 0);
+	pw_store.mode = PW_STORE_OK;
+	pw_run(CONFIRM_MS);
+	CU_ASSERT(arrivals_of_calls(far, &e, 1) > 0);
+	pw_end();
+}
+
+/* Keys that name no data centre, or one without servers, or that hold anything at all. */
+static void what_a_key_holds_does_not_matter(void)
+{
+	struct pw_server *near, *far;
+	struct pw_entry *e;
+
+	pw_init();
+	near = pw_server_add("app", 0);
+	near->work_ms = 40;
+	far = pw_server_add_in("app", 0, "b");
+	e = pw_entry_ready();
+	drain("");
+	drain("nowhere");
+	pw_run(HEARD_MS);
+	CU_ASSERT(arrivals_of_calls(far, &e, 1) > 0);
+	pw_store_put("op/evacuate/b", "no such thing");
+	pw_run(HEARD_MS);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, &e, 1), 0);
+	pw_server_add_in("app", 0, "nowhere")->work_ms = 1;
+	pw_run(HEARD_MS);
+	CU_ASSERT_EQUAL(arrivals_of_calls(far, &e, 1), 0);
+	pw_end();
+}
+
+/* The lists are old: engines are asked for their health, but not those. */
+static void no_health_check_goes_there(void)
+{
+	struct pw_server *far;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	far = pw_server_add_in("llm", 1, "b");
+	far->events = 900;
+	e = pw_entry_ready();
+	c = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(300);
+	drain("b");
+	pw_run(HEARD_MS);
+	pw_store.mode = PW_STORE_DOWN;
+	pw_run(3500);
+	CU_ASSERT_EQUAL(far->checks + far->reports, 0);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1); /* nowhere to go: it runs on */
+	pw_call_leave(c);
+	pw_store.mode = PW_STORE_OK;
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"a_drained_data_centre_gets_nothing_new", a_drained_data_centre_gets_nothing_new},
+	{"all_data_centres_drained_means_refused_at_once",
+	 all_data_centres_drained_means_refused_at_once},
+	{"repeats_do_not_go_there", repeats_do_not_go_there},
+	{"streams_leave_a_drained_data_centre", streams_leave_a_drained_data_centre},
+	{"no_stream_goes_on_from_a_copy_there", no_stream_goes_on_from_a_copy_there},
+	{"who_the_store_turns_away_hears_of_it", who_the_store_turns_away_hears_of_it},
+	{"who_starts_hears_of_it_before_it_serves", who_starts_hears_of_it_before_it_serves},
+	{"silent_watches_hide_no_drain", silent_watches_hide_no_drain},
+	{"a_forgotten_history_hides_no_end_of_a_drain",
+	 a_forgotten_history_hides_no_end_of_a_drain},
+	{"what_a_key_holds_does_not_matter", what_a_key_holds_does_not_matter},
+	{"no_health_check_goes_there", no_health_check_goes_there},
+};
+
+CHECK_MAIN(list)
