Memory on its way is taken, and what would queue on an engine waits for another one

Memory that is being moved to an engine counted for other moves alone, so requests took its room; a token over the mark weighed as four unread ones, so that engines with room got all. Change: place_fits and the forecast count what is on its way; the weight of the mark is 1; a generation that fits only where reading takes over 0.3 s waits, for up to a third of its aim (place_waits). The test fails with either mechanism taken out.

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 $(B)/test/soak_main $(B)/test/test_soak: $(SOAK_OBJ) $(PW_OBJ) | $(B)/test/entry_jump
 PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be*.c src/fleet/board.c src/relay/evs.c platform/*.c))
 $(B)/test/test_pure $(B)/test/test_place $(B)/test/test_fuzz: $(PURE_OBJ)
-$(B)/test/test_placing $(B)/bench/bench_place: $(B)/test/placing.o
+$(B)/test/test_placing $(B)/bench/bench_place: $(B)/test/placing.o $(B)/test/crowding.o
 $(B)/test/%: $(B)/test/%.o $(B)/test/check.o $(B)/test/fleet.o $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 $(B)/bench/%: $(B)/bench/%.o $(B)/test/fleet.o $(B)/libsaddlehead.a
--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -1,6 +1,7 @@
 /* Placing a generation: what a decision costs, and how long prompts wait where many instances
  * decide by counts of a known age. */
 #include "clock.h"
+#include "crowding.h"
 #include "placing.h"
 #include <saddlehead/place.h>
 #include <stdio.h>
@@ -58,11 +59,30 @@
 	}
 }
 
+static void crowd(int counts_inbound, int waits)
+{
+	struct crowding_load l = {.engines = 72,
+				  .seconds = 30,
+				  .long_per_s = 38,
+				  .short_per_s = 74,
+				  .seed = 1,
+				  .counts_inbound = counts_inbound,
+				  .waits = waits};
+	struct crowding_result r = crowding_run(&l);
+
+	printf("# engines leave, memory binds; moves counted %d, waits %d: of %d long streams "
+	       "%d late; %d runs put off, %d refused\n",
+	       counts_inbound, waits, r.longs, r.late, r.preempted, r.refused);
+}
+
 int main(void)
 {
+	int m;
+
 	cost(125);
 	cost(1000);
 	table(160);
 	table(320);
+	for (m = 0; m < 4; m++) crowd(m & 1, m >> 1);
 	return 0;
 }
--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -50,4 +50,11 @@
 
 /* Whether a generation's memory fits there without pressing others out. */
 int place_fits(const struct place_site *s, const struct place_job *j);
+
+/* Microseconds in which an engine reads so many prompt tokens between those that it makes. */
+int64_t place_reading_us(uint32_t tokens);
+
+/* Whether a generation that fits there had better wait for another engine: one that is sent
+ * can't go elsewhere any more. waited_us: so far; aim_us: of its first token. */
+int place_waits(const struct place_site *s, int64_t waited_us, int64_t aim_us);
 #endif
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -5,10 +5,17 @@
 /* Weights of a generation's cost, in prompt tokens that would delay its first token as much. */
 #define RUN_COST 40        /* each request beside it slows every step a little */
 #define HOLD_UP_PERCENT 20 /* of a prompt, for each request that its reading holds up */
-#define PRESSURE_COST 4    /* each token of memory over the mark risks a preemption */
+#define PRESSURE_COST 1    /* each token of memory over the mark risks a preemption */
 #define QUEUE_COST 1000    /* each request more than an engine runs at once waits for another */
 #define TIE 64             /* costs closer than this are equal */
 
+/* Tokens that an engine reads in a millisecond between those that it makes. */
+#define READ_PER_MS 7
+/* Prompts that lie unread for so long keep others from it: memory elsewhere is free again by
+ * then, where runs end every few ms. */
+#define CROWDED_US 300000
+#define HOLD_PART 3 /* of the aim: the prompt itself takes about as much again */
+
 /* Parts of memory, in percent. */
 #define PRESSURE_PERCENT 85 /* the mark: lengths are guesses */
 #define FULL_PERCENT 95     /* above it a request would soon press another out */
@@ -50,8 +57,23 @@
 
 int place_fits(const struct place_site *s, const struct place_job *j)
 {
-	if (!s->tokens || !s->used) return 1;
-	return (s->used + need(j)) * 100 <= (uint64_t)s->tokens * FULL_PERCENT;
+	/* What is on its way takes room from its first part on: prompts that were sent there
+	 * meanwhile put off those that ran. */
+	uint64_t taken_now = (uint64_t)s->used + s->inbound;
+
+	if (!s->tokens || !taken_now) return 1;
+	return (taken_now + need(j)) * 100 <= (uint64_t)s->tokens * FULL_PERCENT;
+}
+
+int64_t place_reading_us(uint32_t tokens)
+{
+	return (int64_t)tokens * 1000 / READ_PER_MS;
+}
+
+int place_waits(const struct place_site *s, int64_t waited_us, int64_t aim_us)
+{
+	if (waited_us >= aim_us / HOLD_PART) return 0;
+	return place_reading_us(s->unread) > CROWDED_US;
 }
 
 /* Memory that is spoken for. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -157,6 +157,8 @@
 struct be *rq_pick_backup(struct leg *l);
 /* Whether the request as it is now fits into b's memory. */
 int rq_fits(const struct rq *r, const struct be *b);
+/* Whether it had better wait for another engine than b, where it fits. */
+int rq_waits(const struct rq *r, const struct be *b);
 /* Microseconds until there is room for the request somewhere, after so many tokens that waited
  * before it; FORECAST_NEVER: not as far as is known. */
 int64_t rq_room_in(const struct rq *r, uint64_t before);
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -159,7 +159,7 @@
 	*s = (struct forecast_site){
 		.usable_in_us = usable_in(b, r, now),
 		.tokens = r->service->tokens,
-		.used = all.used,
+		.used = all.used + all.inbound,
 		.growth = foreseen > all.used ? foreseen - all.used : 0,
 		.runs = all.runs,
 		.token_us = rq_token_us(r),
@@ -187,6 +187,14 @@
 	return place_fits(&s, &now);
 }
 
+int rq_waits(const struct rq *r, const struct be *b)
+{
+	struct place_site s;
+
+	fill_site(&s, b, r, b->zone, clock_us());
+	return place_waits(&s, clock_us() - r->began_us, r->route->aim_us);
+}
+
 int rq_in_time(const struct rq *r, const struct be *b)
 {
 	struct place_site s;
--- a/src/relay/rq_wait.c
+++ b/src/relay/rq_wait.c
@@ -114,6 +114,7 @@
 	int64_t waited_us = clock_us() - r->waited_from, wait_us;
 
 	if (b && rq_fits(r, b)) {
+		if (rq_waits(r, b)) return 0;
 		rq_stop_waiting(r);
 		learn_wait(r, waited_us);
 		log_waited(r, waited_us);
@@ -160,7 +161,11 @@
 
 	if (!r->service->engine || r->sends || r->waiting || r->waited_from) return 0;
 	first = tokens_before(r);
-	if (b && !first && rq_fits(r, b)) return 0;
+	if (b && !first && rq_fits(r, b)) {
+		if (!rq_waits(r, b)) return 0;
+		wait_for_room(r, 0, 0);
+		return 1;
+	}
 	worked_out_us = work_out(r, first);
 	wait_us = length_wait_us(rq_lengths(r), worked_out_us);
 	if (in_time(r, wait_us))
--- /dev/null
+++ b/test/crowding.c
@@ -0,0 +1,265 @@
+/* Steps of ten milliseconds: engines read prompts in their order and make a token of each run;
+ * requests come at random and go where the product's own decisions send them. */
+#include "crowding.h"
+#include <math.h>
+#include <saddlehead/place.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_MS 10
+#define STEP_TOKENS 1.1  /* that each run makes in a step */
+#define READ_ALONE 140.0 /* prompt tokens that an engine reads in a step ... */
+#define READ_BESIDE 70.0 /* ... and beside runs */
+#define MEMORY 21864     /* tokens */
+#define SLOTS 24
+#define ENGINES_MAX 128
+#define RUNS_MAX 64
+#define LONG_PROMPT 3000
+#define SHORT_PROMPT 2200
+#define LONG_TOKENS 750 /* that it makes, on the mean */
+#define SHORT_TOKENS 9
+#define LONG_AIM_MS 1800
+#define SHORT_AIM_MS 1500
+#define LEAVE_EVERY_MS 3300
+#define LEAVE_SHARE 0.14
+#define AWAY_MS 4000
+#define MOVE_MS 400 /* memory is under way so long */
+#define WAITING_MAX 4096
+
+struct run {
+	int is_long, late_counted;
+	int came_ms, moving_until_ms; /* 0: it is here */
+	double prompt, unread, made, tokens;
+};
+
+struct engine {
+	struct run run[RUNS_MAX];
+	int n, back_ms; /* away until then */
+};
+
+struct replay {
+	const struct crowding_load *l;
+	struct crowding_result result;
+	struct engine engine[ENGINES_MAX];
+	struct run waiting[WAITING_MAX];
+	int nwaiting, now_ms;
+	unsigned draw;
+};
+
+static double part(struct replay *r)
+{
+	r->draw = r->draw * 1664525u + 1013904223u;
+	return ((r->draw >> 8) + 1) / 16777217.0;
+}
+
+static int aim_ms(const struct run *g)
+{
+	return g->is_long ? LONG_AIM_MS : SHORT_AIM_MS;
+}
+
+static void believe_run(struct place_site *s, const struct run *g, const struct replay *r)
+{
+	double left = g->tokens - g->made;
+
+	if (g->moving_until_ms > r->now_ms) {
+		s->inbound += (uint32_t)(g->prompt + g->made);
+		return;
+	}
+	s->runs++;
+	s->unread += (uint32_t)g->unread;
+	s->used += (uint32_t)(g->prompt + g->made);
+	s->held += (uint32_t)(g->prompt + g->made + (left > 0 ? left : 0));
+}
+
+static void believe(const struct replay *r, struct place_site *s)
+{
+	int i, k;
+
+	for (i = 0; i < r->l->engines; i++) {
+		const struct engine *e = &r->engine[i];
+
+		s[i] = (struct place_site){.usable = r->now_ms >= e->back_ms,
+					   .near = 1,
+					   .slots = SLOTS,
+					   .tokens = MEMORY};
+		for (k = 0; k < e->n; k++) believe_run(&s[i], &e->run[k], r);
+		if (e->n >= RUNS_MAX) s[i].usable = 0;
+	}
+}
+
+static struct place_job job_of(const struct run *g)
+{
+	return (struct place_job){.prompt = (uint32_t)(g->prompt + g->made),
+				  .growth = g->is_long ? LONG_TOKENS : SHORT_TOKENS};
+}
+
+/* 1 when it was sent. */
+static int try_to_send(struct replay *r, const struct run *g)
+{
+	struct place_site s[ENGINES_MAX], blind;
+	struct place_job j = job_of(g);
+	int at;
+
+	believe(r, s);
+	at = place_generation(s, r->l->engines, &j, (uint32_t)(part(r) * 4294967295.0));
+	if (at < 0) return 0;
+	blind = s[at];
+	if (!r->l->counts_inbound) blind.inbound = 0;
+	if (!place_fits(&blind, &j)) return 0;
+	if (r->l->waits &&
+	    place_waits(&s[at], (r->now_ms - g->came_ms) * 1000, aim_ms(g) * 1000))
+		return 0;
+	r->engine[at].run[r->engine[at].n++] = *g;
+	return 1;
+}
+
+static void come(struct replay *r, int is_long)
+{
+	struct run g = {.is_long = is_long, .came_ms = r->now_ms};
+	double mean = is_long ? LONG_TOKENS : SHORT_TOKENS;
+
+	g.prompt = g.unread = (is_long ? LONG_PROMPT : SHORT_PROMPT) * (0.5 + part(r));
+	g.tokens = 1 - mean * log(part(r));
+	if (r->nwaiting < WAITING_MAX) r->waiting[r->nwaiting++] = g;
+}
+
+/* Short ones are the more urgent. */
+static void send_waiting(struct replay *r)
+{
+	int want, i;
+
+	for (want = 0; want <= 1; want++) {
+		for (i = 0; i < r->nwaiting; i++) {
+			struct run *g = &r->waiting[i];
+			int gone = 0;
+
+			if (g->is_long != want) continue;
+			if (r->now_ms - g->came_ms > aim_ms(g)) {
+				r->result.refused++;
+				gone = 1;
+			}
+			if (!gone && !try_to_send(r, g)) continue;
+			memmove(g, g + 1, (r->nwaiting - i - 1) * sizeof *g);
+			r->nwaiting--;
+			i--;
+		}
+	}
+}
+
+static void read_prompts(struct engine *e, const struct replay *r)
+{
+	double budget = READ_ALONE;
+	int i;
+
+	for (i = 0; i < e->n; i++)
+		if (!e->run[i].unread) budget = READ_BESIDE;
+	for (i = 0; i < e->n && budget > 0; i++) {
+		struct run *g = &e->run[i];
+		double now = g->unread < budget ? g->unread : budget;
+
+		if (g->moving_until_ms > r->now_ms) continue;
+		g->unread -= now;
+		budget -= now;
+	}
+}
+
+static void note_first(struct replay *r, struct run *g)
+{
+	if (!g->is_long || g->late_counted) return;
+	g->late_counted = 1;
+	r->result.longs++;
+	r->result.late += r->now_ms - g->came_ms > LONG_AIM_MS;
+}
+
+static void make_tokens(struct engine *e, struct replay *r)
+{
+	int i;
+
+	for (i = e->n - 1; i >= 0; i--) {
+		struct run *g = &e->run[i];
+
+		if (g->unread > 0 || g->moving_until_ms > r->now_ms) continue;
+		note_first(r, g);
+		g->made += STEP_TOKENS;
+		if (g->made >= g->tokens) *g = e->run[--e->n];
+	}
+}
+
+/* The newest of the least urgent gives way, and is read anew. */
+static void press_out(struct engine *e, struct replay *r)
+{
+	double used = 0;
+	int i;
+
+	for (i = 0; i < e->n; i++) {
+		struct run *g = &e->run[i];
+
+		used += g->prompt + g->made;
+		if (used <= MEMORY || g->unread > 0) continue;
+		g->unread = g->prompt + g->made;
+		r->result.preempted++;
+	}
+}
+
+static void move_run(struct replay *r, struct run *g)
+{
+	struct place_site s[ENGINES_MAX];
+	struct place_job j = {.prompt = (uint32_t)(g->prompt + g->made)};
+	int at;
+
+	believe(r, s);
+	at = place_move(s, r->l->engines, &j, (uint32_t)(part(r) * 4294967295.0));
+	if (at < 0) return;
+	if (!g->unread) g->moving_until_ms = r->now_ms + MOVE_MS;
+	r->engine[at].run[r->engine[at].n++] = *g;
+}
+
+static void leave(struct replay *r)
+{
+	int n = (int)(r->l->engines * LEAVE_SHARE);
+
+	while (n-- > 0) {
+		struct engine *e = &r->engine[(int)(part(r) * r->l->engines) % r->l->engines];
+
+		if (r->now_ms < e->back_ms) continue;
+		e->back_ms = r->now_ms + AWAY_MS;
+		while (e->n) {
+			struct run g = e->run[--e->n];
+
+			move_run(r, &g);
+		}
+	}
+}
+
+static int arrivals(struct replay *r, double per_s)
+{
+	double mean = per_s * STEP_MS / 1000, p = exp(-mean), left = part(r);
+	int n = 0;
+
+	for (; left > p && n < 16; n++) left *= part(r);
+	return n;
+}
+
+struct crowding_result crowding_run(const struct crowding_load *l)
+{
+	struct replay *r = calloc(1, sizeof *r);
+	struct crowding_result result;
+	int i, n;
+
+	r->l = l;
+	r->draw = l->seed;
+	for (; r->now_ms < l->seconds * 1000; r->now_ms += STEP_MS) {
+		if (r->now_ms % LEAVE_EVERY_MS < STEP_MS) leave(r);
+		for (n = arrivals(r, l->long_per_s); n > 0; n--) come(r, 1);
+		for (n = arrivals(r, l->short_per_s); n > 0; n--) come(r, 0);
+		send_waiting(r);
+		for (i = 0; i < l->engines; i++) {
+			read_prompts(&r->engine[i], r);
+			make_tokens(&r->engine[i], r);
+			press_out(&r->engine[i], r);
+		}
+	}
+	result = r->result;
+	free(r);
+	return result;
+}
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -1,5 +1,6 @@
 /* Loads that many instances place at once: what waits stays short. */
 #include "check.h"
+#include "crowding.h"
 #include "placing.h"
 
 /* The cheapest engine is the same for all that know the same: with counts 100 ms old 300
@@ -43,7 +44,37 @@
 	CU_ASSERT(placing_run(&l).p99_ms < 1100); /* 1,700 by the cheapest */
 }
 
+#define SEEDS 4
+#define PREEMPTED_MOST 100 /* of a day of half a minute, as is aimed at */
+
+/* A seventh of the engines leaves every 3.3 s, and memory binds. */
+static int preempted_days(int counts_inbound, int waits)
+{
+	struct crowding_load l = {.engines = 72,
+				  .seconds = 30,
+				  .long_per_s = 38,
+				  .short_per_s = 74,
+				  .counts_inbound = counts_inbound,
+				  .waits = waits};
+	int sum = 0;
+
+	for (l.seed = 1; l.seed <= SEEDS; l.seed++) sum += crowding_run(&l).preempted;
+	return sum;
+}
+
+static void few_give_way_where_engines_leave_and_memory_binds(void)
+{
+	int both = preempted_days(1, 1);
+
+	CU_ASSERT(both < PREEMPTED_MOST * SEEDS);
+	CU_ASSERT(preempted_days(0, 0) > PREEMPTED_MOST * SEEDS);
+	CU_ASSERT(preempted_days(1, 0) > both);
+	CU_ASSERT(preempted_days(0, 1) > both);
+}
+
 static const struct check list[] = {
+	{"few_give_way_where_engines_leave_and_memory_binds",
+	 few_give_way_where_engines_leave_and_memory_binds},
 	{"many_that_choose_at_once_spread", many_that_choose_at_once_spread},
 	{"a_burst_with_late_counts_stays_in_time", a_burst_with_late_counts_stays_in_time},
 };
