Silence of an engine that is at work is no failure of it

Cause: a run that is put off for lack of memory says nothing for seconds, and a short one waits behind prompts that are read first. Both counted as silent: their engine was blamed, two blames of two instances ejected it, its work went to others, which put off more. Its memory was asked for 12 times, 25 ms apart, though the engine says that it does not run it (1,228 of 2,073 orders). Change: what an engine has still to read is added to how long it is waited for; one whose memory is nearly full, or which has others to read, is not blamed for silence; a run that is not running is asked for again only when it is silent anew, or after 0.1 s where its engine leaves, and counted.

--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -1,6 +1,7 @@
 /* A stream's memory is copied on order: part by part while the source runs, and the last part
  * with the source stopped. */
 #include "clock.h"
+#include "met.h"
 #include "rq_impl.h"
 #include <errno.h>
 #include <string.h>
@@ -8,6 +9,7 @@
 #define SOURCE_END_US 100000 /* the source's last events are under way */
 #define ORDER_US 4000000 /* moves queue on their links; the source lives two seconds or so */
 #define ORDER_ANSWER_MAX 65536 /* bytes: it holds a name and a number */
+#define NOT_RUNNING_US 100000  /* a prompt is read in some hundred ms */
 #define CALM_US 60000   /* a part of a few tokens that took longer waited for other copies */
 #define LAST_US 1200000 /* after the notice the source is stopped all the same */
 
@@ -92,6 +94,17 @@
 	return be_left_for_us(r->move.source) < LAST_US;
 }
 
+/* Its engine has put it off for lack of memory: there is nothing to copy until it is read
+ * anew. */
+static void not_running(struct rq *r)
+{
+	met_add(MET_PREEMPTIONS, 1);
+	if (be_leaves(r->move.source))
+		move_later(r, NOT_RUNNING_US);
+	else
+		move_stop(r);
+}
+
 /* Where the rest finds no room it goes on at its source, if it still may then: one that
  * nothing drives away runs to its end there. */
 static int may_stop(const struct rq *r)
@@ -117,6 +130,7 @@
 		r->move.state = MOVE_LAST;
 		move_order(r, 1);
 		return;
+	case 404: not_running(r); return;
 	case 503: be_no_room(r->move.target); /* fall through */
 	default: move_later(r, MOVE_AGAIN_US);
 	}
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -36,16 +36,38 @@
 	rq_fail(r, REF_DEADLINE, "the time ran out");
 }
 
+/* Of an engine's memory: with more in use it may have put a run off for lack of it. */
+#define PRESSED_PERCENT 85
+
+/* What an engine has still to read comes first, or in between. */
+static int64_t reading_us(const struct rq *r)
+{
+	if (!r->service->engine || !r->leg) return 0;
+	return place_reading_us(rq_load_of(r->leg->be).unread);
+}
+
+/* Silence of an engine that is at work says nothing of how sound it is: those that were
+ * ejected for it left their work to others, which fell silent for it, too. */
+static int may_be_at_work(const struct rq *r)
+{
+	struct be_load all = rq_load_of(r->leg->be);
+	uint64_t taken = (uint64_t)all.used + all.inbound;
+
+	if (!r->service->engine) return 0;
+	if (all.unread > (r->leg->reading ? r->job.prompt : 0)) return 1;
+	return taken * 100 >= (uint64_t)r->service->tokens * PRESSED_PERCENT;
+}
+
 /* How long a server that may be left for another one is waited for. */
 static int64_t patience_us(const struct rq *r)
 {
-	if (r->route->kind == CONF_STREAM) return r->route->aim_us;
+	if (r->route->kind == CONF_STREAM) return r->route->aim_us + reading_us(r);
 	return MAX(r->route->aim_us * PATIENCE_PART / 10, PATIENCE_MIN_US);
 }
 
 static int64_t stall_us(const struct rq *r)
 {
-	return MAX(r->route->gap_us * STALL_GAPS, STALL_MIN_US);
+	return MAX(r->route->gap_us * STALL_GAPS, STALL_MIN_US) + reading_us(r);
 }
 
 /* Nothing came for longer than its server is waited for. A stream that had begun stayed on a
@@ -67,7 +89,7 @@
 
 	if (!l || !l->hx || r->runs + 1 >= r->route->attempts) return;
 	if (!is_silent(r) || !rq_may_repeat(r)) return;
-	be_failed(l->be, "silent");
+	if (!may_be_at_work(r)) be_failed(l->be, "silent");
 	met_retried(l->answered ? RETRY_RESUME : RETRY_FIRST_BYTE);
 	r->runs++;
 	rq_place(r);
@@ -87,7 +109,7 @@
 	if (!r->event_us || r->move.state != MOVE_NONE || cn_pending(&r->h->cn)) return;
 	if (clock_us() - MAX(r->event_us, woke_us) < stall_us(r)) return;
 	r->event_us = clock_us();
-	be_failed(r->leg->be, "silent");
+	if (!may_be_at_work(r)) be_failed(r->leg->be, "silent");
 	if (move_to_backup(r)) move_from_silent(r);
 }
 
