--- a/src/fleet/be_drain.c
+++ b/src/fleet/be_drain.c
@@ -14,6 +14,22 @@
 	return drained && g_hash_table_contains(drained, dc);
 }
 
+int be_only_drained(const char *service)
+{
+	const GPtrArray *list = be_of(service);
+	uint32_t i;
+	int any = 0;
+
+	for (i = 0; list && i < list->len; i++) {
+		const struct be *b = g_ptr_array_index(list, i);
+
+		if (b->state != BE_READY) continue;
+		if (!b->drained_us) return 0;
+		any = 1;
+	}
+	return any;
+}
+
 static void add_once(GPtrArray *names, const char *name)
 {
 	uint32_t i;
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -21,7 +21,8 @@
 void (*board_on_conf)(struct conf *c);
 void (*board_on_drain)(const char *from);
 
-static GHashTable *notes;
+static GHashTable *notes;  /* of the configuration and of backend servers: thousands */
+static GHashTable *drains; /* of drained data centres: few, and looked at with each heartbeat */
 static struct board_revs revs;
 static int partial; /* the first listing of backend servers is not whole yet */
 static struct conf *conf;
@@ -40,6 +41,7 @@
 void board_init(void)
 {
 	notes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
+	drains = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
 }
 
 struct conf *board_conf(void)
@@ -156,6 +158,11 @@
 	if (board_on_drain) board_on_drain(from);
 }
 
+static GHashTable *table_of(const char *key)
+{
+	return dl_item_kind(key) == DL_DRAIN ? drains : notes;
+}
+
 static void keep_note(const struct st_item *i)
 {
 	struct note *n = g_new0(struct note, 1);
@@ -163,12 +170,12 @@
 	n->key = g_strdup(i->key);
 	n->value = i->value ? g_bytes_new(i->value, i->len) : NULL;
 	n->revision = i->revision;
-	g_hash_table_replace(notes, n->key, n);
+	g_hash_table_replace(table_of(n->key), n->key, n);
 }
 
 int board_apply(const struct st_item *i, const char *from)
 {
-	const struct note *known = g_hash_table_lookup(notes, i->key);
+	const struct note *known = g_hash_table_lookup(table_of(i->key), i->key);
 	enum dl_item kind = dl_item_kind(i->key);
 
 	if (strlen(i->key) > BOARD_KEY_MAX) return 0;
@@ -189,14 +196,14 @@
 	return 1;
 }
 
-void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at)
+/* Adds to missing the keys that stand in the table, and should have been listed. */
+static void find_missing(GHashTable *table, const char *prefix, GHashTable *listed, uint64_t at,
+			 GPtrArray *missing)
 {
-	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter it;
 	gpointer key, value;
-	uint32_t i;
 
-	g_hash_table_iter_init(&it, notes);
+	g_hash_table_iter_init(&it, table);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct note *n = value;
 
@@ -204,6 +211,15 @@
 		if (!g_hash_table_contains(listed, key))
 			g_ptr_array_add(missing, g_strdup(key));
 	}
+}
+
+void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at)
+{
+	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
+	uint32_t i;
+
+	find_missing(notes, prefix, listed, at, missing);
+	find_missing(drains, prefix, listed, at, missing);
 	for (i = 0; i < missing->len; i++) {
 		struct st_item gone = {.key = g_ptr_array_index(missing, i), .revision = at};
 
@@ -212,11 +228,6 @@
 	g_ptr_array_free(missing, TRUE);
 }
 
-static int is_drain(const struct note *n)
-{
-	return dl_item_kind(n->key) == DL_DRAIN;
-}
-
 static struct st_item item_of(const struct note *n)
 {
 	struct st_item i = {.key = n->key, .revision = n->revision};
@@ -232,11 +243,11 @@
 	GHashTableIter it;
 	gpointer n;
 
-	g_hash_table_iter_init(&it, notes);
+	g_hash_table_iter_init(&it, drains);
 	while (g_hash_table_iter_next(&it, NULL, &n)) {
 		struct st_item i = item_of(n);
 
-		if (is_drain(n)) f(&i, arg);
+		f(&i, arg);
 	}
 }
 
@@ -255,7 +266,7 @@
 
 uint64_t board_revision_of(const char *key)
 {
-	const struct note *n = g_hash_table_lookup(notes, key);
+	const struct note *n = g_hash_table_lookup(table_of(key), key);
 
 	return n && n->value ? n->revision : 0;
 }
@@ -271,7 +282,6 @@
 		const struct note *n = value;
 		struct st_item i = item_of(n);
 
-		if (is_drain(n)) continue;
 		if (partial && dl_item_kind(n->key) == DL_BACKEND) continue;
 		if (n->revision <=
 		    (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -6,16 +6,16 @@
 
 /* Until others are heard, there may be as many of them as there can be. */
 #define SETTLE_US 1500000
+#define MULTIPLIER 2654435761u /* odd, with bits all over */
 
 static int64_t started_us;
 
-static uint32_t order_of(const char *ip, const struct be *b)
+/* Looked at for each cold server of each choice: no text is put together. */
+static uint32_t order_of(const char *ip, uint32_t server)
 {
-	char *text = g_strconcat(b->id, "/", ip, NULL);
-	uint32_t order = g_str_hash(text);
+	uint32_t x = (g_str_hash(ip) ^ server) * MULTIPLIER;
 
-	g_free(text);
-	return order;
+	return (x ^ x >> 15) * MULTIPLIER;
 }
 
 /* In a small fleet callers come to all, and whoever is not heard may still serve them. */
@@ -27,14 +27,14 @@
 struct mesh_rank mesh_rank(const struct be *b)
 {
 	struct mesh_rank r = {.sharers = 1};
-	uint32_t i, mine = order_of(mesh_cfg()->ip, b);
+	uint32_t i, server = g_str_hash(b->id), mine = order_of(mesh_cfg()->ip, server);
 
 	for (i = 0; i < mesh_members()->len; i++) {
 		const struct member *m = g_ptr_array_index(mesh_members(), i);
 
 		if (!shares(m)) continue;
 		r.sharers++;
-		r.rank += order_of(m->ip, b) < mine;
+		r.rank += order_of(m->ip, server) < mine;
 	}
 	if (clock_us() - started_us < SETTLE_US) r.sharers = MAX(r.sharers, ROLES_ACTIVE);
 	if (!mesh_self_active()) r.rank = r.sharers;
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -98,6 +98,8 @@
 /* Whether a stream whose memory is there alone may still go on there: not where its data centre
  * has been drained for be_drain_need_us, even if it is lost. */
 int be_may_go_on(const struct be *b);
+/* Whether no server of the service is ready but in drained data centres, and one is there. */
+int be_only_drained(const char *service);
 /* Names of the data centres where servers stand, or which are drained. Free with
  * g_ptr_array_unref. */
 GPtrArray *be_dcs(void);
--- a/src/internal/reason.h
+++ b/src/internal/reason.h
@@ -33,8 +33,9 @@
 	REF_CALLER_LEFT,
 	REF_CONFLICT,
 	REF_INTERNAL,
-	REF_CRASHES, /* backend servers ended under it: not sent again */
-	REF_SUSPECT, /* the same may be so, and others of it are under way */
+	REF_CRASHES,    /* backend servers ended under it: not sent again */
+	REF_SUSPECT,    /* the same may be so, and others of it are under way */
+	REF_DC_DRAINED, /* all servers that would do are in data centres that are drained */
 	REF_MAX
 };
 
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -136,6 +136,8 @@
 /* rq_send.c */
 /* Looks for a backend server and sends; refuses when there is none. */
 void rq_place(struct rq *r);
+/* All its servers are in data centres that operators drain. */
+void rq_refuse_drained(struct rq *r);
 /* Sends to b; copy NULL: from the start, or after the last event seen. NULL: not possible. */
 struct leg *leg_start(struct rq *r, struct be *b, const struct be *copy_at, const char *copy);
 /* Cancels what is under way and takes its load off. */
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -115,6 +115,12 @@
 	return 0;
 }
 
+void rq_refuse_drained(struct rq *r)
+{
+	rq_refuse(r, REF_DC_DRAINED, RETRY_LATER_US,
+		  "its servers are in data centres that are drained");
+}
+
 void rq_place(struct rq *r)
 {
 	const struct be *last = r->leg ? r->leg->be : NULL;
@@ -129,6 +135,10 @@
 	b = rq_pick(r, last);
 	if (!b && last) b = rq_pick(r, NULL);
 	if (rq_wait(r, b)) return;
+	if (!b && be_only_drained(r->service->name)) {
+		rq_refuse_drained(r);
+		return;
+	}
 	if (!b) {
 		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
 			  "no usable backend server is known");
--- a/src/relay/rq_wait.c
+++ b/src/relay/rq_wait.c
@@ -77,6 +77,11 @@
 {
 	char detail[96];
 
+	if (be_only_drained(r->service->name)) {
+		rq_stop_waiting(r);
+		rq_refuse_drained(r);
+		return;
+	}
 	if (wait_us == FORECAST_NEVER)
 		g_snprintf(detail, sizeof detail,
 			   "no engine will have room as far as is known");
--- a/test/test_drain.c
+++ b/test/test_drain.c
@@ -75,6 +75,7 @@
 	CU_ASSERT(pw_call_wait(c, 200));
 	CU_ASSERT_EQUAL(c->status, 503);
 	CU_ASSERT(atof(c->retry_after) > 0);
+	CU_ASSERT(strstr(c->body->str, "data_centre_drained") != NULL);
 	CU_ASSERT_EQUAL(s[0]->arrivals + s[1]->arrivals, 0);
 	pw_end();
 }
