--- a/test/crowding.h
+++ b/test/crowding.h
@@ -13,8 +13,8 @@
 };
 
 struct crowding_result {
-	int longs, late;  /* long streams whose first token came; of these, after their aim */
-	int preempted;    /* runs put off for lack of memory, and read again */
+	int longs, late; /* long streams whose first token came; of these, after their aim */
+	int preempted;   /* runs put off for lack of memory, and read again */
 	int refused;
 };
 
