--- a/src/base/met.c
+++ b/src/base/met.c
@@ -47,6 +47,7 @@
 	"engine_probes",
 	"peer_fetches",
 	"peer_fetches_refused",
+	"repeats",
 	"repeats_held_back",
 	"backends_ended",
 	"entries_unreadable",
--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -40,6 +40,11 @@
 	b->again[b->at]++;
 }
 
+uint32_t budget_used(const struct budget *b)
+{
+	return sum(b->again);
+}
+
 int budget_take(struct budget *b, const struct budget_rule *r, int instances, int64_t now)
 {
 	double most;
--- a/src/internal/budget.h
+++ b/src/internal/budget.h
@@ -21,6 +21,8 @@
 void budget_request(struct budget *b, const struct budget_rule *r, int64_t now);
 /* A repeat was sent that no rule may hold back; counted all the same. */
 void budget_spend(struct budget *b, const struct budget_rule *r, int64_t now);
+/* Repeats that are counted in the window, as of the last call. */
+uint32_t budget_used(const struct budget *b);
 /* 1 and counted, or 0 when this instance's part is used up. instances: how many share. */
 int budget_take(struct budget *b, const struct budget_rule *r, int instances, int64_t now);
 #endif
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -34,6 +34,7 @@
 	struct be *backup; /* is sent a copy of its memory by the engine; or NULL */
 	int copy_bad;      /* it was refused; it takes memory all the same */
 	int copy_freed;    /* the run ended well, or its copy was taken over */
+	int from_copy;     /* goes on from a copy: the same run, not a repeat */
 	int reading;       /* its prompt counts as unread there */
 	uint32_t held;     /* tokens counted on be, foreseen ... */
 	uint32_t used;     /* ... and now; on backup the same */
@@ -89,7 +90,8 @@
 	int sends;             /* exchanges that were begun */
 	int held_back;         /* a repeat was, by the allowance */
 	int unreached;         /* of them, those that reached no server */
-	int runs;              /* of them, those that may have run */
+	int reached;           /* exchanges that reached a server, but those from a copy */
+	int runs;              /* of sends, those that may have run */
 	int head_sent;
 	int status;
 	GString *answer; /* of a plain call, until it is whole */
@@ -198,6 +200,8 @@
 void rq_count_request(const struct rq *r);
 /* It is sent anew, and nothing may hold it back. */
 void rq_count_repeat(const struct rq *r);
+/* Its exchange reached a server. */
+void rq_note_reached(const struct leg *l);
 /* 1 and counted as sent anew, or 0: the budget is used up, or it was sent too often. */
 int rq_may_repeat(struct rq *r);
 
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -30,6 +30,7 @@
 	jlog_str(g, "detail", detail);
 	jlog_int(g, "status", r->status);
 	jlog_str(g, "route", r->route ? r->route->name : NULL);
+	jlog_str(g, "service", r->service ? r->service->name : NULL);
 	jlog_str(g, "workspace", r->group ? r->group->name : NULL);
 	jlog_str(g, "backend", r->leg ? r->leg->be->id : NULL);
 	jlog_int(g, "sends", r->sends);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -36,6 +36,7 @@
 {
 	struct leg *l = x->user;
 
+	rq_note_reached(l);
 	if (l == l->rq->next) move_reached(l->rq);
 }
 
--- a/src/relay/rq_budget.c
+++ b/src/relay/rq_budget.c
@@ -38,8 +38,13 @@
 	budget_spend(budget_of(r->service->name), &now, ev_now());
 }
 
+void rq_note_reached(const struct leg *l)
+{
+	if (!l->from_copy && l->rq->reached++) met_add(MET_REPEATS, 1);
+}
+
 /* Once for each request: a silent one is looked at again and again. */
-static void tell_held_back(struct rq *r)
+static void tell_held_back(struct rq *r, int parts)
 {
 	GString *g;
 
@@ -50,6 +55,8 @@
 	jlog_str(g, "request", r->in.id);
 	jlog_str(g, "service", r->service->name);
 	jlog_int(g, "sends", r->sends);
+	jlog_int(g, "used", budget_used(budget_of(r->service->name)));
+	jlog_int(g, "parts", parts);
 	jlog_end(g);
 }
 
@@ -60,6 +67,6 @@
 
 	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
 	if (budget_take(budget_of(r->service->name), &now, parts, ev_now())) return 1;
-	tell_held_back(r);
+	tell_held_back(r, parts);
 	return 0;
 }
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -58,6 +58,7 @@
 	all = rq_load_of(l->be);
 	g = jlog_begin("relay", "request_sent");
 	jlog_str(g, "request", r->in.id);
+	jlog_str(g, "service", r->service->name);
 	jlog_str(g, "backend", l->be->id);
 	jlog_str(g, "backup", l->backup ? l->backup->id : NULL);
 	jlog_str(g, "copy", copy);
@@ -79,6 +80,7 @@
 
 	l->rq = r;
 	l->be = be_ref(b);
+	l->from_copy = copy != NULL;
 	l->reading = r->service->engine && !copy;
 	l->sent_us = clock_us();
 	if (r->service->backups) l->backup = rq_pick_backup(l);
