Test: instances that start again repeat no more than is allowed (known red)

Real processes: three instances, killed and started twice within two seconds while every answer asks for a repeat.

--- a/test/pw.h
+++ b/test/pw.h
@@ -53,6 +53,8 @@
 struct pw_entry *pw_entry_start(void);
 /* Starts one and waits until it is ready. */
 struct pw_entry *pw_entry_ready(void);
+/* Waits for three seconds at most; 1 once it is ready. */
+int pw_entry_until_ready(struct pw_entry *e);
 /* Starts one that has ended, with the settings it had. */
 void pw_entry_again(struct pw_entry *e);
 /* 1 once it has ended by now, with its status as waitpid tells it. */
@@ -183,6 +185,10 @@
  * Close the returned descriptor at the end. */
 int pw_server_deaf(struct pw_server *s);
 
+/* Requests that reached a server after they had reached one, but those that go on from a copy.
+ */
+int pw_repeats(void);
+
 /* ---- pw_crash.c: a request that ends whatever runs it ---- */
 struct pw_crash {
 	const char *body; /* of that request; NULL: there is none */
--- a/test/pw_entry.c
+++ b/test/pw_entry.c
@@ -121,16 +121,23 @@
 	return 1;
 }
 
-struct pw_entry *pw_entry_ready(void)
+int pw_entry_until_ready(struct pw_entry *e)
 {
-	struct pw_entry *e = pw_entry_start();
 	int i;
 
 	for (i = 0; i < 100; i++) {
 		pw_run(30);
-		if (pw_question(e->ip, PW_READY, "/-/readiness", NULL) == 200) return e;
+		if (pw_question(e->ip, PW_READY, "/-/readiness", NULL) == 200) return 1;
 	}
 	fprintf(stderr, "the entry is not ready after three seconds\n");
+	return 0;
+}
+
+struct pw_entry *pw_entry_ready(void)
+{
+	struct pw_entry *e = pw_entry_start();
+
+	pw_entry_until_ready(e);
 	return e;
 }
 
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -120,6 +120,25 @@
 	return *expect && strcmp(expect, s->id) != 0;
 }
 
+static GHashTable *arrived; /* ids of requests that reached a server */
+static int repeats;
+
+int pw_repeats(void)
+{
+	return repeats;
+}
+
+static void count_repeat(struct hs *h)
+{
+	char id[64], copy[96];
+
+	pw_field(h, "Kv-From", copy, sizeof copy);
+	pw_field(h, "X-Request-Id", id, sizeof id);
+	if (copy[0]) return;
+	if (!arrived) arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	repeats += !g_hash_table_add(arrived, g_strdup(id));
+}
+
 static void on_request(struct hs *h)
 {
 	struct pw_server *s = (struct pw_server *)((char *)h->listener -
@@ -144,6 +163,7 @@
 		return;
 	}
 	s->arrivals++;
+	count_repeat(h);
 	keep_raw(s, h);
 	if (meant_for_another(s, h))
 		hs_answer(h, 421, "X-Instance-Id: other\r\n", "", 0);
@@ -298,4 +318,6 @@
 	if (servers) g_ptr_array_set_size(servers, 0);
 	for (i = 0; pw_runs && i < pw_runs->len; i++) g_free(g_ptr_array_index(pw_runs, i));
 	if (pw_runs) g_ptr_array_set_size(pw_runs, 0);
+	if (arrived) g_hash_table_remove_all(arrived);
+	repeats = 0;
 }
--- /dev/null
+++ b/test/test_repeats.c
@@ -0,0 +1,77 @@
+/* What all instances repeat together, in real processes. */
+#include "check.h"
+#include "pw.h"
+#include <signal.h>
+
+#define INSTANCES 3
+#define SERVERS 4
+#define ASKED 30 /* requests of one life */
+#define RATIO 0.2
+#define SLACK 40
+#define ALLOWANCE \
+	"bounds.retryBudgetRatio=0.2\nbounds.budgetSlack=40\nbounds.budgetWindowS=10\n"
+
+static int requests; /* of a test, so far */
+
+/* Servers whose every answer asks for a repeat. */
+static void failing_servers(void)
+{
+	int i;
+
+	pw_init();
+	requests = 0;
+	pw_conf.attempts = SERVERS;
+	pw_conf_write();
+	pw_settings(ALLOWANCE);
+	for (i = 0; i < SERVERS; i++) pw_server_add("app", 0)->mode = PW_ERROR;
+}
+
+static void ask_all(struct pw_entry **e)
+{
+	struct pw_call *c[INSTANCES * ASKED];
+	int i;
+
+	for (i = 0; i < INSTANCES * ASKED; i++) {
+		c[i] = pw_ask(e[i % INSTANCES], "POST", "/safe/", 3000);
+		requests++;
+		if (i % INSTANCES == 0) pw_run(5);
+	}
+	for (i = 0; i < INSTANCES * ASKED; i++) pw_call_wait(c[i], 2000);
+}
+
+static void start_again(struct pw_entry **e)
+{
+	int i;
+
+	for (i = 0; i < INSTANCES; i++) {
+		pw_entry_kill(e[i], SIGKILL);
+		pw_entry_wait(e[i], 1000);
+	}
+	for (i = 0; i < INSTANCES; i++) pw_entry_again(e[i]);
+	for (i = 0; i < INSTANCES; i++) CU_ASSERT(pw_entry_until_ready(e[i]));
+}
+
+/* Each life began with its whole part of the allowance. */
+static void instances_that_start_again_repeat_no_more_than_is_allowed(void)
+{
+	struct pw_entry *e[INSTANCES];
+	int life, i;
+
+	failing_servers();
+	for (i = 0; i < INSTANCES; i++) e[i] = pw_entry_ready();
+	pw_run(300);
+	for (life = 0; life < 3; life++) {
+		if (life) start_again(e);
+		ask_all(e);
+	}
+	CU_ASSERT(pw_repeats() <= RATIO * requests + SLACK);
+	fprintf(stderr, "%d repeats, %d requests\n", pw_repeats(), requests);
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"instances_that_start_again_repeat_no_more_than_is_allowed",
+	 instances_that_start_again_repeat_no_more_than_is_allowed},
+};
+
+CHECK_MAIN(list)
