Repeats of all instances stay within the rule, whatever happens to them

What callers saw: nothing wrong in an answer; backend servers got up to 1.6 times the repeats that are allowed where instances started again while servers turned requests away. Cause: an allowance that is dealt into parts, each counted in the memory of one life. A new life began with an empty window, so each restart gave its part once more. The class: a bound over the fleet that rests on what one process remembers, or on what it knows of others at the moment. Ruled out: sends from copies (508 in 10 s, not counted), parts that overlap (6 of 6 wherever one was held back). Sends that go on from a copy are the same run and don't count any more; those turned away do, and are asked for again within the allowance.

--- a/include/saddlehead/roles.h
+++ b/include/saddlehead/roles.h
@@ -54,12 +54,6 @@
 /* Whether the store answers some hub, as far as is known. */
 int roles_store_answers(const struct roles_peer *p, int n);
 
-/* Into how many equal parts falls what all instances may do together (repeats), of which this
- * one has one. Half of it is the active ones', who do nearly all; the rest share the other
- * half, as callers may come to any of them. All parts together are never more than the whole.
- */
-int roles_parts(int instances, int active);
-
 /* An instance whose configuration grows too old. */
 struct roles_old {
 	int hub;
--- a/src/core/roles.c
+++ b/src/core/roles.c
@@ -80,12 +80,6 @@
 	return 0;
 }
 
-int roles_parts(int instances, int active)
-{
-	if (instances <= ROLES_ACTIVE) return instances;
-	return 2 * (active ? ROLES_ACTIVE : instances);
-}
-
 int roles_may_ask(const struct roles_old *o, int64_t now_us)
 {
 	if (o->asks || (o->hub && o->store_up)) return 1;
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -222,6 +222,7 @@
 int mesh_start(const struct entry_cfg *c)
 {
 	cfg = c;
+	mesh_part_start();
 	mesh_members_start();
 	mesh_loads_start();
 	mesh_drains_start();
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -148,6 +148,7 @@
 	case MESH_UNDER_WAY:
 	case MESH_VERDICTS: return mesh_take_poison(in->from, a);
 	case MESH_DRAINS: return mesh_take_drains(in->from, a);
+	case MESH_ABSENT: return mesh_take_absent(a);
 	case MESH_FETCH:
 	case MESH_BEAT: break;
 	}
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -32,6 +32,7 @@
 
 	mesh_write_own_beat(out, m);
 	mesh_write_peers(out);
+	mesh_write_absent(out);
 	/* Before the verdicts: with them one that starts has all that it waits for. */
 	mesh_write_drains(out);
 	mesh_write_verdicts(out);
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -21,6 +21,11 @@
 	return members;
 }
 
+struct member *mesh_member_known(const char *ip)
+{
+	return g_hash_table_lookup(by_ip, ip);
+}
+
 struct member *mesh_member_at(const char *ip)
 {
 	struct member *m = g_hash_table_lookup(by_ip, ip);
@@ -34,6 +39,7 @@
 	g_ptr_array_add(members, m);
 	g_hash_table_insert(by_ip, m->ip, m);
 	mesh_roles_stale();
+	mesh_part_know(m);
 	most_known = MAX(most_known, (int)members->len + 1);
 	return m;
 }
@@ -47,9 +53,11 @@
 	if (members->len >= MEMBERS_MAX && !g_hash_table_contains(by_ip, ip)) return NULL;
 	m = mesh_member_at(ip);
 	m->learnt_us = clock_us();
-	if (m->link_mbps || !link_mbps) return m;
-	m->link_mbps = link_mbps;
-	mesh_roles_stale();
+	if (!m->link_mbps && link_mbps) {
+		m->link_mbps = link_mbps;
+		mesh_roles_stale();
+	}
+	mesh_part_know(m);
 	return m;
 }
 
@@ -104,6 +112,7 @@
 	m->said = *b;
 	m->link_mbps = b->link_mbps;
 	m->heard_us = clock_us();
+	mesh_part_heard(m);
 	if (!m->alive) {
 		m->alive = 1;
 		log_member(m, "member_alive");
--- /dev/null
+++ b/src/fleet/mesh_part.c
@@ -0,0 +1,174 @@
+/* This instance's part of what all may do together: by all instances that it has known in this
+ * life, as those that it does not hear may go on using theirs. */
+#include "clock.h"
+#include "mesh_impl.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <saddlehead/part.h>
+#include <string.h>
+
+/* An instance that nobody has told of for so long has left for good. */
+#define FORGET_US 600000000
+#define LOOK_US 60000000 /* how often that is looked at */
+#define KNOWN_MAX 4096   /* instances: no fleet is so large */
+#define ABSENT_FIELDS 3  /* of each: address, link, microseconds since it was told of */
+
+struct known {
+	int link_mbps;   /* 0: not told */
+	int64_t told_us; /* by itself or others, the last time */
+};
+
+static GHashTable *known; /* address -> struct known */
+static struct part_life life;
+static int stale = 1;
+static int64_t looked_us;
+static double part;
+
+static void know(const char *ip, int link_mbps, int64_t told_us)
+{
+	struct known *k = g_hash_table_lookup(known, ip);
+
+	if (!k && g_hash_table_size(known) >= KNOWN_MAX) return;
+	if (!k) {
+		k = g_new0(struct known, 1);
+		g_hash_table_insert(known, g_strdup(ip), k);
+		stale = 1;
+	}
+	k->told_us = MAX(k->told_us, told_us);
+	if (!link_mbps || link_mbps == k->link_mbps) return;
+	k->link_mbps = link_mbps;
+	stale = 1;
+}
+
+void mesh_part_know(const struct member *m)
+{
+	know(m->ip, m->link_mbps, clock_us());
+}
+
+void mesh_part_heard(const struct member *m)
+{
+	life.heard = 1;
+	mesh_part_know(m);
+}
+
+static int is_absent(const char *ip)
+{
+	const struct member *m = mesh_member_known(ip);
+
+	return !m || !m->alive;
+}
+
+static int count_absent(void)
+{
+	GHashTableIter it;
+	gpointer ip;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, known);
+	while (g_hash_table_iter_next(&it, &ip, NULL)) n += is_absent(ip);
+	return n;
+}
+
+void mesh_write_absent(GString *out)
+{
+	int n = count_absent();
+	int64_t now = clock_us();
+	struct mesh_frame f;
+	GHashTableIter it;
+	gpointer ip, value;
+	msgpack_packer *p;
+
+	if (!n) return;
+	p = mesh_frame_begin(&f, MESH_ABSENT, 1 + ABSENT_FIELDS * n);
+	g_hash_table_iter_init(&it, known);
+	while (g_hash_table_iter_next(&it, &ip, &value)) {
+		const struct known *k = value;
+
+		if (!is_absent(ip)) continue;
+		mesh_pack_text(p, ip);
+		msgpack_pack_int(p, k->link_mbps);
+		msgpack_pack_int64(p, now - k->told_us);
+	}
+	mesh_frame_end(&f, out);
+}
+
+static int is_another(const char *ip)
+{
+	struct in_addr a;
+
+	return strcmp(ip, mesh_cfg()->ip) != 0 && inet_pton(AF_INET, ip, &a) == 1;
+}
+
+int mesh_take_absent(const msgpack_object_array *a)
+{
+	char ip[ENTRY_TEXT_MAX + 1];
+	uint32_t i;
+
+	for (i = 1; i + ABSENT_FIELDS <= a->size; i += ABSENT_FIELDS) {
+		int64_t silent_us = mesh_int(&a->ptr[i + 2]);
+
+		if (mesh_text(&a->ptr[i], ip, sizeof ip)) return -EBADMSG;
+		if (!is_another(ip) || silent_us < 0 || silent_us > FORGET_US) continue;
+		know(ip, mesh_mbps(&a->ptr[i + 1]), clock_us() - silent_us);
+	}
+	return 0;
+}
+
+static gboolean has_left(gpointer ip, gpointer value, gpointer now)
+{
+	const struct known *k = value;
+
+	(void)ip;
+	return *(int64_t *)now - k->told_us > FORGET_US;
+}
+
+static void forget(int64_t now)
+{
+	if (now - looked_us < LOOK_US) return;
+	looked_us = now;
+	if (g_hash_table_foreach_remove(known, has_left, &now)) stale = 1;
+}
+
+static GArray *all_known(void)
+{
+	GArray *peers = g_array_new(FALSE, FALSE, sizeof(struct roles_peer));
+	struct roles_peer self = {.link_mbps = mesh_cfg()->link_mbps,
+				  .hash = g_str_hash(mesh_cfg()->ip),
+				  .self = 1};
+	GHashTableIter it;
+	gpointer ip, k;
+
+	g_array_append_val(peers, self);
+	g_hash_table_iter_init(&it, known);
+	while (g_hash_table_iter_next(&it, &ip, &k)) {
+		struct roles_peer p = {.link_mbps = ((struct known *)k)->link_mbps,
+				       .hash = g_str_hash(ip)};
+
+		g_array_append_val(peers, p);
+	}
+	return peers;
+}
+
+/* Worked out anew when somebody becomes known; until it is above 0, each time. */
+double mesh_part(int64_t window_us)
+{
+	int64_t now = clock_us();
+	GArray *peers;
+
+	forget(now);
+	if (!stale && part > 0) return part;
+	peers = all_known();
+	part = part_mine(&life, (struct roles_peer *)(void *)peers->data, (int)peers->len,
+			 window_us, now);
+	g_array_free(peers, TRUE);
+	stale = 0;
+	return part;
+}
+
+void mesh_part_start(void)
+{
+	known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	life.started_us = clock_us();
+	life.first_start = mesh_cfg()->first_start;
+	life.join_us = mesh_cfg()->join_us;
+}
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -20,6 +20,7 @@
 	struct sockaddr_in seed[ENTRY_SEEDS_MAX]; /* some other instances' peer ports */
 	int nseeds;
 	int first_start;              /* of the whole fleet */
+	int64_t join_us;              /* all know of an instance that starts after it */
 	int fail_closed;              /* keyed requests only under a confirmed configuration */
 	int64_t revoke_us;            /* a removed key runs nothing after it */
 	int64_t drain_us;             /* a leaving backend server gets nothing after it */
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -54,6 +54,8 @@
 int mesh_serving(void);
 /* Most instances known at once so far, dead ones included until they are forgotten. */
 int mesh_known(void);
+/* This instance's part (0 to 1) of what all may do together within a window. */
+double mesh_part(int64_t window_us);
 /* The load on b changed; peers that callers come to are told soon. */
 void mesh_load_changed(struct be *b);
 /* Tokens of streams without a copy on b that other instances move before this one does: all
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -22,7 +22,8 @@
 	MESH_THROUGH,   /* a run came through of what servers ended under */
 	MESH_UNDER_WAY, /* so many runs of it have not answered yet */
 	MESH_VERDICTS,  /* what is blamed for ends of servers, or is not any longer */
-	MESH_DRAINS     /* keys of drained data centres, and of those taken back */
+	MESH_DRAINS,    /* keys of drained data centres, and of those taken back */
+	MESH_ABSENT /* instances that were known and are not heard: their parts stay theirs */
 };
 
 /* Of verdicts: some, all that the sender has, all that it and others have. */
@@ -160,6 +161,8 @@
 const GPtrArray *mesh_members(void);
 /* The one at this address, added if it is new. */
 struct member *mesh_member_at(const char *ip);
+/* The one at this address, or NULL. */
+struct member *mesh_member_known(const char *ip);
 /* The one that another instance names, unless there are too many or this is none; link_mbps: 0
  * if not told. */
 struct member *mesh_learnt(const char *ip, int link_mbps);
@@ -183,6 +186,17 @@
 /* Whether a link to m is kept: one of both is a hub. */
 int mesh_linked_to(const struct member *m);
 
+/* mesh_part.c */
+void mesh_part_start(void);
+/* m exists, or did a moment ago, by its own or another instance's word. */
+void mesh_part_know(const struct member *m);
+/* m was heard. */
+void mesh_part_heard(const struct member *m);
+/* Those that are known and not heard; nothing where there are none. */
+void mesh_write_absent(GString *out);
+/* A frame of its type. 0 or -EBADMSG. */
+int mesh_take_absent(const msgpack_object_array *a);
+
 /* mesh_link.c */
 void mesh_connect(struct member *m);
 /* Nothing is sent where no link is up; one that is full is broken off. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -91,6 +91,8 @@
 	int held_back;         /* a repeat was, by the allowance */
 	int unreached;         /* of them, those that reached no server */
 	int reached;           /* exchanges that reached a server, but those from a copy */
+	int64_t counted_us;    /* when its last repeat was counted */
+	int copies_refused;    /* since its stream last went on */
 	int runs;              /* of sends, those that may have run */
 	int head_sent;
 	int status;
@@ -198,8 +200,11 @@
 /* rq_budget.c */
 /* A request came for its service. */
 void rq_count_request(const struct rq *r);
-/* It is sent anew, and nothing may hold it back. */
-void rq_count_repeat(const struct rq *r);
+/* The copy that its stream was to go on from was turned away. */
+void rq_note_copy_refused(struct rq *r);
+/* Whether its stream may go on from a copy now: the same run, but one that was turned away is
+ * asked for again only within the allowance of repeats. */
+int rq_may_go_on(struct rq *r);
 /* Its exchange reached a server. */
 void rq_note_reached(const struct leg *l);
 /* 1 and counted as sent anew, or 0: the budget is used up, or it was sent too often. */
--- a/src/relay/rq_budget.c
+++ b/src/relay/rq_budget.c
@@ -3,12 +3,13 @@
 #include "mesh.h"
 #include "met.h"
 #include "rq_impl.h"
-#include <saddlehead/roles.h>
 
+/* Of what all may repeat, this instance's part. */
 static struct budget_rule rule(void)
 {
-	return (struct budget_rule){rq_cfg->retry_window_us, rq_cfg->retry_ratio,
-				    rq_cfg->retry_slack};
+	double slack = rq_cfg->retry_slack * mesh_part(rq_cfg->retry_window_us);
+
+	return (struct budget_rule){rq_cfg->retry_window_us, rq_cfg->retry_ratio, slack};
 }
 
 static struct budget *budget_of(const char *service)
@@ -31,20 +32,38 @@
 	budget_request(budget_of(r->service->name), &now, ev_now());
 }
 
-void rq_count_repeat(const struct rq *r)
+static void count_repeat(const struct rq *r)
 {
 	struct budget_rule now = rule();
 
 	budget_spend(budget_of(r->service->name), &now, ev_now());
 }
 
+/* A send may wait for room, or try servers that are not reached, after it was counted. */
+static void count_late(struct rq *r)
+{
+	struct budget_rule now = rule();
+
+	if (ev_now() - r->counted_us > budget_late_us(&now)) count_repeat(r);
+	r->counted_us = ev_now();
+}
+
 void rq_note_reached(const struct leg *l)
 {
-	if (!l->from_copy && l->rq->reached++) met_add(MET_REPEATS, 1);
+	struct rq *r = l->rq;
+
+	if (l->from_copy || !r->reached++) return;
+	met_add(MET_REPEATS, 1);
+	count_late(r);
+}
+
+void rq_note_copy_refused(struct rq *r)
+{
+	if (!r->copies_refused++) count_repeat(r); /* later ones were asked for */
 }
 
 /* Once for each request: a silent one is looked at again and again. */
-static void tell_held_back(struct rq *r, int parts)
+static void tell_held_back(struct rq *r)
 {
 	GString *g;
 
@@ -56,17 +75,28 @@
 	jlog_str(g, "service", r->service->name);
 	jlog_int(g, "sends", r->sends);
 	jlog_int(g, "used", budget_used(budget_of(r->service->name)));
-	jlog_int(g, "parts", parts);
+	jlog_int(g, "part_permille", (int64_t)(mesh_part(rq_cfg->retry_window_us) * 1000));
 	jlog_end(g);
 }
 
-int rq_may_repeat(struct rq *r)
+static int take(struct rq *r, enum budget_use use)
 {
 	struct budget_rule now = rule();
-	int parts = roles_parts(mesh_known(), mesh_self_active());
 
-	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
-	if (budget_take(budget_of(r->service->name), &now, parts, ev_now())) return 1;
-	tell_held_back(r, parts);
+	if (budget_take(budget_of(r->service->name), &now, use, ev_now())) return 1;
+	tell_held_back(r);
 	return 0;
 }
+
+int rq_may_repeat(struct rq *r)
+{
+	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
+	if (!take(r, BUDGET_REPEAT)) return 0;
+	r->counted_us = ev_now();
+	return 1;
+}
+
+int rq_may_go_on(struct rq *r)
+{
+	return !r->copies_refused || take(r, BUDGET_STREAM);
+}
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -106,9 +106,10 @@
 	rq_answer(r, head);
 }
 
-static void copy_refused(struct leg *l, int err)
+static void copy_refused(struct leg *l, int err, int up)
 {
 	log_broke(l, "copy_refused", err);
+	if (up) rq_note_copy_refused(l->rq);
 	if (err == -ECONNREFUSED) be_refused_connection(l->be);
 	move_refused(l->rq, l->not_run);
 }
@@ -120,7 +121,7 @@
 	hx_cancel(l->hx);
 	l->hx = NULL;
 	if (l == l->rq->next)
-		copy_refused(l, -EPIPE);
+		copy_refused(l, -EPIPE, up);
 	else if (up)
 		broke(l, -EPIPE);
 	else
@@ -133,7 +134,7 @@
 
 	l->hx = NULL;
 	if (l == l->rq->next) {
-		copy_refused(l, err);
+		copy_refused(l, err, x->up);
 		return;
 	}
 	if (!err && leg_is_stream(l, x)) {
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -22,7 +22,10 @@
 		return;
 	}
 	r->move.state = MOVE_NEXT;
-	rq_count_repeat(r);
+	if (!rq_may_go_on(r)) {
+		move_refused(r, 1);
+		return;
+	}
 	r->next = leg_start(r, b, copy_at, copy);
 	if (!r->next) move_refused(r, 0);
 }
@@ -104,6 +107,7 @@
 	leg_free(old);
 	move_log(r, "stream_went_on", 0);
 	r->move.refusals = 0;
+	r->copies_refused = 0;
 	r->move.handle[0] = '\0';
 	move_stop(r);
 }
