A send that reached nobody is followed by the next one without the allowance

What callers saw: calls to a server that takes no connection were looked at again 250 ms after the first look, which came a moment too early, and the next send was counted as a repeat though nothing had arrived; with the allowance used up it was not made at all. Change: while no server was reached, what is sent next is the first arrival; a cancelled connection is no run; silence is looked at when it is due, not in steps of 250 ms.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -207,7 +207,8 @@
 int rq_may_go_on(struct rq *r);
 /* Its exchange reached a server. */
 void rq_note_reached(const struct leg *l);
-/* 1 and counted as sent anew, or 0: the budget is used up, or it was sent too often. */
+/* 1 and counted as sent anew where a server was reached, or 0: the budget is used up, or it was
+ * sent too often. */
 int rq_may_repeat(struct rq *r);
 
 /* rq_poison.c */
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -91,19 +91,33 @@
 	if (!is_silent(r) || !rq_may_repeat(r)) return;
 	if (!may_be_at_work(r)) be_failed(l->be, "silent");
 	met_retried(l->answered ? RETRY_RESUME : RETRY_FIRST_BYTE);
-	r->runs++;
+	if (l->hx->up)
+		r->runs++;
+	else
+		r->unreached++;
 	rq_place(r);
 }
 
+/* Sooner than usual where an answer is not waited for so long. */
+static int64_t next_look_us(const struct rq *r)
+{
+	int64_t most_us, left_us;
+
+	if (!r->leg || r->leg->answered || !rq_repeatable(r)) return STALL_LOOK_US;
+	most_us = patience_us(r);
+	left_us = MAX(r->leg->sent_us, woke_us) + most_us - clock_us();
+	return MIN(left_us > 0 ? left_us : most_us, STALL_LOOK_US);
+}
+
 /* A stream whose engine fell silent goes on from its running copy. Without one its memory is
  * asked for: the connection alone may be dead, and the engine still answers on another. */
 static void on_stall_look(struct ev_timer *t)
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, stall_timer));
 
-	ev_in(t, STALL_LOOK_US);
+	ev_in(t, next_look_us(r));
 	if (rq_repeatable(r)) {
-		look_at_silence(r);
+		look_at_silence(r); /* r may be gone then */
 		return;
 	}
 	if (!r->event_us || r->move.state != MOVE_NONE || cn_pending(&r->h->cn)) return;
--- a/test/pw.c
+++ b/test/pw.c
@@ -95,6 +95,7 @@
 				   .tokens = 34000,
 				   .link_mbps = 19000,
 				   .attempts = 2,
+				   .aim_ms = 500,
 				   .keys = "[\"k1\"]",
 				   .safe_service = "app"};
 	pw_conf_write();
--- a/test/pw.h
+++ b/test/pw.h
@@ -229,6 +229,7 @@
  * /safe/, /unsafe/ (keyed), /open/ (needs no key). Key "k1" belongs to workspace "w1". */
 struct pw_conf {
 	int version, timeout_ms, extra_routes, attempts;
+	int aim_ms;       /* of each route */
 	int tokens;       /* memory of an engine */
 	int link_mbps;    /* over which it moves */
 	int cold_per_s;   /* requests that a server of app bears in its first second; 0: any */
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -11,9 +11,9 @@
 		s,
 		"{\"name\":\"r%s\",\"host\":\"test.example\",\"pathPrefix\":\"/%s/"
 		"\",\"kind\":\"%s\","
-		"\"timeoutMs\":%d,\"targetLatencyMs\":500,\"priority\":%d,\"service\":\"%s\","
+		"\"timeoutMs\":%d,\"targetLatencyMs\":%d,\"priority\":%d,\"service\":\"%s\","
 		"\"gap_aim_ms\":100%s}",
-		path, path, kind, pw_conf.timeout_ms, priority, service, more);
+		path, path, kind, pw_conf.timeout_ms, pw_conf.aim_ms, priority, service, more);
 }
 
 GString *pw_conf_text(void)
--- a/test/test_repeats.c
+++ b/test/test_repeats.c
@@ -2,6 +2,7 @@
 #include "check.h"
 #include "pw.h"
 #include <signal.h>
+#include <unistd.h>
 
 #define INSTANCES 3
 #define SERVERS 4
@@ -69,9 +70,39 @@
 	pw_end();
 }
 
+/* Nothing has reached a server yet: what is sent next is no repeat. */
+static void what_reached_nobody_is_sent_on_without_the_allowance(void)
+{
+	struct pw_server *deaf;
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i, fd;
+
+	pw_init();
+	pw_conf.aim_ms = 100;
+	pw_conf_write();
+	pw_settings("bounds.retryBudgetRatio=0\nbounds.budgetSlack=0\n");
+	deaf = pw_server_add("app", 0);
+	pw_server_add("app", 0);
+	e = pw_entry_ready();
+	fd = pw_server_deaf(deaf);
+	for (i = 0; i < 6; i++) {
+		c = pw_ask(e, "POST", "/safe/", 1000);
+		CU_ASSERT(pw_call_wait(c, 1000));
+		CU_ASSERT_EQUAL(c->status, 200);
+		CU_ASSERT(c->ended_us - c->began_us < 150000);
+	}
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_repeats_held_back_total"), 0);
+	CU_ASSERT_EQUAL(pw_repeats(), 0);
+	close(fd);
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"instances_that_start_again_repeat_no_more_than_is_allowed",
 	 instances_that_start_again_repeat_no_more_than_is_allowed},
+	{"what_reached_nobody_is_sent_on_without_the_allowance",
+	 what_reached_nobody_is_sent_on_without_the_allowance},
 };
 
 CHECK_MAIN(list)
