--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "dialect.h"
 #include "ev.h"
+#include "jlog.h"
 #include "mesh.h"
 #include <errno.h>
 #include <stddef.h>
@@ -70,6 +71,23 @@
 	mesh_pass_on(base);
 }
 
+static uint64_t known_revision(const struct watcher *w)
+{
+	struct board_revs revs = board_revs();
+
+	return w->list.of == DL_CONF ? revs.conf : revs.backends;
+}
+
+static void log_list(const struct watcher *w, const char *event)
+{
+	GString *g = jlog_begin("fleet", event);
+
+	jlog_str(g, "list", w->list.prefix);
+	jlog_int(g, "revision", w->at);
+	jlog_int(g, "known", known_revision(w));
+	jlog_end(g);
+}
+
 static void on_listed(const struct st_reply *r, void *user)
 {
 	struct watcher *w = user;
@@ -98,6 +116,7 @@
 	if (w->list.of == DL_BACKEND) board_set_partial(0);
 	board_apply_missing(w->list.prefix, w->listed, w->at);
 	g_hash_table_remove_all(w->listed);
+	log_list(w, "list_read");
 	mesh_pass_on(w->base);
 	if (w->once) return;
 	w->phase = WATCHING;
@@ -133,13 +152,6 @@
 	return mesh_watches();
 }
 
-static uint64_t known_revision(const struct watcher *w)
-{
-	struct board_revs revs = board_revs();
-
-	return w->list.of == DL_CONF ? revs.conf : revs.backends;
-}
-
 /* Others have passed on what came since; it is not asked for again. */
 static void catch_up(struct watcher *w)
 {
@@ -189,6 +201,7 @@
 		ev_in(&w->retry, IDLE_LOOK_US);
 		return;
 	}
+	log_list(w, "watch_began");
 	catch_up(w);
 	w->call = st_watch(w->list.prefix, w->at, WATCH_MS, on_watched, w);
 }
