A watch goes on from what is known whole, not from the newest that came

What callers saw: nothing; a server that leaves got requests 3 s later, where instances started within half a second. Cause: a revision was taken for the state of a list. An instance listed at 90, a server left at 91, another instance listed at 93 and passed on what it had; the first watched from 93. A listing tells nothing of what went before it. The class: what is newest taken for what is complete. Ruled out: late news (members were heard within 0.5 s), the store (both lists were right as of their revision). Change: each list has the revision up to which all changes have come: by an own listing or watch, or by news that go on from it. Watches begin there; a hub that does not watch asks once what has changed since its listing as soon as one that passes on changes is heard, and again after news with a gap.

--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -1,6 +1,8 @@
 /* Frames of other instances: checked, and taken by their type. */
 #include "clock.h"
+#include "dialect.h"
 #include "mesh_impl.h"
+#include "watch.h"
 #include "wire.h"
 #include <errno.h>
 #include <string.h>
@@ -40,7 +42,23 @@
 	return 0;
 }
 
-static int take_items(struct mesh_in *in, const msgpack_object_array *a)
+/* Sooner than its next heartbeat tells. */
+static void note_has(struct member *m, struct board_revs r)
+{
+	m->said.revs.conf = MAX(m->said.revs.conf, r.conf);
+	m->said.revs.backends = MAX(m->said.revs.backends, r.backends);
+}
+
+static void note_item(struct board_revs *newest, const struct st_item *i)
+{
+	if (dl_item_kind(i->key) == DL_CONF) newest->conf = MAX(newest->conf, i->revision);
+	if (dl_item_kind(i->key) == DL_BACKEND)
+		newest->backends = MAX(newest->backends, i->revision);
+}
+
+/* 0 or -EBADMSG; newest: of the items. */
+static int apply_items(struct mesh_in *in, const msgpack_object_array *a,
+		       struct board_revs *newest)
 {
 	struct board_revs after;
 	char key[512];
@@ -52,21 +70,35 @@
 	for (k = 3; k < a->size; k++) {
 		if (mesh_read_item(&a->ptr[k], &i, key, sizeof key)) return -EBADMSG;
 		board_apply(&i, in->from->said.name);
+		note_item(newest, &i);
 	}
 	if (!after.backends && in->from->said.revs.backends) board_set_partial(0);
+	note_has(in->from, *newest);
 	return 0;
 }
 
+static int take_items(struct mesh_in *in, const msgpack_object_array *a)
+{
+	struct board_revs newest = {0};
+
+	return apply_items(in, a, &newest);
+}
+
 /* News go on from what the receiver must know already, or entries between would be missed. The
  * configuration is one item: nothing of it is between, and news of servers don't wait for it.
  */
 static int take_news(struct mesh_in *in, const msgpack_object_array *a)
 {
-	struct board_revs after, mine = board_revs();
+	struct board_revs after, mine = board_revs(), newest = {0};
 
 	if (mesh_read_revs(a, &after)) return -EBADMSG;
-	if (mine.backends >= after.backends) return take_items(in, a);
-	mesh_fetch_soon(in->from);
+	if (mine.backends < after.backends) {
+		mesh_fetch_soon(in->from);
+		return 0;
+	}
+	if (apply_items(in, a, &newest)) return -EBADMSG;
+	watch_told(DL_CONF, after.conf, newest.conf);
+	watch_told(DL_BACKEND, after.backends, newest.backends);
 	return 0;
 }
 
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -194,6 +194,18 @@
 	return 1;
 }
 
+int mesh_is_informed(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->len; i++) {
+		const struct member *m = g_ptr_array_index(members, i);
+
+		if (m->alive && m->hub && m->said.store_up && m->said.revs.backends) return 1;
+	}
+	return 0;
+}
+
 int mesh_live(void)
 {
 	uint32_t i;
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -9,6 +9,7 @@
 #include <errno.h>
 #include <stddef.h>
 
+#define GLANCE_MS 1           /* what has changed, and nothing that may */
 #define WATCH_MS 20000        /* a call that waits: each return is paid for */
 #define RETRY_FIRST_US 100000 /* after a failed call, doubled up to ... */
 #define RETRY_MAX_US 800000   /* ... this: the store's return must be seen within a second */
@@ -23,7 +24,11 @@
 struct watcher {
 	struct dl_list list; /* of the keys that begin so */
 	enum phase phase;
-	uint64_t at; /* changes up to this revision are applied */
+	/* All changes up to this revision have come, the keys that went among them. */
+	uint64_t at;
+	/* What changed while this one had listed, and nobody watched for it, was asked for. */
+	int covered;
+	int glancing; /* its call waits for nothing */
 	struct st_call *call;
 	struct ev_timer retry;
 	int64_t wait_us;        /* before the last retry; 0: the last call went well */
@@ -120,6 +125,7 @@
 	mesh_pass_on(w->base);
 	if (w->once) return;
 	w->phase = WATCHING;
+	w->covered = 0;
 	next(w);
 }
 
@@ -135,6 +141,7 @@
 		return;
 	}
 	w->wait_us = 0;
+	w->covered = 1;
 	watch_apply(r, 0);
 	if (r->at > w->at) w->at = r->at;
 	if (w->phase == WATCHING && r->n)
@@ -152,10 +159,17 @@
 	return mesh_watches();
 }
 
-/* Others have passed on what came since; it is not asked for again. */
-static void catch_up(struct watcher *w)
+/* Something came that does not go on from what is known: another instance's listing does not
+ * tell of keys that went before it. */
+static int has_gap(const struct watcher *w)
 {
-	w->at = MAX(w->at, known_revision(w));
+	return !w->covered || known_revision(w) > w->at;
+}
+
+/* One that stands by sends to nobody, and hundreds of them would ask. */
+static int must_glance(const struct watcher *w)
+{
+	return has_gap(w) && mesh_self_hub() && mesh_is_informed();
 }
 
 /* Others have handed on whole what this one would list. */
@@ -184,10 +198,20 @@
 	return mesh_asks_store() && !board_conf() && w->list.of == DL_CONF;
 }
 
+static void watch(struct watcher *w, int64_t wait_ms)
+{
+	w->glancing = wait_ms == GLANCE_MS;
+	log_list(w, "watch_began");
+	w->call = st_watch(w->list.prefix, w->at, wait_ms, on_watched, w);
+}
+
 static void next(struct watcher *w)
 {
 	if (w->call) return;
-	if (w->phase == LISTING && has_from_others(w)) w->phase = WATCHING;
+	if (w->phase == LISTING && has_from_others(w)) {
+		w->phase = WATCHING;
+		w->at = MAX(w->at, known_revision(w));
+	}
 	if (!may_ask(w) || (w->phase == LISTING && others_will_tell())) {
 		ev_in(&w->retry, IDLE_LOOK_US);
 		return;
@@ -197,13 +221,12 @@
 		w->call = st_range(w->list.prefix, NULL, on_listed, w);
 		return;
 	}
-	if (!must_watch() && !tries_anew(w)) {
+	if (must_watch() || tries_anew(w))
+		watch(w, WATCH_MS);
+	else if (must_glance(w))
+		watch(w, GLANCE_MS);
+	else
 		ev_in(&w->retry, IDLE_LOOK_US);
-		return;
-	}
-	log_list(w, "watch_began");
-	catch_up(w);
-	w->call = st_watch(w->list.prefix, w->at, WATCH_MS, on_watched, w);
 }
 
 static void on_retry(struct ev_timer *t)
@@ -249,6 +272,17 @@
 	}
 }
 
+void watch_told(enum dl_item kind, uint64_t after, uint64_t upto)
+{
+	int i;
+
+	for (i = 0; after && i < nwatchers; i++) {
+		struct watcher *w = &watchers[i];
+
+		if (w->list.of == kind && w->at >= after) w->at = MAX(w->at, upto);
+	}
+}
+
 void watch_check_drains(void)
 {
 	struct watcher *w = &drains_checker;
@@ -256,13 +290,21 @@
 	if (!w->call) w->call = st_range(w->list.prefix, NULL, on_listed, w);
 }
 
+/* Others watch for this instance by now: its own call would stay for as long as nothing
+ * changes. */
+static void leave_to_others(struct watcher *w)
+{
+	if (w->phase != WATCHING || !w->call || w->glancing || must_watch()) return;
+	if (!mesh_is_informed()) return;
+	w->covered = 0; /* what the store has not answered yet may not have come from others */
+	start_again(w);
+}
+
 void watch_leave_to_others(void)
 {
 	int i;
 
-	for (i = 0; i < nwatchers; i++)
-		if (watchers[i].phase == WATCHING && watchers[i].call && !must_watch())
-			start_again(&watchers[i]);
+	for (i = 0; i < nwatchers; i++) leave_to_others(&watchers[i]);
 }
 
 static void init_watcher(struct watcher *w, struct dl_list list)
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -78,6 +78,9 @@
 /* No fetch begins before (monotonic): the store's answer is coming, which may bring the same,
  * and both would share the link. */
 void mesh_hold_fetch(int64_t until_us);
+/* Whether a hub is heard that has the lists and is answered by the store: it passes on changes.
+ */
+int mesh_is_informed(void);
 /* Whether a fetch is being answered. */
 int mesh_fetching(void);
 /* Whether the store fails some instance, or keeps it waiting. */
--- a/src/internal/watch_impl.h
+++ b/src/internal/watch_impl.h
@@ -24,7 +24,8 @@
 void watch_check_drains(void);
 /* Whether a listing or a watch is being answered with a configuration. */
 int watch_receives_conf(void);
-/* Others watch for this instance by now: its own call would return once more, at a price. */
+
+/* Ends watches that others have taken over. */
 void watch_leave_to_others(void);
 
 /* watch_confirm.c */
