An instance whose watch the store has forgotten lists anew, whoever told it the list before

Found by reading while the list's revisions were changed: one that had its list from others took it as its own listing after a 410, and watched on from the newest that it knew. What went in between stayed in its list until it confirmed for all.

--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -129,14 +129,26 @@
 	next(w);
 }
 
+/* The store has forgotten what changed: nothing but a listing of its own tells. */
+static void list_anew(struct watcher *w)
+{
+	w->phase = LISTING;
+	w->begun = 1;
+	w->wait_us = 0;
+	next(w);
+}
+
 static void on_watched(const struct st_reply *r, void *user)
 {
 	struct watcher *w = user;
 
 	w->call = NULL;
 	watch_note_reply(r);
-	if (r->rc == -ESTALE) w->phase = LISTING;
-	if (r->rc && r->rc != -ESTALE) {
+	if (r->rc == -ESTALE) {
+		list_anew(w);
+		return;
+	}
+	if (r->rc) {
 		try_later(w);
 		return;
 	}
@@ -144,7 +156,7 @@
 	w->covered = 1;
 	watch_apply(r, 0);
 	if (r->at > w->at) w->at = r->at;
-	if (w->phase == WATCHING && r->n)
+	if (r->n)
 		ev_in(&w->retry, g_random_int_range(REST_MIN_US, REST_MAX_US));
 	else
 		next(w);
