--- a/src/fleet/mesh_part.c
+++ b/src/fleet/mesh_part.c
@@ -10,6 +10,7 @@
 /* An instance that nobody has told of for so long has left for good. */
 #define FORGET_US 600000000
 #define LOOK_US 60000000 /* how often that is looked at */
+#define WAIT_US 50000    /* how often one that has no part yet looks for it */
 #define KNOWN_MAX 4096   /* instances: no fleet is so large */
 #define ABSENT_FIELDS 3  /* of each: address, link, microseconds since it was told of */
 
@@ -21,7 +22,7 @@
 static GHashTable *known; /* address -> struct known */
 static struct part_life life;
 static int stale = 1;
-static int64_t looked_us;
+static int64_t looked_us, waits_until_us;
 static double part;
 
 static void know(const char *ip, int link_mbps, int64_t told_us)
@@ -149,19 +150,25 @@
 	return peers;
 }
 
-/* Worked out anew when somebody becomes known; until it is above 0, each time. */
+/* When somebody becomes known, and while time alone may end the wait for it. */
+static int is_to_be_worked_out(int64_t now)
+{
+	return stale || (part <= 0 && now >= waits_until_us);
+}
+
 double mesh_part(int64_t window_us)
 {
 	int64_t now = clock_us();
 	GArray *peers;
 
 	forget(now);
-	if (!stale && part > 0) return part;
+	if (!is_to_be_worked_out(now)) return part;
 	peers = all_known();
 	part = part_mine(&life, (struct roles_peer *)(void *)peers->data, (int)peers->len,
 			 window_us, now);
 	g_array_free(peers, TRUE);
 	stale = 0;
+	waits_until_us = now + WAIT_US;
 	return part;
 }
 
