Heartbeats tell from where on an instance knows all changes of backend servers

What callers saw: nothing. With 300 instances those that stand by had their lists from others, whose listings moved none of their watches any more, so each that became a hub listed 3,000 servers anew: bytes and connections rose. Change: an instance that had its list from others knows what they know; news and what is handed on move a watch where they go on from what the sender knows whole, which its heartbeats tell.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -3,6 +3,7 @@
 #include "mesh_impl.h"
 #include "met.h"
 #include "poison.h"
+#include "watch.h"
 
 #define BEAT_US 400000 /* of those that callers come to, and of hubs */
 /* Whoever hears nobody for so long after it stood still goes on alone: three beats. */
@@ -82,7 +83,8 @@
 			      .link_mbps = cfg->link_mbps,
 			      .serves = mesh_self_serves(),
 			      .verdicts = poison_digest(),
-			      .drains = board_drains_digest()};
+			      .drains = board_drains_digest(),
+			      .from = watch_backends_from()};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -79,9 +79,13 @@
 
 static int take_items(struct mesh_in *in, const msgpack_object_array *a)
 {
-	struct board_revs newest = {0};
+	struct board_revs after, newest = {0};
 
-	return apply_items(in, a, &newest);
+	if (mesh_read_revs(a, &after) || apply_items(in, a, &newest)) return -EBADMSG;
+	watch_told(DL_CONF, after.conf, newest.conf);
+	if (in->from->said.from && after.backends >= in->from->said.from)
+		watch_told(DL_BACKEND, after.backends, newest.backends);
+	return 0;
 }
 
 /* News go on from what the receiver must know already, or entries between would be missed. The
@@ -89,16 +93,11 @@
  */
 static int take_news(struct mesh_in *in, const msgpack_object_array *a)
 {
-	struct board_revs after, mine = board_revs(), newest = {0};
+	struct board_revs after, mine = board_revs();
 
 	if (mesh_read_revs(a, &after)) return -EBADMSG;
-	if (mine.backends < after.backends) {
-		mesh_fetch_soon(in->from);
-		return 0;
-	}
-	if (apply_items(in, a, &newest)) return -EBADMSG;
-	watch_told(DL_CONF, after.conf, newest.conf);
-	watch_told(DL_BACKEND, after.backends, newest.backends);
+	if (mine.backends >= after.backends) return take_items(in, a);
+	mesh_fetch_soon(in->from);
 	return 0;
 }
 
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -26,6 +26,8 @@
 	enum phase phase;
 	/* All changes up to this revision have come, the keys that went among them. */
 	uint64_t at;
+	/* Of changes after this one: what went before it is not known here by its key. */
+	uint64_t from;
 	/* What changed while this one had listed, and nobody watched for it, was asked for. */
 	int covered;
 	int glancing; /* its call waits for nothing */
@@ -122,10 +124,15 @@
 	board_apply_missing(w->list.prefix, w->listed, w->at);
 	g_hash_table_remove_all(w->listed);
 	log_list(w, "list_read");
-	mesh_pass_on(w->base);
-	if (w->once) return;
+	if (w->once) {
+		mesh_pass_on(w->base);
+		return;
+	}
 	w->phase = WATCHING;
+	w->from = w->at;
 	w->covered = 0;
+	mesh_beat_now(); /* what is passed on then does not go on from what others know */
+	mesh_pass_on(w->base);
 	next(w);
 }
 
@@ -222,7 +229,8 @@
 	if (w->call) return;
 	if (w->phase == LISTING && has_from_others(w)) {
 		w->phase = WATCHING;
-		w->at = MAX(w->at, known_revision(w));
+		w->at = w->from = known_revision(w);
+		w->covered = 1; /* whoever told it tells what went, too */
 	}
 	if (!may_ask(w) || (w->phase == LISTING && others_will_tell())) {
 		ev_in(&w->retry, IDLE_LOOK_US);
@@ -284,6 +292,15 @@
 	}
 }
 
+uint64_t watch_backends_from(void)
+{
+	int i;
+
+	for (i = 0; i < nwatchers; i++)
+		if (watchers[i].list.of == DL_BACKEND) return watchers[i].from;
+	return 0;
+}
+
 void watch_told(enum dl_item kind, uint64_t after, uint64_t upto)
 {
 	int i;
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -42,6 +42,7 @@
 	int64_t echo_held_us;     /* since it came */
 	uint64_t verdicts;        /* digest of what it knows to be blamed */
 	uint64_t drains;          /* the same of drained data centres */
+	uint64_t from; /* all changes of backend servers after it are known to it; 0: none */
 };
 
 struct mesh_row {
@@ -69,12 +70,13 @@
 };
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
-#define MESH_BEAT_FIELDS 18
-#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next four */
+#define MESH_BEAT_FIELDS 19
+#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next five */
 #define MESH_BEAT_LINK 14       /* where link_mbps stands */
 #define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_BEAT_VERDICTS 16   /* where verdicts stands */
 #define MESH_BEAT_DRAINS 17     /* where drains stands */
+#define MESH_BEAT_FROM 18       /* where from stands */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10 /* of earlier releases, which leave out the next one */
 #define MESH_ROW_BORN 10       /* where born_ms stands */
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -86,6 +86,7 @@
 	msgpack_pack_int(p, me->takes_callers);
 	msgpack_pack_uint64(p, 0); /* knows of nothing that is blamed ... */
 	msgpack_pack_uint64(p, 0); /* ... or drained */
+	msgpack_pack_uint64(p, 0); /* has no list of its own */
 	finish(&f, out);
 }
 
