Connections that are given up for silence are bounded as those that time out are

Found by reading the diff: with all servers of a call dark, one that waits for a tenth of a second was tried until the caller's time was over. The bound of refused connections holds for both.

--- a/src/relay/rq_budget.c
+++ b/src/relay/rq_budget.c
@@ -91,7 +91,7 @@
 int rq_may_repeat(struct rq *r)
 {
 	if (r->sends - r->unreached >= RQ_SENDS_MAX) return 0;
-	if (!r->reached) return 1;
+	if (!r->reached) return r->sends < RQ_CONNECTS_MAX;
 	if (!take(r, BUDGET_REPEAT)) return 0;
 	r->counted_us = ev_now();
 	return 1;
