Test: refused copies are asked for again within the allowance

Cause: sends that went on from a copy asked nobody, and no test counted what an engine is asked for when another one dies with all its streams. Change: such a test on real processes, twelve streams on two engines, copies refused for good.

--- a/test/test_repeats.c
+++ b/test/test_repeats.c
@@ -8,6 +8,7 @@
 #define SERVERS 4
 #define ASKED 30 /* requests of one life */
 #define RATIO 0.2
+#define STREAMS 12
 #define SLACK 40
 #define ALLOWANCE \
 	"bounds.retryBudgetRatio=0.2\nbounds.budgetSlack=40\nbounds.budgetWindowS=10\n"
@@ -98,11 +99,40 @@
 	pw_end();
 }
 
+/* All streams of an engine that died ask another one for their copies, which it refuses. */
+static void refused_copies_are_asked_for_again_within_the_allowance(void)
+{
+	struct pw_server *first, *other;
+	struct pw_call *c[STREAMS];
+	struct pw_entry *e;
+	int i, streams = 0;
+
+	pw_init();
+	pw_settings("bounds.retryBudgetRatio=0.2\nbounds.budgetSlack=2\n");
+	first = pw_server_add("llm", 1);
+	first->events = 600;
+	e = pw_entry_ready();
+	other = pw_server_add("llm", 1);
+	other->copy_status = 503;
+	for (i = 0; i < STREAMS; i++) c[i] = pw_ask(e, "POST", "/chat/", 9000);
+	pw_run(600);
+	for (i = 0; i < STREAMS; i++) streams += pw_run_at(first, c[i]->id) != NULL;
+	other->arrivals = 0;
+	pw_server_die(first);
+	for (i = 0; i < STREAMS; i++) pw_call_wait(c[i], 3000);
+	CU_ASSERT(streams > 2);
+	CU_ASSERT(other->arrivals >= streams);
+	CU_ASSERT(other->arrivals - streams <= RATIO * STREAMS + 2);
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"instances_that_start_again_repeat_no_more_than_is_allowed",
 	 instances_that_start_again_repeat_no_more_than_is_allowed},
 	{"what_reached_nobody_is_sent_on_without_the_allowance",
 	 what_reached_nobody_is_sent_on_without_the_allowance},
+	{"refused_copies_are_asked_for_again_within_the_allowance",
+	 refused_copies_are_asked_for_again_within_the_allowance},
 };
 
 CHECK_MAIN(list)
