Absent instances are told by hubs alone, and only those that were heard

Cause: one that stands by hears hubs alone, so to it nearly all others are absent, and it named them all on each new link; after all were killed each did so of all that were named but not heard yet. Ruled out by trials: the heartbeat after a listing (116 connections without it); without such frames 59. Change: hubs tell, and of those that were heard.

--- a/src/fleet/mesh_part.c
+++ b/src/fleet/mesh_part.c
@@ -17,6 +17,7 @@
 struct known {
 	int link_mbps;   /* 0: not told */
 	int64_t told_us; /* by itself or others, the last time */
+	int heard;       /* here, or by whoever told that it is absent; not named alone */
 };
 
 static GHashTable *known; /* address -> struct known */
@@ -25,20 +26,28 @@
 static int64_t looked_us, waits_until_us;
 static double part;
 
-static void know(const char *ip, int link_mbps, int64_t told_us)
+static struct known *know(const char *ip, int link_mbps, int64_t told_us)
 {
 	struct known *k = g_hash_table_lookup(known, ip);
 
-	if (!k && g_hash_table_size(known) >= KNOWN_MAX) return;
+	if (!k && g_hash_table_size(known) >= KNOWN_MAX) return NULL;
 	if (!k) {
 		k = g_new0(struct known, 1);
 		g_hash_table_insert(known, g_strdup(ip), k);
 		stale = 1;
 	}
 	k->told_us = MAX(k->told_us, told_us);
-	if (!link_mbps || link_mbps == k->link_mbps) return;
+	if (!link_mbps || link_mbps == k->link_mbps) return k;
 	k->link_mbps = link_mbps;
 	stale = 1;
+	return k;
+}
+
+static void know_heard(const char *ip, int link_mbps, int64_t told_us)
+{
+	struct known *k = know(ip, link_mbps, told_us);
+
+	if (k) k->heard = 1;
 }
 
 void mesh_part_know(const struct member *m)
@@ -49,30 +58,31 @@
 void mesh_part_heard(const struct member *m)
 {
 	life.heard = 1;
-	mesh_part_know(m);
+	know_heard(m->ip, m->link_mbps, clock_us());
 }
 
-static int is_absent(const char *ip)
+static int is_absent(const char *ip, const struct known *k)
 {
 	const struct member *m = mesh_member_known(ip);
 
-	return !m || !m->alive;
+	return k->heard && (!m || !m->alive);
 }
 
 static int count_absent(void)
 {
 	GHashTableIter it;
-	gpointer ip;
+	gpointer ip, k;
 	int n = 0;
 
 	g_hash_table_iter_init(&it, known);
-	while (g_hash_table_iter_next(&it, &ip, NULL)) n += is_absent(ip);
+	while (g_hash_table_iter_next(&it, &ip, &k)) n += is_absent(ip, k);
 	return n;
 }
 
+/* Hubs tell, who hear all that live: one that stands by hears only hubs. */
 void mesh_write_absent(GString *out)
 {
-	int n = count_absent();
+	int n = mesh_self_hub() ? count_absent() : 0;
 	int64_t now = clock_us();
 	struct mesh_frame f;
 	GHashTableIter it;
@@ -85,7 +95,7 @@
 	while (g_hash_table_iter_next(&it, &ip, &value)) {
 		const struct known *k = value;
 
-		if (!is_absent(ip)) continue;
+		if (!is_absent(ip, k)) continue;
 		mesh_pack_text(p, ip);
 		msgpack_pack_int(p, k->link_mbps);
 		msgpack_pack_int64(p, now - k->told_us);
@@ -110,7 +120,7 @@
 
 		if (mesh_text(&a->ptr[i], ip, sizeof ip)) return -EBADMSG;
 		if (!is_another(ip) || silent_us < 0 || silent_us > FORGET_US) continue;
-		know(ip, mesh_mbps(&a->ptr[i + 1]), clock_us() - silent_us);
+		know_heard(ip, mesh_mbps(&a->ptr[i + 1]), clock_us() - silent_us);
 	}
 	return 0;
 }
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -194,7 +194,7 @@
 void mesh_part_know(const struct member *m);
 /* m was heard. */
 void mesh_part_heard(const struct member *m);
-/* Those that are known and not heard; nothing where there are none. */
+/* Those that were heard and are not any more; nothing where there are none. */
 void mesh_write_absent(GString *out);
 /* A frame of its type. 0 or -EBADMSG. */
 int mesh_take_absent(const msgpack_object_array *a);
--- a/test/test_repeats.c
+++ b/test/test_repeats.c
@@ -126,6 +126,29 @@
 	pw_end();
 }
 
+/* Its part would be a half, and the one that is away may still use a third. */
+static void one_that_starts_hears_of_those_that_are_away(void)
+{
+	struct pw_entry *e[INSTANCES];
+	int i;
+
+	failing_servers();
+	pw_settings("bounds.budgetSlack=0\nbounds.budgetWindowS=0.5\n");
+	for (i = 0; i < INSTANCES; i++) e[i] = pw_entry_ready();
+	pw_run(800);
+	for (i = 1; i < INSTANCES; i++) {
+		pw_entry_kill(e[i], SIGKILL);
+		pw_entry_wait(e[i], 1000);
+	}
+	pw_run(2000); /* both are taken for dead */
+	pw_entry_again(e[1]);
+	CU_ASSERT(pw_entry_until_ready(e[1]));
+	pw_run(1000);
+	pw_call_wait(pw_ask(e[1], "POST", "/safe/", 2000), 2000);
+	CU_ASSERT(pw_log_has(e[1], "\"part_permille\":333"));
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"instances_that_start_again_repeat_no_more_than_is_allowed",
 	 instances_that_start_again_repeat_no_more_than_is_allowed},
@@ -133,6 +156,8 @@
 	 what_reached_nobody_is_sent_on_without_the_allowance},
 	{"refused_copies_are_asked_for_again_within_the_allowance",
 	 refused_copies_are_asked_for_again_within_the_allowance},
+	{"one_that_starts_hears_of_those_that_are_away",
+	 one_that_starts_hears_of_those_that_are_away},
 };
 
 CHECK_MAIN(list)
