What a server says of itself is read from every answer, and its limit logged

Change: each exchange with a backend server begins in one place (bx), which reads the notices of any answer's head: whole, stream, turned away, check, report, order, copy. A limit is kept as the newest word by when it can have been said, logged on change (backend_limit) and counted where it is no number (notices_unread_total). Nothing decides by it yet. Ruled out: a line for each answer (hundreds a second). Tests of relay, moves, cold servers and pure parts pass as before.

--- /dev/null
+++ b/src/fleet/bx.c
@@ -0,0 +1,44 @@
+/* What all exchanges with backend servers have in common. */
+#include "bx.h"
+#include "board.h"
+#include "clock.h"
+#include "cold.h"
+#include "dialect.h"
+#include "jlog.h"
+#include "limit.h"
+#include "met.h"
+
+static void log_unread(const struct be *b, const char *field)
+{
+	GString *g = jlog_begin("fleet", "notice_unread");
+
+	met_add(MET_NOTICES_UNREAD, 1);
+	jlog_str(g, "backend", b->id);
+	jlog_str(g, "field", field);
+	jlog_end(g);
+}
+
+static void on_any_head(struct hx *x)
+{
+	struct be *b = x->peer;
+	struct dl_notice n;
+
+	dl_read_notice(&x->hp.head, &n);
+	if (n.unread) log_unread(b, n.unread);
+	/* A number that can't be used lifts no limit. */
+	if (n.limit_per_s >= 0 || !n.unread) limit_said(b, n.limit_per_s, x->began_us);
+}
+
+static void peer_free(void *b)
+{
+	be_unref(b);
+}
+
+int bx_start(struct hx *x, struct be *b, GString *request, int64_t connect_us)
+{
+	x->peer = be_ref(b);
+	x->peer_free = peer_free;
+	x->on_any_head = on_any_head;
+	cold_sent(b, conf_service(board_conf(), b->service));
+	return hx_start(x, &b->sa, request, connect_us);
+}
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -7,6 +7,7 @@
 #include "probe.h"
 #include "be.h"
 #include "board.h"
+#include "bx.h"
 #include "clock.h"
 #include "cold.h"
 #include "dialect.h"
@@ -134,7 +135,6 @@
 	struct hx *x = hx_new(pr);
 
 	met_add(MET_PROBES, 1);
-	cold_sent(b, conf_service(board_conf(), b->service));
 	if (check)
 		dl_write_check(out, b, check);
 	else
@@ -142,7 +142,7 @@
 	x->on_body = on_body;
 	x->on_end = on_end;
 	x->wait_us = ANSWER_US;
-	if (hx_start(x, &b->sa, out, CONNECT_US)) probe_free(pr);
+	if (bx_start(x, b, out, CONNECT_US)) probe_free(pr);
 }
 
 /* Only streams are moved, and only engines are told to. Those of a drained data centre are
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -9,6 +9,7 @@
 	hp_free(&x->hp);
 	if (x->request) g_string_free(x->request, TRUE);
 	x->request = NULL;
+	if (x->peer_free) x->peer_free(x->peer);
 	ev_free_later(x);
 }
 
@@ -84,8 +85,10 @@
 static int on_head(struct hp *p)
 {
 	struct hx *x = p->user;
-	int rc = x->on_head ? x->on_head(x) : 0;
+	int rc;
 
+	if (x->on_any_head) x->on_any_head(x);
+	rc = x->on_head ? x->on_head(x) : 0;
 	return x->cancelled ? -ECANCELED : rc;
 }
 
@@ -118,6 +121,7 @@
 	int rc;
 
 	x->request = request;
+	x->began_us = ev_now();
 	rc = cn_connect(&x->cn, to);
 	if (rc) {
 		release(x);
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -4,6 +4,7 @@
 #include "conf.h"
 #include <glib.h>
 #include <netinet/in.h>
+#include <saddlehead/limit.h>
 #include <stdint.h>
 
 enum be_state {
@@ -57,8 +58,9 @@
 	uint32_t bad_row; /* bad ends without a good one between, each of another instance */
 	uint32_t bad_by;  /* whose the last of them was */
 	double answer_us; /* moving average of plain answers; 0: none yet */
-	int probed;       /* its health check or report was asked for and has not come */
-	int dirty;        /* own load changed since peers were told */
+	struct limit_word limit; /* what it said last of the requests that it takes */
+	int probed;              /* its health check or report was asked for and has not come */
+	int dirty;               /* own load changed since peers were told */
 };
 
 struct be_info { /* an entry as the platform lists it */
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -48,6 +48,14 @@
 	int sound;      /* carries the signature, and its body comes as it was made */
 };
 void dl_read_answer(const struct hp_head *h, struct dl_answer *a);
+
+/* What a backend server says of itself in the head of any answer, whatever was asked. */
+struct dl_notice {
+	double limit_per_s; /* requests that it takes in a second; negative: names no limit */
+	const char *unread; /* the name of a field whose value can't be used; or NULL */
+};
+void dl_read_notice(const struct hp_head *h, struct dl_notice *n);
+
 /* The answer's head for the caller. length -1: the body follows in chunks. */
 void dl_write_head(GString *out, const struct hp_head *h, int64_t length, int keep);
 /* Fields for a refusal that says when to come back; retry_us 0: does not say. */
--- a/src/internal/hx.h
+++ b/src/internal/hx.h
@@ -13,7 +13,12 @@
 	int up;      /* connected: from here on bytes may have reached the peer */
 	int reading; /* within a callback of the codec */
 	int cancelled;
-	int64_t wait_us; /* silence after the request that ends the exchange; 0: none */
+	int64_t wait_us;  /* silence after the request that ends the exchange; 0: none */
+	int64_t began_us; /* when it was started */
+	/* Sees the answer's head before on_head does; may be NULL. */
+	void (*on_any_head)(struct hx *x);
+	void *peer; /* for on_any_head */
+	void (*peer_free)(void *peer);
 	void (*on_up)(struct hx *x); /* connected, and the request is on its way; may be NULL */
 	int (*on_head)(struct hx *x); /* 0 or a negative errno that ends the exchange */
 	int (*on_body)(struct hx *x, const char *p, size_t n);
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -36,6 +36,7 @@
 	MET_ENTRIES_UNREADABLE, /* of backend servers, by other writers */
 	MET_BLOCKED,            /* requests that were blamed for it, here or elsewhere */
 	MET_COLD_PASSED_OVER,   /* choices in which a cold server had its share already */
+	MET_NOTICES_UNREAD,     /* answers whose word on the server can't be used */
 	MET_COUNT_MAX
 };
 
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -1,5 +1,6 @@
 /* A stream's memory is copied on order: part by part while the source runs, and the last part
  * with the source stopped. */
+#include "bx.h"
 #include "clock.h"
 #include "met.h"
 #include "rq_impl.h"
@@ -27,7 +28,7 @@
 	dl_write_drop(out, at, name);
 	x->on_end = ignore_end;
 	x->wait_us = ORDER_US;
-	hx_start(x, &at->sa, out, RQ_CONNECT_US);
+	bx_start(x, at, out, RQ_CONNECT_US);
 }
 
 void move_drop_copy(struct move *m)
@@ -206,7 +207,7 @@
 	m->hx->on_body = on_order_body;
 	m->hx->on_end = on_order_end;
 	m->hx->wait_us = ORDER_US;
-	if (!hx_start(m->hx, &m->source->sa, out, RQ_CONNECT_US)) return;
+	if (!bx_start(m->hx, m->source, out, RQ_CONNECT_US)) return;
 	m->hx = NULL;
 	move_later(r, MOVE_AGAIN_US);
 }
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -1,6 +1,6 @@
 /* Sending a request to the backend server that was chosen for it. */
+#include "bx.h"
 #include "clock.h"
-#include "cold.h"
 #include "jlog.h"
 #include "mesh.h"
 #include "rq_impl.h"
@@ -87,7 +87,6 @@
 	if (l->backup) be_ref(l->backup);
 	evs_init(&l->evs);
 	r->sends++;
-	cold_sent(b, r->service);
 	log_sent(l, copy);
 	l->hx = hx_new(l);
 	l->hx->on_up = leg_on_up;
@@ -95,7 +94,7 @@
 	l->hx->on_body = leg_on_body;
 	l->hx->on_end = leg_on_end;
 	leg_count_in(l);
-	rc = hx_start(l->hx, &b->sa, write_request(l, copy_at ? copy_at->address : NULL, copy),
+	rc = bx_start(l->hx, b, write_request(l, copy_at ? copy_at->address : NULL, copy),
 		      RQ_CONNECT_US);
 	if (!rc) return l;
 	l->hx = NULL;
