--- a/test/pw.h
+++ b/test/pw.h
@@ -159,6 +159,8 @@
 	int checks;              /* health checks so far */
 	int reports;             /* asked for so far */
 	int arrivals, moves, copies, drops;
+	const char *says;   /* head lines of each of its answers, each ended by CRLF; or NULL */
+	GArray *arrived_us; /* when each request came, of whatever kind: int64_t */
 	char last_raw[1024]; /* the head that came last */
 };
 extern GPtrArray *pw_runs; /* of struct pw_run */
@@ -169,6 +171,11 @@
 struct pw_entry *pw_init_with(struct pw_server **s, int n);
 const char *pw_server_ip(void);
 const char *pw_second_ip(void);
+/* Most requests of whatever kind that came to it within ms, from a moment on. */
+int pw_server_most(const struct pw_server *s, int64_t from_us, int ms);
+/* Answers with what it says of itself beside the fields. */
+void pw_server_answer(struct pw_server *s, struct hs *h, int status, const char *fields,
+		      const char *body);
 void pw_servers_end(void);
 /* The same in a data centre. */
 struct pw_server *pw_server_add_in(const char *service, int engine, const char *zone);
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -32,6 +32,7 @@
 			m == PW_UNSIGNED ? "" : r->server->id, m == PW_UNSIGNED ? "" : "\r\n");
 	g_string_truncate(g, g->len - 2);
 	if (m == PW_ENCODED) g_string_append(g, "Content-Encoding: gzip\r\n");
+	g_string_append(g, r->server->says ? r->server->says : "");
 	g_string_append_printf(g, "%s\r\n", more);
 	hs_write(r->h, g->str, g->len);
 	g_string_free(g, TRUE);
@@ -127,12 +128,13 @@
 
 static void answer_false_503(struct pw_run *r)
 {
+	struct pw_server *s = r->server;
 	struct hs *h = r->h;
 	char fields[96];
 
 	g_snprintf(fields, sizeof fields, "X-Request-Id: %s\r\n", r->id);
 	pw_run_over(r);
-	hs_answer(h, 503, fields, "", 0);
+	pw_server_answer(s, h, 503, fields, "");
 }
 
 static void on_work(struct ev_timer *t)
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -1,4 +1,5 @@
 /* Backend servers: listed, asked, given orders, and killed. */
+#include "clock.h"
 #include "hostport.h"
 #include "pf_json.h"
 #include "pw.h"
@@ -23,6 +24,28 @@
 	g_string_free(g, TRUE);
 }
 
+void pw_server_answer(struct pw_server *s, struct hs *h, int status, const char *fields,
+		      const char *body)
+{
+	char *all = g_strconcat(fields ? fields : "", s->says, NULL);
+
+	hs_answer(h, status, all, body, strlen(body));
+	g_free(all);
+}
+
+int pw_server_most(const struct pw_server *s, int64_t from_us, int ms)
+{
+	const int64_t *at = (const int64_t *)(void *)s->arrived_us->data;
+	uint32_t i, first = 0, most = 0;
+
+	for (i = 0; i < s->arrived_us->len; i++) {
+		if (at[i] < from_us) first = i + 1;
+		while (first < i && at[i] - at[first] >= ms * 1000LL) first++;
+		if (first <= i) most = MAX(most, i + 1 - first);
+	}
+	return (int)most;
+}
+
 static void move(struct pw_server *s, struct hs *h)
 {
 	struct json_object *o = pf_json(h->body->str, h->body->len);
@@ -43,7 +66,7 @@
 		hs_abort(stream);
 	}
 	json_object_put(o);
-	hs_answer(h, status, NULL, body, strlen(body));
+	pw_server_answer(s, h, status, NULL, body);
 }
 
 struct late_move {
@@ -84,7 +107,7 @@
 				     : "{\"state\":\"ready\"}";
 
 	s->reports++;
-	hs_answer(h, 200, NULL, body, strlen(body));
+	pw_server_answer(s, h, 200, NULL, body);
 }
 
 static void check(struct pw_server *s, struct hs *h)
@@ -93,7 +116,7 @@
 
 	s->checks++;
 	g_snprintf(fields, sizeof fields, "X-Instance-Id: %s\r\n", s->id);
-	hs_answer(h, s->ailing ? 503 : 200, fields, "", 0);
+	pw_server_answer(s, h, s->ailing ? 503 : 200, fields, "");
 }
 
 static void generate(struct pw_server *s, struct hs *h)
@@ -104,7 +127,7 @@
 	if (*copy) {
 		s->copies++;
 		if (s->copy_status || s->copy_refusals-- > 0 || !pw_run_copied(copy)) {
-			hs_answer(h, 503, "X-Not-Executed: 1\r\n", "", 0);
+			pw_server_answer(s, h, 503, "X-Not-Executed: 1\r\n", "");
 			return;
 		}
 	}
@@ -144,7 +167,9 @@
 	struct pw_server *s = (struct pw_server *)((char *)h->listener -
 						   offsetof(struct pw_server, listener));
 	const char *t = hp_target(&h->hp.head);
+	int64_t now = clock_us();
 
+	g_array_append_val(s->arrived_us, now);
 	if (!strcmp(t, "/-/kv-move")) {
 		order(s, h);
 		return;
@@ -159,18 +184,18 @@
 	}
 	if (g_str_has_prefix(t, "/-/kv-handle/")) {
 		s->drops++;
-		hs_answer(h, 200, NULL, "", 0);
+		pw_server_answer(s, h, 200, NULL, "");
 		return;
 	}
 	s->arrivals++;
 	count_repeat(h);
 	keep_raw(s, h);
 	if (meant_for_another(s, h))
-		hs_answer(h, 421, "X-Instance-Id: other\r\n", "", 0);
+		pw_server_answer(s, h, 421, "X-Instance-Id: other\r\n", "");
 	else if (s->mode == PW_FULL)
-		hs_answer(h, 503, "X-Not-Executed: 1\r\n", "", 0);
+		pw_server_answer(s, h, 503, "X-Not-Executed: 1\r\n", "");
 	else if (s->mode == PW_STRANGER)
-		hs_answer(h, 421, "X-Instance-Id: other\r\n", "", 0);
+		pw_server_answer(s, h, 421, "X-Instance-Id: other\r\n", "");
 	else
 		generate(s, h);
 }
@@ -221,6 +246,7 @@
 	g_snprintf(s->address, sizeof s->address, "%s:%d", pw_server_ip(), PW_SERVER + serial);
 	g_strlcpy(s->zone, "a", sizeof s->zone);
 	s->engine = engine;
+	s->arrived_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	s->work_ms = 5;
 	s->copy_ms = 5;
 	s->event_ms = 10;
@@ -303,6 +329,7 @@
 static void free_server(struct pw_server *s)
 {
 	g_ptr_array_free(s->listener.conns, TRUE);
+	g_array_free(s->arrived_us, TRUE);
 	g_free(s);
 }
 
