Answers are read for a server that leaves, and for the rest that it asks for; both are logged

Cause: no log told whether an answer had carried either word, so the hypotheses of both incidents stood side by side. Nothing decides by it yet.

--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -18,6 +18,16 @@
 	jlog_end(g);
 }
 
+static void log_said(const struct be *b, const char *what, int64_t for_us)
+{
+	GString *g = jlog_begin("fleet", "backend_said");
+
+	jlog_str(g, "backend", b->id);
+	jlog_str(g, "what", what);
+	if (for_us) jlog_int(g, "for_ms", for_us / 1000);
+	jlog_end(g);
+}
+
 static void on_any_head(struct hx *x)
 {
 	struct be *b = x->peer;
@@ -25,8 +35,11 @@
 
 	dl_read_notice(&x->hp.head, &n);
 	if (n.unread) log_unread(b, n.unread);
+	if (n.leaving && !b->said_leaving) log_said(b, "leaves", 0);
+	b->said_leaving |= n.leaving;
+	if (n.rest_us) log_said(b, "rests", n.rest_us);
 	/* A number that can't be used lifts no limit. */
-	if (n.limit_per_s >= 0 || !n.unread) limit_said(b, n.limit_per_s, x->began_us);
+	if (n.limit_per_s >= 0 || !n.names_limit) limit_said(b, n.limit_per_s, x->began_us);
 }
 
 static void peer_free(void *b)
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -51,7 +51,11 @@
 
 /* What a backend server says of itself in the head of any answer, whatever was asked. */
 struct dl_notice {
-	double limit_per_s; /* requests that it takes in a second; negative: names no limit */
+	int names_limit;    /* be it one that can't be used */
+	double limit_per_s; /* requests that it takes in a second; negative: not told */
+	int leaving;        /* it ends soon */
+	int64_t rest_us; /* wants nothing from this instance for so long; 0: says nothing of it
+			  */
 	const char *unread; /* the name of a field whose value can't be used; or NULL */
 };
 void dl_read_notice(const struct hp_head *h, struct dl_notice *n);
