A server that says in an answer that it leaves gets nothing new

What callers saw: calls went to a server that had said so, 2.3 and 2.5 s later (2 s allowed), and streams stayed on engines that end. Cause: leaving was known from the list, a health check, a report and a 421; the answers that are passed on were read for none of it. Class: what a server says of itself is read on one path and lost on the others. Evidence: the failing test on real processes with the store silent; four other servers stood by, so it was no need.

Change: the head of every answer is read in one place, and word of leaving goes one way (leave.c, a topic of the mesh) from there, from reports and checks. Told to all that serve, and to each instance that starts or was cut off, before it serves. An entry that lapsed and stands again does not make it ready. Mesh modules name leaving no more: two functions and a frame less there.

Why this works: state only goes to leaving in one life, whoever tells. Tests: with the store silent; an instance that starts; an entry that is written anew, or lapses; an answer that turned the request away; streams move.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 #include "ev.h"
 #include "hs.h"
 #include "jlog.h"
+#include "leave.h"
 #include "limit.h"
 #include "mesh.h"
 #include "met.h"
@@ -187,6 +188,7 @@
 	cfg = c;
 	set_needs(c);
 	pace_start();
+	leave_start();
 	limit_start();
 	be_on_leaving = rq_on_leaving;
 	be_on_ended = rq_on_ended;
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -197,13 +197,14 @@
 	if (i->leaving)
 		set_state(b, BE_LEAVING, "platform");
 	else if (b->state == BE_GONE) /* lapsed while the platform was away, and stands again */
-		set_state(b, BE_READY, "platform");
+		set_state(b, b->leaves_by_word ? BE_LEAVING : BE_READY, "platform");
 	if (be_life_is_leaving(b->id, b->born_ms)) be_leaving(b, "a peer, earlier");
 	return 0;
 }
 
 void be_leaving(struct be *b, const char *said_by)
 {
+	b->leaves_by_word = 1;
 	if (b->state == BE_READY) set_state(b, BE_LEAVING, said_by);
 }
 
--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "dialect.h"
 #include "jlog.h"
+#include "leave.h"
 #include "limit.h"
 #include "met.h"
 #include "pace.h"
@@ -18,13 +19,12 @@
 	jlog_end(g);
 }
 
-static void log_said(const struct be *b, const char *what, int64_t for_us)
+static void log_rest(const struct be *b, int64_t for_us)
 {
-	GString *g = jlog_begin("fleet", "backend_said");
+	GString *g = jlog_begin("fleet", "backend_rests");
 
 	jlog_str(g, "backend", b->id);
-	jlog_str(g, "what", what);
-	if (for_us) jlog_int(g, "for_ms", for_us / 1000);
+	jlog_int(g, "for_ms", for_us / 1000);
 	jlog_end(g);
 }
 
@@ -35,9 +35,8 @@
 
 	dl_read_notice(&x->hp.head, &n);
 	if (n.unread) log_unread(b, n.unread);
-	if (n.leaving && !b->said_leaving) log_said(b, "leaves", 0);
-	b->said_leaving |= n.leaving;
-	if (n.rest_us) log_said(b, "rests", n.rest_us);
+	if (n.leaving) leave_said(b, "its own answer");
+	if (n.rest_us) log_rest(b, n.rest_us);
 	/* A number that can't be used lifts no limit. */
 	if (n.limit_per_s >= 0 || !n.names_limit) limit_said(b, n.limit_per_s, x->began_us);
 }
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -202,25 +202,6 @@
 	met_set(MET_G_WATCHES, mesh_watches());
 }
 
-static void tell(const struct be *b, enum mesh_type type)
-{
-	GString *out = g_string_new(NULL);
-
-	mesh_write_leaving(out, type, b);
-	mesh_send_serving(out);
-	g_string_free(out, TRUE);
-}
-
-void mesh_tell_leaving(const struct be *b)
-{
-	tell(b, MESH_LEAVING);
-}
-
-void mesh_tell_suspect(const struct be *b)
-{
-	tell(b, MESH_SUSPECT);
-}
-
 int mesh_start(const struct entry_cfg *c)
 {
 	cfg = c;
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -101,19 +101,6 @@
 	return 0;
 }
 
-static int take_leaving(struct mesh_in *in, const msgpack_object_array *a)
-{
-	char id[ENTRY_TEXT_MAX + 1];
-	int64_t born_ms = a->size > 2 ? mesh_int(&a->ptr[2]) : 0;
-
-	if (a->size < 2 || mesh_text(&a->ptr[1], id, sizeof id)) return -EBADMSG;
-	if (mesh_int(&a->ptr[0]) == MESH_LEAVING)
-		be_told_leaving(id, born_ms, in->from->said.name);
-	else
-		be_told_suspect(id, born_ms, in->from->said.name);
-	return 0;
-}
-
 static int take_members(const msgpack_object_array *a)
 {
 	char ip[ENTRY_TEXT_MAX + 1];
@@ -168,8 +155,6 @@
 	case MESH_LOADS: mesh_take_loads(in->from, a); return 0;
 	case MESH_ITEMS: return take_items(in, a);
 	case MESH_NEWS: return take_news(in, a);
-	case MESH_LEAVING:
-	case MESH_SUSPECT: return take_leaving(in, a);
 	case MESH_MEMBERS: return take_members(a);
 	case MESH_PEERS: return take_peers(a);
 	case MESH_HOLDERS: return take_holders(in, a);
@@ -182,6 +167,8 @@
 	case MESH_ABSENT: return mesh_take_absent(a);
 	case MESH_FETCH:
 	case MESH_BEAT: return 0;
+	case MESH_LEAVING:
+	case MESH_SUSPECT:
 	case MESH_LIMITS: break;
 	}
 	return mesh_take_topic(in->from, a);
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -155,16 +155,6 @@
 	write_newer(out, MESH_NEWS, after);
 }
 
-void mesh_write_leaving(GString *out, enum mesh_type type, const struct be *b)
-{
-	struct mesh_frame f;
-	msgpack_packer *p = mesh_frame_begin(&f, type, 3);
-
-	mesh_pack_text(p, b->id);
-	msgpack_pack_int64(p, b->born_ms);
-	mesh_frame_end(&f, out);
-}
-
 static int holds_all(const struct member *m, struct board_revs mine)
 {
 	return m->alive && m->said.revs.conf >= mine.conf &&
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -13,6 +13,7 @@
 #include "ev.h"
 #include "hx.h"
 #include "jlog.h"
+#include "leave.h"
 #include "mesh.h"
 #include "met.h"
 #include "pace.h"
@@ -56,20 +57,11 @@
 	return 0;
 }
 
-static void leaves(struct be *b, const char *said_by)
-{
-	be_leaving(b, said_by);
-	mesh_tell_leaving(b);
-}
-
 static void take_check(struct be *b, const struct hp_head *head)
 {
 	switch (dl_read_check(head, b->id)) {
-	case DL_STRANGER: leaves(b, "another incarnation answers at its address"); return;
-	case DL_FAILING:
-		be_suspect(b, "its health check");
-		mesh_tell_suspect(b);
-		return;
+	case DL_STRANGER: leave_said(b, "another incarnation answers at its address"); return;
+	case DL_FAILING: leave_suspected(b, "its health check"); return;
 	case DL_SOUND:
 	case DL_UNKNOWN: return;
 	}
@@ -83,7 +75,7 @@
 	if (!be_is_life(b, r.born_ms) && r.born_ms > b->born_ms)
 		be_end_life(b, "its own report");
 	else if (r.leaving)
-		leaves(b, "its own report");
+		leave_said(b, "its own report");
 }
 
 static void take_answer(const struct probe *pr, const struct hp_head *head)
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -88,7 +88,7 @@
 	int rc;
 
 	if (x->on_any_head) x->on_any_head(x);
-	rc = x->on_head ? x->on_head(x) : 0;
+	rc = x->on_head && !x->cancelled ? x->on_head(x) : 0;
 	return x->cancelled ? -ECANCELED : rc;
 }
 
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -37,6 +37,7 @@
 	char *service, *zone, *address;
 	struct sockaddr_in sa;
 	enum be_state state;
+	int leaves_by_word; /* its own, or another instance's: its entry may not tell */
 	int unreadable;     /* its entry is, for now */
 	int64_t drained_us; /* since when its data centre has been drained; 0: it is not */
 	uint32_t slots;
@@ -62,7 +63,6 @@
 	struct limit_word limit; /* what it said last of the requests that it takes */
 	int64_t limited_us;      /* since when this instance knows of a limit, or of its end; 0:
 				    never */
-	int said_leaving;        /* one of its answers did */
 	int limit_heard;         /* its own answers said so since others were told */
 	int probed;              /* its health check or report was asked for and has not come */
 	int dirty;               /* own load changed since peers were told */
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -69,10 +69,6 @@
 	uint32_t sharers, rank;
 };
 struct mesh_rank mesh_rank(const struct be *b);
-/* b said itself that it leaves: peers are told at once. */
-void mesh_tell_leaving(const struct be *b);
-/* The same of b whose health check fails. */
-void mesh_tell_suspect(const struct be *b);
 /* Whether a question of this instance to the store has gone unanswered for long. */
 void mesh_set_store_late(int late);
 /* No fetch begins before (monotonic): the store's answer is coming, which may bring the same,
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -72,8 +72,6 @@
 void mesh_write_items(GString *out, struct board_revs after);
 /* The same unasked: for those who know all up to after. */
 void mesh_write_news(GString *out, struct board_revs after);
-/* type: MESH_LEAVING or MESH_SUSPECT. */
-void mesh_write_leaving(GString *out, enum mesh_type type, const struct be *b);
 /* Up to most of the members that have all that this instance has, drawn. */
 void mesh_write_holders(GString *out, int most);
 /* The members that this instance hears: the dead are forgotten by all. */
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -1,7 +1,7 @@
 /* What comes back from a backend server, and is passed on to the caller. */
 #include "clock.h"
 #include "jlog.h"
-#include "mesh.h"
+#include "leave.h"
 #include "rq_impl.h"
 #include <errno.h>
 #include <string.h>
@@ -26,12 +26,6 @@
 	return l->rq->route->kind == CONF_STREAM && success(x);
 }
 
-static void note_stranger(struct leg *l)
-{
-	be_leaving(l->be, "another incarnation answers at its address");
-	mesh_tell_leaving(l->be);
-}
-
 void leg_on_up(struct hx *x)
 {
 	struct leg *l = x->user;
@@ -49,7 +43,8 @@
 	dl_read_answer(&x->hp.head, &a);
 	if (a.not_run) {
 		l->not_run = 1;
-		if (x->hp.head.status == 421) note_stranger(l);
+		if (x->hp.head.status == 421)
+			leave_said(l->be, "another incarnation answers at its address");
 		return -ECANCELED;
 	}
 	if (!a.id || strcmp(a.id, r->in.id)) {
--- a/test/test_notices.c
+++ b/test/test_notices.c
@@ -72,7 +72,86 @@
 	stop();
 }
 
+/* Its entry says ready all the time, and is written anew. */
+static void word_that_a_server_leaves_comes_to_instances_that_start(void)
+{
+	start(3);
+	s[0]->says = LEAVES;
+	call_for(2, 500);
+	pw_entry_kill(e[2], SIGKILL);
+	pw_entry_wait(e[2], 1000);
+	pw_server_list(s[0], "ready");
+	pw_entry_again(e[2]);
+	CU_ASSERT(pw_entry_until_ready(e[2]));
+	s[0]->arrivals = 0;
+	call_for(3, 1000);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	stop();
+}
+
+static void a_server_that_leaves_is_not_taken_back_when_its_entry_lapsed(void)
+{
+	start(2);
+	s[0]->says = LEAVES;
+	call_for(2, 500);
+	pw_server_unlist(s[0]);
+	pw_run(300);
+	pw_server_list(s[0], "ready");
+	pw_run(300);
+	s[0]->arrivals = 0;
+	call_for(2, 500);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	stop();
+}
+
+/* Full, and leaving: it did not run the request, but it said so. */
+static void what_was_turned_away_is_told_that_a_server_leaves_too(void)
+{
+	start(1);
+	s[0]->mode = PW_FULL;
+	s[0]->says = LEAVES;
+	call_for(1, 400);
+	s[0]->mode = PW_OK;
+	s[0]->arrivals = 0;
+	call_for(1, 400);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	CU_ASSERT_EQUAL(not_served(), 0);
+	stop();
+}
+
+static void streams_leave_an_engine_whose_answer_says_that_it_leaves(void)
+{
+	struct pw_server *first;
+	struct pw_call *c[4];
+	int i;
+
+	pw_init();
+	first = pw_server_add("llm", 1);
+	first->events = 200;
+	e[0] = pw_entry_ready();
+	for (i = 0; i < 4; i++) {
+		if (i == 3) first->says = LEAVES;
+		c[i] = pw_ask(e[0], "POST", "/chat/", 9000);
+		pw_run(100);
+	}
+	pw_server_add("llm", 1)->events = 200;
+	for (i = 0; i < 4; i++) {
+		CU_ASSERT(pw_call_wait(c[i], 6000));
+		CU_ASSERT(pw_stream_whole(c[i], 200));
+		CU_ASSERT(pw_runs_of(c[i]->id) > 1);
+	}
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"word_that_a_server_leaves_comes_to_instances_that_start",
+	 word_that_a_server_leaves_comes_to_instances_that_start},
+	{"a_server_that_leaves_is_not_taken_back_when_its_entry_lapsed",
+	 a_server_that_leaves_is_not_taken_back_when_its_entry_lapsed},
+	{"what_was_turned_away_is_told_that_a_server_leaves_too",
+	 what_was_turned_away_is_told_that_a_server_leaves_too},
+	{"streams_leave_an_engine_whose_answer_says_that_it_leaves",
+	 streams_leave_an_engine_whose_answer_says_that_it_leaves},
 	{"a_server_that_leaves_by_its_answers_gets_nothing_new",
 	 a_server_that_leaves_by_its_answers_gets_nothing_new},
 };
