A server that says in an answer that it is cold is spared

Cause: the same as of the server that names a limit: its word in answers (X-Cold-Start-Ms) was read nowhere, and its entry can't tell while the store is away. Evidence: the test, with the store silent, fails with the reading taken out (more than 35 in a second). Change: one more notice of any answer's head. Why this works: the shares of cold servers are worked out from when it is cold until, whoever said so.

--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -193,7 +193,7 @@
 	if (i->born_ms) b->born_ms = i->born_ms;
 	b->unreadable = 0;
 	b->lapsed_us = 0;
-	if (i->cold_us) b->cold_until_us = now + i->cold_us;
+	if (i->cold_us) be_cold(b, i->cold_us);
 	if (i->leaving)
 		set_state(b, BE_LEAVING, "platform");
 	else if (b->state == BE_GONE) /* lapsed while the platform was away, and stands again */
@@ -294,6 +294,11 @@
 	return clock_us() - since_us;
 }
 
+void be_cold(struct be *b, int64_t for_us)
+{
+	b->cold_until_us = clock_us() + for_us;
+}
+
 int be_limited(const struct be *b)
 {
 	return b->limit.to_us && b->limit.per_s >= 0;
--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -32,6 +32,7 @@
 	dl_read_notice(&x->hp.head, &n);
 	if (n.unread) log_unread(p->be, n.unread);
 	if (n.leaving) leave_said(p->be, "its own answer");
+	if (n.cold_us) be_cold(p->be, n.cold_us);
 	if (n.rest_us)
 		pace_rest(p->be, n.rest_us);
 	else if (p->after_rest)
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -135,6 +135,8 @@
 struct be *be_ref(struct be *b);
 void be_unref(struct be *b);
 
+/* It says that it is cold for so long. */
+void be_cold(struct be *b, int64_t for_us);
 /* Whether it has named a limit, and no answer since was without one. */
 int be_limited(const struct be *b);
 
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -54,6 +54,7 @@
 	int names_limit;    /* be it one that can't be used */
 	double limit_per_s; /* requests that it takes in a second; negative: not told */
 	int leaving;        /* it ends soon */
+	int64_t cold_us;    /* it is cold for so long; 0: not told */
 	int64_t rest_us; /* wants nothing from this instance for so long; 0: says nothing of it
 			  */
 	const char *unread; /* the name of a field whose value can't be used; or NULL */
--- a/test/test_cold.c
+++ b/test/test_cold.c
@@ -191,7 +191,23 @@
 	pw_end();
 }
 
+/* No entry tells it: the store is silent. */
+static void a_server_that_says_it_is_cold_in_its_answers_is_spared(void)
+{
+	struct pw_entry **e = with_a_warm_server();
+	struct pw_server *s = pw_server_add("app", 0);
+
+	pw_run(2500); /* new, and perhaps cold, until then */
+	pw_store.mode = PW_STORE_SILENT;
+	s->says = "X-Cold-Start-Ms: 2000\r\n";
+	arrivals_in_a_crowd(e, s);
+	CU_ASSERT(pw_server_most(s, clock_us() - 900000, 1000) <= 35);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"a_server_that_says_it_is_cold_in_its_answers_is_spared",
+	 a_server_that_says_it_is_cold_in_its_answers_is_spared},
 	{"no_second_has_more_than_a_cold_server_bears",
 	 no_second_has_more_than_a_cold_server_bears},
 	{"parts_that_hear_nothing_of_each_other_stay_below",
