Soak: servers that name limits, leave by their answers, or ask for rest

Change: one more kind of fault, drawn apart, so that seeds which failed before draw what they drew then; what such a server got is checked against the users' bounds where links to servers were sound.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
 PW_TESTS = $(patsubst %,$(B)/test/test_%,relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices)
 $(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
-SOAK_OBJ = $(patsubst %,$(B)/test/%.o,soak soak_proxy soak_draw soak_server soak_crash soak_fault soak_caller soak_check)
+SOAK_OBJ = $(patsubst %,$(B)/test/%.o,soak soak_proxy soak_draw soak_server soak_notice soak_crash soak_fault soak_caller soak_check)
 $(B)/test/soak_main $(B)/test/test_soak: $(SOAK_OBJ) $(PW_OBJ) | $(B)/test/entry_jump
 PURE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c src/fleet/be*.c src/fleet/board.c src/relay/evs.c platform/*.c))
 $(B)/test/test_pure $(B)/test/test_place $(B)/test/test_fuzz: $(PURE_OBJ)
--- a/test/soak.c
+++ b/test/soak.c
@@ -42,16 +42,16 @@
 	g_string_free(more, TRUE);
 }
 
-static void start(struct soak *s, uint32_t seed, int seconds, int with_later)
+static void start(struct soak *s, uint32_t seed, int seconds, enum soak_kinds kinds)
 {
 	int i;
 
 	memset(s, 0, sizeof *s);
 	pw_init();
 	s->seed = seed;
-	s->with_later = with_later;
+	s->kinds = kinds;
 	s->next_port = LATER_PORT;
-	if (with_later) pw_entry_program = "test/entry_jump";
+	if (kinds != SOAK_FIRST_KINDS) pw_entry_program = "test/entry_jump";
 	s->rand = g_rand_new_with_seed(seed);
 	s->calls = g_ptr_array_new_with_free_func(g_free);
 	s->versions = g_array_new(FALSE, TRUE, sizeof(struct soak_version));
@@ -150,12 +150,12 @@
 	pw_entry_program = "saddlehead-entry";
 }
 
-int soak_run(uint32_t seed, int seconds, int with_later)
+int soak_run(uint32_t seed, int seconds, enum soak_kinds kinds)
 {
 	static struct soak s;
 	int broken;
 
-	start(&s, seed, seconds, with_later);
+	start(&s, seed, seconds, kinds);
 	run_until(&s, s.end_us);
 	soak_mend(&s);
 	run_until(&s, clock_us() + SETTLE_MS * 1000LL);
--- a/test/soak.h
+++ b/test/soak.h
@@ -22,12 +22,16 @@
 	int down, frozen, stopping;
 };
 
+enum soak_notice { SOAK_SAYS_NOTHING, SOAK_SAYS_LIMIT, SOAK_SAYS_LEAVES, SOAK_SAYS_REST };
+
 struct soak_server {
 	struct pw_server *pw;
 	struct proxy *link;
 	int leaving, dead;
 	int between;               /* it ended, and will be back under its id */
 	int64_t unlist_us, die_us; /* 0: not planned */
+	enum soak_notice notice;   /* in its answers ... */
+	int64_t notice_us;         /* ... since then */
 };
 
 struct soak_call {
@@ -65,10 +69,14 @@
 	SOAK_REBORN,  /* a server ends, and is back under its id */
 	SOAK_FOREIGN, /* entries by another writer */
 	SOAK_SUSPEND, /* an entry's machine is suspended */
+	SOAK_NOTICE,  /* a server says something of itself in its answers */
 	SOAK_FAULT_KINDS
 };
 #define SOAK_FIRST_UNPLANNED SOAK_KILL
 
+/* Which kinds a seed draws: one that failed once draws those that there were then. */
+enum soak_kinds { SOAK_FIRST_KINDS, SOAK_LATER_KINDS, SOAK_ALL_KINDS };
+
 struct soak_fault {
 	enum soak_fault_kind kind;
 	int64_t from_us, to_us;
@@ -90,7 +98,8 @@
 
 struct soak {
 	uint32_t seed;
-	int with_later;
+	enum soak_kinds kinds;
+	int notices_broken;
 	GRand *rand;
 	int64_t began_us, end_us;
 	struct soak_entry entry[SOAK_ENTRIES];
@@ -110,9 +119,8 @@
 	GArray *crashers; /* struct soak_crasher: one for each fault of the kind */
 };
 
-/* soak.c: runs and checks; with_later: with the kinds of faults that came last, which seeds
- * that failed before do not draw. The number of broken promises; each is printed. */
-int soak_run(uint32_t seed, int seconds, int with_later);
+/* soak.c: runs and checks. The number of broken promises; each is printed. */
+int soak_run(uint32_t seed, int seconds, enum soak_kinds kinds);
 
 /* soak_draw.c */
 void soak_draw_faults(struct soak *s, int seconds);
@@ -137,6 +145,18 @@
 /* Does what was planned for them and is due. */
 void soak_turn_servers(struct soak *s);
 
+/* A server that neither left nor died, engine or not (-1: any); NULL when it is the last of its
+ * service. */
+struct soak_server *soak_spare(struct soak *s, int victim, int engine);
+/* Another one takes its place. */
+void soak_replace(struct soak *s, const struct soak_server *v);
+
+/* soak_notice.c */
+void soak_notice_begin(struct soak *s, const struct soak_fault *f);
+/* Of all servers; what they got is checked. */
+void soak_notice_end(struct soak *s);
+void soak_turn_notices(struct soak *s);
+
 /* soak_crash.c: a request that ends whatever runs it, sent again and again. */
 void soak_crasher_begin(struct soak *s);
 void soak_crasher_end(struct soak *s);
--- a/test/soak_check.c
+++ b/test/soak_check.c
@@ -54,7 +54,7 @@
 
 static int is_planned(enum soak_fault_kind k)
 {
-	return k < SOAK_FIRST_UNPLANNED || k == SOAK_GROW;
+	return k < SOAK_FIRST_UNPLANNED || k == SOAK_GROW || k == SOAK_NOTICE;
 }
 
 /* No unplanned trouble lately and until then, but of this kind. */
@@ -299,7 +299,7 @@
 
 int soak_check(struct soak *s)
 {
-	int broken = s->crashes;
+	int broken = s->crashes + s->notices_broken;
 	uint32_t i;
 
 	index_runs();
--- a/test/soak_draw.c
+++ b/test/soak_draw.c
@@ -35,7 +35,8 @@
 						    "a request ends servers",
 						    "server back under its id",
 						    "entries by another writer",
-						    "machine suspended"};
+						    "machine suspended",
+						    "a server says something"};
 
 const char *soak_fault_name(enum soak_fault_kind k)
 {
@@ -98,10 +99,22 @@
 	}
 }
 
+/* Long enough for a limit to be counted. */
+static void draw_notices(struct soak *s, GRand *rand, int64_t burst_us)
+{
+	int64_t at = burst_us + g_rand_int_range(rand, 0, BURST_US);
+	struct soak_fault f = {SOAK_NOTICE, at, at + CYCLE_US - BURST_US,
+			       .victim = g_rand_int_range(rand, 0, 1 << 16),
+			       .variant = g_rand_int_range(rand, 0, 1 << 16)};
+
+	if (g_rand_boolean(rand)) g_array_append_val(s->faults, f);
+}
+
 void soak_draw_faults(struct soak *s, int seconds)
 {
 	GRand *more = g_rand_new_with_seed(s->seed);   /* what s->rand draws stays as it is */
 	GRand *later = g_rand_new_with_seed(~s->seed); /* the same of more */
+	GRand *notices = g_rand_new_with_seed(s->seed + 1); /* and of later */
 	int64_t at;
 	int i, n, only_planned;
 
@@ -111,8 +124,10 @@
 		only_planned = g_rand_boolean(s->rand);
 		for (i = 0; i < n; i++) draw_one(s, s->began_us + at, only_planned);
 		draw_more(s, more, s->began_us + at, only_planned);
-		if (s->with_later) draw_later(s, later, s->began_us + at);
+		if (s->kinds >= SOAK_LATER_KINDS) draw_later(s, later, s->began_us + at);
+		if (s->kinds >= SOAK_ALL_KINDS) draw_notices(s, notices, s->began_us + at);
 	}
+	g_rand_free(notices);
 	g_rand_free(later);
 	g_rand_free(more);
 }
--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -111,6 +111,7 @@
 	case SOAK_REBORN: soak_end_life(s, f); return;
 	case SOAK_FOREIGN: soak_write_foreign(s, f); return;
 	case SOAK_SUSPEND: signal_entry(e, SIGSTOP); return;
+	case SOAK_NOTICE: soak_notice_begin(s, f); return;
 	case SOAK_FAULT_KINDS: return;
 	}
 }
@@ -153,7 +154,7 @@
 {
 	if (v->dead) return;
 	if (kind == SOAK_SERVER_LINK) proxy_set(v->link, PROXY_OK);
-	if (kind == SOAK_SERVER_MODE) v->pw->mode = PW_OK;
+	if (kind == SOAK_SERVER_MODE && v->notice != SOAK_SAYS_REST) v->pw->mode = PW_OK;
 }
 
 /* Puts right what this kind of fault changed, of all its victims: with the last of them. */
@@ -167,6 +168,7 @@
 	if (kind == SOAK_CRASHER) soak_crasher_end(s);
 	if (kind == SOAK_REBORN) soak_begin_life(s, f);
 	if (kind == SOAK_FOREIGN) soak_list_all(s, 1);
+	if (kind == SOAK_NOTICE) soak_notice_end(s);
 	for (i = 0; i < SOAK_ENTRIES; i++) mend_entry(&s->entry[i], kind);
 	for (i = 0; i < s->nservers; i++) mend_server(&s->server[i], kind);
 }
@@ -223,6 +225,7 @@
 	uint32_t i;
 
 	soak_turn_servers(s);
+	soak_turn_notices(s);
 	turn_entries(s);
 	for (i = 0; i < s->faults->len; i++)
 		turn_fault(s, &g_array_index(s->faults, struct soak_fault, i), now);
--- a/test/soak_main.c
+++ b/test/soak_main.c
@@ -10,5 +10,5 @@
 		return 2;
 	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	return soak_run((uint32_t)atoi(argv[1]), atoi(argv[2]), 1) ? 1 : 0;
+	return soak_run((uint32_t)atoi(argv[1]), atoi(argv[2]), SOAK_ALL_KINDS) ? 1 : 0;
 }
--- a/test/soak_server.c
+++ b/test/soak_server.c
@@ -29,7 +29,7 @@
 }
 
 /* A server that is neither dead nor leaving; NULL when it is the last of its service. */
-static struct soak_server *spare(struct soak *s, int victim, int engine)
+struct soak_server *soak_spare(struct soak *s, int victim, int engine)
 {
 	struct soak_server *found = NULL;
 	int i, n = 0;
@@ -45,7 +45,7 @@
 	return n > 1 ? found : NULL;
 }
 
-static void replace(struct soak *s, const struct soak_server *v)
+void soak_replace(struct soak *s, const struct soak_server *v)
 {
 	if (s->nservers < SOAK_SERVERS) soak_add_server(s, v->pw->service, v->pw->engine);
 }
@@ -59,7 +59,7 @@
 
 void soak_leave(struct soak *s, const struct soak_fault *f)
 {
-	struct soak_server *v = spare(s, f->victim, 1);
+	struct soak_server *v = soak_spare(s, f->victim, 1);
 
 	if (!v) return;
 	v->leaving = 1;
@@ -67,17 +67,17 @@
 	pw_server_list(v->pw, "draining");
 	v->unlist_us = clock_us() + SERVE_ON_US;
 	v->die_us = v->unlist_us + SERVE_ON_US / 4;
-	replace(s, v);
+	soak_replace(s, v);
 }
 
 void soak_crash_server(struct soak *s, const struct soak_fault *f)
 {
-	struct soak_server *v = spare(s, f->victim, -1);
+	struct soak_server *v = soak_spare(s, f->victim, -1);
 
 	if (!v) return;
 	die(v);
 	v->unlist_us = f->to_us;
-	replace(s, v);
+	soak_replace(s, v);
 }
 
 void soak_end_server(struct soak *s, struct soak_server *v)
@@ -85,12 +85,12 @@
 	if (v->dead) return;
 	die(v);
 	v->unlist_us = clock_us() + SERVE_ON_US;
-	replace(s, v);
+	soak_replace(s, v);
 }
 
 void soak_end_life(struct soak *s, const struct soak_fault *f)
 {
-	struct soak_server *v = spare(s, f->victim, -1);
+	struct soak_server *v = soak_spare(s, f->victim, -1);
 
 	if (!v) return;
 	die(v);
@@ -142,7 +142,7 @@
 
 void soak_write_foreign(struct soak *s, const struct soak_fault *f)
 {
-	const struct soak_server *v = spare(s, f->victim, -1);
+	const struct soak_server *v = soak_spare(s, f->victim, -1);
 
 	put_foreign("foreign", f->variant / 2);
 	if (v && f->variant % 2) put_foreign(v->pw->id, f->variant / 2);
@@ -169,7 +169,7 @@
 		PW_FULL,  PW_HANG,  PW_RESET,   PW_WRONG_ID,    PW_UNSIGNED, PW_FALSE_503,
 		PW_ERROR, PW_EXTRA, PW_GARBAGE, PW_UNTIL_CLOSE, PW_CUT_CLOSE};
 	static const enum pw_mode streams[] = {PW_FULL, PW_HANG, PW_BREAK, PW_SILENT};
-	struct soak_server *v = spare(s, f->victim, -1);
+	struct soak_server *v = soak_spare(s, f->victim, -1);
 
 	if (!v) return;
 	v->pw->break_after = BREAK_AFTER;
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -4,7 +4,7 @@
 
 static void seed(uint32_t s, int seconds)
 {
-	CU_ASSERT_EQUAL(soak_run(s, seconds, 0), 0);
+	CU_ASSERT_EQUAL(soak_run(s, seconds, SOAK_FIRST_KINDS), 0);
 }
 
 static void soak_seed_1(void)
@@ -43,20 +43,26 @@
  * machines that are suspended. */
 static void soak_seed_301(void)
 {
-	CU_ASSERT_EQUAL(soak_run(301, 15, 1), 0);
+	CU_ASSERT_EQUAL(soak_run(301, 15, SOAK_LATER_KINDS), 0);
 }
 
 /* All engines ended in half a second under one request; an instance whose machine was suspended
  * meanwhile woke, judged before it had read others' word, and blamed what everybody sends. */
 static void soak_seed_431(void)
 {
-	CU_ASSERT_EQUAL(soak_run(431, 25, 1), 0);
+	CU_ASSERT_EQUAL(soak_run(431, 25, SOAK_LATER_KINDS), 0);
 }
 
 /* The same of instances whose links were cut. */
 static void soak_seed_440(void)
 {
-	CU_ASSERT_EQUAL(soak_run(440, 8, 1), 0);
+	CU_ASSERT_EQUAL(soak_run(440, 8, SOAK_LATER_KINDS), 0);
+}
+
+/* With servers that name limits, leave by their answers, and ask for rest. */
+static void soak_seed_501(void)
+{
+	CU_ASSERT_EQUAL(soak_run(501, 15, SOAK_ALL_KINDS), 0);
 }
 
 static const struct check list[] = {
@@ -64,5 +70,6 @@
 	{"soak_seed_12", soak_seed_12},   {"soak_seed_1002", soak_seed_1002},
 	{"soak_seed_80", soak_seed_80},   {"soak_seed_301", soak_seed_301},
 	{"soak_seed_431", soak_seed_431}, {"soak_seed_440", soak_seed_440},
+	{"soak_seed_501", soak_seed_501},
 };
 CHECK_MAIN(list)
