What another incarnation says counts for nobody; notices are logged once a second; names and comments

Change, after reading the diff anew: an answer with 421 comes from another server, so its words on limits, rest and cold times are not taken for the one that was meant. A server that says something unusable in each answer has one log line a second, as lines would grow with its load; the counter counts each. The wait of a server is worked out once a look. Comments shortened.

--- a/include/saddlehead/limit.h
+++ b/include/saddlehead/limit.h
@@ -9,8 +9,7 @@
 /* One word of it. When the server said it is not known, only that it was not before the request
  * was sent, nor after the answer came. */
 struct limit_word {
-	double per_s; /* requests a second from all instances together; LIMIT_NONE: any number
-		       */
+	double per_s; /* requests from all instances together; LIMIT_NONE: any number */
 	int64_t from_us, to_us; /* monotonic; 0: it has said nothing yet */
 };
 
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -3,9 +3,7 @@
 
 #define VIEWS 2 /* parts of a fleet that share it on their own: a cut makes two */
 #define COLD_WINDOW_S 1
-#define LIMIT_WINDOW_S                                                        \
-	4 /* a limit of less than one request a second is whole requests, too \
-	   */
+#define LIMIT_WINDOW_S 4 /* holds whole requests of a limit below one a second, too */
 /* What a server that names a limit is taken to bear beyond it. */
 #define LIMIT_OVER 1.5
 #define LIMIT_SLACK 5
--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -9,28 +9,35 @@
 #include "met.h"
 #include "pace.h"
 
-static void log_unread(const struct be *b, const char *field)
+#define LOG_US 1000000 /* a server may say the same in each of its answers */
+
+/* Whom an exchange is with. */
+struct peer {
+	struct be *be;
+	int after_rest; /* counts among the first exchanges after it asked for rest */
+};
+
+static void note_unread(struct be *b, const char *field)
 {
-	GString *g = jlog_begin("fleet", "notice_unread");
+	int64_t now = clock_us();
+	GString *g;
 
 	met_add(MET_NOTICES_UNREAD, 1);
+	if (now - b->unread_us < LOG_US) return;
+	b->unread_us = now;
+	g = jlog_begin("fleet", "notice_unread");
 	jlog_str(g, "backend", b->id);
 	jlog_str(g, "field", field);
 	jlog_end(g);
 }
 
-struct peer {
-	struct be *be;
-	int after_rest; /* counts among the first exchanges after it asked for rest */
-};
-
 static void on_any_head(struct hx *x)
 {
 	struct peer *p = x->peer;
 	struct dl_notice n;
 
-	dl_read_notice(&x->hp.head, &n);
-	if (n.unread) log_unread(p->be, n.unread);
+	if (dl_read_notice(&x->hp.head, &n)) return;
+	if (n.unread) note_unread(p->be, n.unread);
 	if (n.leaving) leave_said(p->be, "its own answer");
 	if (n.cold_us) be_cold(p->be, n.cold_us);
 	if (n.rest_us)
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -73,6 +73,7 @@
 	struct limit_word limit; /* what it said last of the requests that it takes */
 	int64_t limited_us;      /* since when this instance knows of a limit, or of its end; 0:
 				    never */
+	int64_t unread_us;       /* when a word that can't be used was logged last */
 	int limit_heard;         /* its own answers said so since others were told */
 	int probed;              /* its health check or report was asked for and has not come */
 	int dirty;               /* own load changed since peers were told */
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -59,7 +59,8 @@
 			  */
 	const char *unread; /* the name of a field whose value can't be used; or NULL */
 };
-void dl_read_notice(const struct hp_head *h, struct dl_notice *n);
+/* 0, or -ENOENT where another incarnation answers, which says nothing of this one. */
+int dl_read_notice(const struct hp_head *h, struct dl_notice *n);
 
 /* The answer's head for the caller. length -1: the body follows in chunks. */
 void dl_write_head(GString *out, const struct hp_head *h, int64_t length, int keep);
--- a/src/relay/rq_line.c
+++ b/src/relay/rq_line.c
@@ -1,5 +1,4 @@
 /* Requests that wait before they are sent: the most urgent first, then the oldest. */
-#include "jlog.h"
 #include "rq_impl.h"
 #include <string.h>
 
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -26,9 +26,11 @@
 /* Microseconds until b may get new work of r's service; INT64_MAX: not as far as is known. */
 static int64_t usable_in(struct be *b, const struct rq *r, int64_t now)
 {
-	int64_t in_us = be_usable_in(b, now);
+	int64_t in_us = be_usable_in(b, now), wait_us;
 
-	return in_us == INT64_MAX ? in_us : MAX(in_us, pace_wait_us(b, r->service, now));
+	if (in_us == INT64_MAX) return in_us;
+	wait_us = pace_wait_us(b, r->service, now);
+	return MAX(in_us, wait_us);
 }
 
 static void fill_site(struct place_site *s, struct be *b, const struct rq *r, const char *dc,
