Stand-in of a plain service: can be told to say something in the head of its answers

POST /fault with "say": a line as "Server-Limit: 3.6"; two lines in one are refused. Tried by hand with curl; the product's own daemon reads none of it.

--- a/src/standin/common.h
+++ b/src/standin/common.h
@@ -43,6 +43,9 @@
 const char *standin_text(json_object *o, const char *key, const char *def);
 int standin_has(json_object *o, const char *key);
 int64_t standin_param(struct mg_connection *c, const char *name, int64_t def);
+/* What it says of itself in the head of each answer that standin_send sends from now on, as
+ * "Name: value" of up to 200 characters; NULL, empty, or more than a line: nothing. */
+void standin_say(const char *line);
 int standin_send(struct mg_connection *c, int status, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 #endif
--- a/src/standin/common_http.c
+++ b/src/standin/common_http.c
@@ -157,15 +157,35 @@
 	return strtoll(buf, NULL, 10);
 }
 
+static pthread_mutex_t said_lock = PTHREAD_MUTEX_INITIALIZER;
+static char said[256]; /* a head line of each answer, ended by CRLF; or empty */
+
+void standin_say(const char *line)
+{
+	int usable = line && *line && !strpbrk(line, "\r\n");
+
+	pthread_mutex_lock(&said_lock);
+	g_snprintf(said, sizeof said, usable ? "%.200s\r\n" : "%s", usable ? line : "");
+	pthread_mutex_unlock(&said_lock);
+}
+
+static void copy_said(char *out)
+{
+	pthread_mutex_lock(&said_lock);
+	memcpy(out, said, sizeof said);
+	pthread_mutex_unlock(&said_lock);
+}
+
 int standin_send(struct mg_connection *c, int status, const char *fmt, ...)
 {
+	char *s, head[sizeof said];
 	va_list ap;
-	char *s;
 
 	va_start(ap, fmt);
 	s = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
-	http_send_json(c, status, s);
+	copy_said(head);
+	http_send(c, status, "application/json", s, strlen(s), head);
 	g_free(s);
 	return status;
 }
--- a/src/standin/standin-service.c
+++ b/src/standin/standin-service.c
@@ -80,6 +80,7 @@
 	sv.lose_answers = (int)standin_int(f, "lose_answers", sv.lose_answers);
 	sv.refuse = (int)standin_int(f, "refuse", sv.refuse);
 	sv.delay_ms = standin_int(f, "delay_ms", sv.delay_ms);
+	if (standin_has(f, "say")) standin_say(standin_text(f, "say", NULL));
 	pthread_mutex_unlock(&sv.lock);
 	json_object_put(f);
 	return standin_send(c, 200, "{}");
