An instance without a share of a limited server sends callers to others at once

Cause, found in reading: where the only servers name limits of which others have all shares, a refusal said 8 s and more, the time after which such an instance may ask by itself; another instance could have served the caller at once. Change: it says some tenths of a second then. Test with three instances and one server that takes 0.2 a second: two of three say less than a second.

--- a/src/fleet/pace.c
+++ b/src/fleet/pace.c
@@ -142,6 +142,11 @@
 	return longest_wait_us(b, s, now, &why);
 }
 
+int pace_is_others(const struct be *b)
+{
+	return be_limited(b) && !b->pace[QUOTA_LIMIT].share;
+}
+
 enum pace_why pace_why(struct be *b, const struct conf_service *s, int64_t now)
 {
 	enum pace_why why;
--- a/src/internal/pace.h
+++ b/src/internal/pace.h
@@ -18,6 +18,8 @@
 int64_t pace_wait_us(struct be *b, const struct conf_service *s, int64_t now);
 /* The same once it may: until the one after. */
 int64_t pace_gap_us(struct be *b, const struct conf_service *s, int64_t now);
+/* Whether it names a limit of which this instance has no share, as others have all of it. */
+int pace_is_others(const struct be *b);
 /* What it waits for longest. */
 enum pace_why { PACE_FREE, PACE_COLD, PACE_LIMIT, PACE_REST, PACE_WHYS };
 enum pace_why pace_why(struct be *b, const struct conf_service *s, int64_t now);
--- a/src/relay/rq_turn.c
+++ b/src/relay/rq_turn.c
@@ -85,9 +85,13 @@
 	jlog_end(g);
 }
 
-static void refuse(struct rq *r, int64_t wait_us)
+/* Where others have all of a server's requests, callers that come back find one of them. */
+static void refuse(struct rq *r, const struct be *first, int64_t wait_us)
 {
-	int64_t spread = MIN(wait_us / SPREAD_PART, G_MAXINT32 - 1);
+	int64_t spread;
+
+	if (pace_is_others(first)) wait_us = MIN(wait_us, RETRY_LATER_US);
+	spread = MIN(wait_us / SPREAD_PART, G_MAXINT32 - 1);
 
 	rq_stop_waiting(r);
 	rq_refuse(r, REF_PACED, wait_us + g_random_int_range(0, (gint32)spread + 1),
@@ -110,7 +114,7 @@
 	if (wait_us == QUOTA_NEVER) return 0;
 	log_held_back(r, first, wait_us);
 	if (!in_time(r, wait_us)) {
-		refuse(r, wait_us);
+		refuse(r, first, wait_us);
 		return 1;
 	}
 	met_add(MET_TURNS_WAITED, 1);
@@ -129,6 +133,6 @@
 		return 1;
 	}
 	if (in_time(r, wait_us)) return 0;
-	refuse(r, wait_us);
+	refuse(r, first, wait_us);
 	return 1;
 }
--- a/test/test_limits.c
+++ b/test/test_limits.c
@@ -21,6 +21,7 @@
 static struct pw_server *s[SERVERS];
 static GPtrArray *calls;
 static int64_t named_us;
+static int nservers = SERVERS;
 
 static void start(void)
 {
@@ -28,7 +29,7 @@
 
 	pw_init();
 	calls = g_ptr_array_new();
-	for (i = 0; i < SERVERS; i++) {
+	for (i = 0; i < nservers; i++) {
 		s[i] = pw_server_add("app", 0);
 		s[i]->work_ms = WORK_MS;
 	}
@@ -176,6 +177,27 @@
 	stop();
 }
 
+/* Its callers come back at once, to any instance. */
+static void one_without_a_share_sends_callers_to_others(void)
+{
+	struct pw_call *c;
+	int i, soon = 0;
+
+	nservers = 1;
+	start();
+	say("Server-Limit: 0.2\r\n");
+	call_for(300);
+	for (i = 0; i < INSTANCES; i++) {
+		c = pw_ask(e[i], "POST", "/safe/", 1000);
+		CU_ASSERT(pw_call_wait(c, 1000));
+		CU_ASSERT_EQUAL(c->status, 503);
+		soon += g_ascii_strtod(c->retry_after, NULL) < 1;
+	}
+	CU_ASSERT_EQUAL(soon, INSTANCES - 1);
+	nservers = SERVERS;
+	stop();
+}
+
 /* Streams leave an engine that names a limit: orders, copies and reports are requests, too. */
 static void what_engines_are_ordered_counts_too(void)
 {
@@ -211,6 +233,8 @@
 	{"numbers_that_are_none_lift_no_limit", numbers_that_are_none_lift_no_limit},
 	{"where_all_servers_name_limits_callers_have_their_answer_at_once",
 	 where_all_servers_name_limits_callers_have_their_answer_at_once},
+	{"one_without_a_share_sends_callers_to_others",
+	 one_without_a_share_sends_callers_to_others},
 	{"what_engines_are_ordered_counts_too", what_engines_are_ordered_counts_too},
 };
 
