--- a/src/base/met.c
+++ b/src/base/met.c
@@ -57,6 +57,8 @@
 	"rest_passed_over",
 	"turns_waited",
 	"notices_unread",
+	"canary_requests",
+	"rollbacks",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",
--- /dev/null
+++ b/src/core/rollout_judge.c
@@ -0,0 +1,200 @@
+/* Whether a version's answers are worse than those of the version before, in the same time. */
+#include <math.h>
+#include <saddlehead/rollout.h>
+#include <string.h>
+
+#define FIRST_CLASS_US 5000.0
+#define CLASS_FACTOR 1.5
+#define SLOW_CLASSES 3 /* over the old version's median: at least 2.25 times as long */
+
+/* A version is bad where its share of bad answers can't be by chance TIMES that of the old one
+ * and a margin: other troubles meet servers of both, and seldom evenly. */
+#define BAD_TIMES 2.0
+#define BAD_MARGIN 0.04
+#define SLOW_TIMES 1.5
+#define SLOW_MARGIN 0.1
+#define BAD_MIN 4 /* answers: fewer are chance, whatever their share */
+#define CHANCE 1e-5
+/* Answers of the old version, for a comparison. */
+#define OLD_MIN 20
+
+#define GOOD_MIN 20          /* answers of the new version, ... */
+#define GOOD_ROUTE_MIN 6     /* ... and on each route with a tenth of the old one's */
+#define GOOD_ROUTE_PART 10
+#define GOOD_LAST_MIN 10
+#define GOOD_LAST_CLEAN_MIN 3 /* the same, if none of them was bad */
+
+static int class_of(int64_t us)
+{
+	double k = us > FIRST_CLASS_US ? log((double)us / FIRST_CLASS_US) / log(CLASS_FACTOR) : 0;
+
+	return k < ROLLOUT_TIMES - 1 ? (int)k : ROLLOUT_TIMES - 1;
+}
+
+static struct rollout_route *route_of(struct rollout_tally *t, uint32_t key)
+{
+	int i;
+
+	for (i = 0; i < t->n; i++)
+		if (t->route[i].key == key) return &t->route[i];
+	if (t->n == ROLLOUT_ROUTES) return &t->route[t->n - 1];
+	t->route[t->n].key = key;
+	return &t->route[t->n++];
+}
+
+void rollout_note(struct rollout_tally *t, uint32_t route, enum rollout_side side, int bad,
+		  int64_t took_us)
+{
+	struct rollout_count *c = &route_of(t, route)->of[side];
+
+	c->answers++;
+	c->bad += bad != 0;
+	if (!bad && took_us >= 0) c->times[class_of(took_us)]++;
+}
+
+static void add_count(struct rollout_count *sum, const struct rollout_count *c)
+{
+	int i;
+
+	sum->answers += c->answers;
+	sum->bad += c->bad;
+	for (i = 0; i < ROLLOUT_TIMES; i++) sum->times[i] += c->times[i];
+}
+
+void rollout_add(struct rollout_tally *sum, const struct rollout_tally *t)
+{
+	int i, side;
+
+	for (i = 0; i < t->n; i++) {
+		struct rollout_route *r = route_of(sum, t->route[i].key);
+
+		for (side = 0; side < ROLLOUT_SIDES; side++)
+			add_count(&r->of[side], &t->route[i].of[side]);
+	}
+}
+
+/* The probability that of n at least k happen, each with probability p. */
+static double tail(uint32_t n, uint32_t k, double p)
+{
+	double each, sum = 0;
+	uint32_t i;
+
+	if (!k) return 1;
+	if (k > n || p <= 0) return 0;
+	if (p >= 1) return 1;
+	each = lgamma(n + 1.0) - lgamma(k + 1.0) - lgamma(n - k + 1.0);
+	each = exp(each + k * log(p) + (n - k) * log1p(-p));
+	for (i = k; i <= n && each > 0; i++) {
+		sum += each;
+		each *= (double)(n - i) / (i + 1) * p / (1 - p);
+	}
+	return sum;
+}
+
+struct share {
+	uint32_t bad, all;
+};
+
+static int is_worse(struct share new, struct share old, double times, double margin)
+{
+	double usual = times * old.bad / old.all + margin;
+
+	return new.bad >= BAD_MIN && tail(new.all, new.bad, usual) < CHANCE;
+}
+
+static struct share bad_of(const struct rollout_count *c)
+{
+	return (struct share){c->bad, c->answers};
+}
+
+static uint32_t timed(const struct rollout_count *c)
+{
+	uint32_t n = 0;
+	int i;
+
+	for (i = 0; i < ROLLOUT_TIMES; i++) n += c->times[i];
+	return n;
+}
+
+static int median(const struct rollout_count *c)
+{
+	uint32_t half = timed(c) / 2, n = 0;
+	int i;
+
+	for (i = 0; i < ROLLOUT_TIMES - 1; i++) {
+		n += c->times[i];
+		if (n > half) break;
+	}
+	return i;
+}
+
+/* Answers of a class from that one on. */
+static struct share slow_of(const struct rollout_count *c, int from)
+{
+	struct share s = {0, timed(c)};
+	int i;
+
+	for (i = from; i < ROLLOUT_TIMES; i++) s.bad += c->times[i];
+	return s;
+}
+
+static void explain(struct rollout_reason *why, uint32_t route, int slow, struct share new,
+		    struct share old)
+{
+	*why = (struct rollout_reason){route, slow, new.bad, new.all, old.bad, old.all};
+}
+
+/* Of one route, or of all together. */
+static int is_bad(const struct rollout_route *r, struct rollout_reason *why)
+{
+	const struct rollout_count *old = &r->of[ROLLOUT_OLD], *new = &r->of[ROLLOUT_NEW];
+	int from = median(old) + SLOW_CLASSES;
+
+	explain(why, r->key, 0, bad_of(new), bad_of(old));
+	if (old->answers >= OLD_MIN && is_worse(bad_of(new), bad_of(old), BAD_TIMES, BAD_MARGIN))
+		return 1;
+	if (timed(old) < OLD_MIN || from >= ROLLOUT_TIMES) return 0;
+	explain(why, r->key, 1, slow_of(new, from), slow_of(old, from));
+	return is_worse(slow_of(new, from), slow_of(old, from), SLOW_TIMES, SLOW_MARGIN);
+}
+
+static int is_covered(const struct rollout_tally *t, uint32_t old_answers)
+{
+	int i;
+
+	for (i = 0; i < t->n; i++) {
+		const struct rollout_count *of = t->route[i].of;
+
+		if (of[ROLLOUT_OLD].answers * GOOD_ROUTE_PART < old_answers) continue;
+		if (of[ROLLOUT_NEW].answers < GOOD_ROUTE_MIN) return 0;
+	}
+	return 1;
+}
+
+static int is_good(const struct rollout_tally *t, const struct rollout_route *all, int last)
+{
+	const struct rollout_count *new = &all->of[ROLLOUT_NEW];
+
+	if (new->answers >= GOOD_MIN && is_covered(t, all->of[ROLLOUT_OLD].answers)) return 1;
+	if (!last) return 0;
+	return new->answers >= GOOD_LAST_MIN || (new->answers >= GOOD_LAST_CLEAN_MIN && !new->bad);
+}
+
+enum rollout_verdict rollout_judge(const struct rollout_tally *t, int last,
+				   struct rollout_reason *why)
+{
+	struct rollout_route all = {0};
+	int i, side;
+
+	for (i = 0; i < t->n; i++) {
+		if (is_bad(&t->route[i], why)) return ROLLOUT_BAD;
+		for (side = 0; side < ROLLOUT_SIDES; side++)
+			add_count(&all.of[side], &t->route[i].of[side]);
+	}
+	/* Times of routes together say nothing: a canary may get more of the long ones. */
+	explain(why, 0, 0, bad_of(&all.of[ROLLOUT_NEW]), bad_of(&all.of[ROLLOUT_OLD]));
+	if (why->old_all >= OLD_MIN && is_worse(bad_of(&all.of[ROLLOUT_NEW]),
+						bad_of(&all.of[ROLLOUT_OLD]), BAD_TIMES, BAD_MARGIN))
+		return ROLLOUT_BAD;
+	return is_good(t, &all, last) ? ROLLOUT_GOOD : ROLLOUT_OPEN;
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,6 +14,7 @@
 #include "pace.h"
 #include "poison.h"
 #include "probe.h"
+#include "ro.h"
 #include "roster.h"
 #include "rq.h"
 #include "store.h"
@@ -190,6 +191,7 @@
 	pace_start();
 	leave_start();
 	limit_start();
+	ro_start(c);
 	be_on_leaving = rq_on_leaving;
 	be_on_ended = rq_on_ended;
 	be_is_instance = mesh_is_instance;
@@ -223,6 +225,8 @@
 	cfg->drain_dc_us = c->drain_dc_us;
 	cfg->cold_over = c->cold_over;
 	cfg->cold_slack = c->cold_slack;
+	cfg->exposure_share = c->exposure_share;
+	cfg->exposure_slack = c->exposure_slack;
 	cfg->grace_us = c->grace_us;
 	cfg->answer_ttl_max_us = c->answer_ttl_max_us;
 	cfg->retry_ratio = c->retry_ratio;
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -18,6 +18,7 @@
 void (*be_on_leaving)(struct be *b);
 void (*be_on_ended)(struct be *b);
 void (*be_on_new)(struct be *b);
+uint32_t (*be_ro_part)(const struct be *b);
 int (*be_is_instance)(const struct sockaddr_in *at);
 
 static GHashTable *by_id, *by_service;
@@ -45,6 +46,7 @@
 	g_free(b->service);
 	g_free(b->zone);
 	g_free(b->address);
+	g_free(b->version);
 	g_free(b);
 }
 
@@ -106,9 +108,12 @@
 	b->service = g_strdup(i->service);
 	b->zone = g_strdup(i->zone);
 	b->address = g_strdup(i->address);
+	b->version = g_strdup(i->version ? i->version : "");
 	b->sa = *sa;
 	b->since_us = clock_us();
 	b->drained_us = be_dc_is_drained(b->zone) ? b->since_us : 0;
+	if (be_version_is_barred(b->service, b->version)) b->barred_us = b->since_us;
+	if (be_ro_part) b->ro_part = be_ro_part(b);
 	if (!first_us) first_us = b->since_us;
 	if (b->since_us - first_us > FIRST_LIST_US) b->back_us = b->since_us;
 	g_hash_table_insert(by_id, b->id, b);
@@ -281,7 +286,7 @@
 
 int be_leaves(const struct be *b)
 {
-	if (b->state != BE_READY || b->drained_us) return 1;
+	if (b->state != BE_READY || b->drained_us || b->barred_us) return 1;
 	return b->suspect_until_us > clock_us();
 }
 
@@ -291,6 +296,7 @@
 
 	if (since_us - b->suspect_us < SUSPECT_US) since_us = b->suspect_us;
 	if (b->state == BE_READY && b->drained_us) since_us = b->drained_us;
+	if (b->state == BE_READY && b->barred_us) since_us = b->barred_us;
 	return clock_us() - since_us;
 }
 
--- a/src/fleet/be_sound.c
+++ b/src/fleet/be_sound.c
@@ -34,7 +34,7 @@
 	for (i = 0; i < list->len; i++) {
 		const struct be *o = g_ptr_array_index(list, i);
 
-		if (o->state != BE_READY || o->drained_us) continue;
+		if (o->state != BE_READY || o->drained_us || o->barred_us) continue;
 		usable++;
 		if (o->ejected_until_us > now) out++;
 	}
@@ -120,7 +120,8 @@
 
 int64_t be_usable_in(const struct be *b, int64_t now)
 {
-	if (b->state != BE_READY || b->unreadable || b->drained_us) return INT64_MAX;
+	if (b->state != BE_READY || b->unreadable) return INT64_MAX;
+	if (b->drained_us || b->barred_us) return INT64_MAX;
 	return MAX(MAX(MAX(b->ejected_until_us, b->busy_until_us), b->suspect_until_us) - now,
 		   0);
 }
@@ -132,7 +133,7 @@
 
 int be_last_resort(const struct be *b, int64_t now)
 {
-	if (b->unreadable || b->drained_us) return 0;
+	if (b->unreadable || b->drained_us || b->barred_us) return 0;
 	if (b->state == BE_READY) return 1;
 	return b->state == BE_GONE && now - b->since_us < be_need_us;
 }
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -19,10 +19,11 @@
 
 const char board_platform[] = "platform";
 void (*board_on_conf)(struct conf *c);
-void (*board_on_drain)(const char *from);
+void (*board_on_order)(const char *from);
+int (*board_on_rollout)(const struct st_item *i);
 
 static GHashTable *notes;  /* of the configuration and of backend servers: thousands */
-static GHashTable *drains; /* of drained data centres: few, and looked at with each heartbeat */
+static GHashTable *orders; /* of the operators: few, and looked at with each heartbeat */
 static struct board_revs revs;
 static int partial; /* the first listing of backend servers is not whole yet */
 static struct conf *conf;
@@ -41,7 +42,7 @@
 void board_init(void)
 {
 	notes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
-	drains = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
+	orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
 }
 
 struct conf *board_conf(void)
@@ -155,12 +156,21 @@
 static void take_drain(const struct st_item *i, const char *from)
 {
 	be_drain_dc(dl_drained_dc(i->key), i->value != NULL);
-	if (board_on_drain) board_on_drain(from);
+	if (board_on_order) board_on_order(from);
+}
+
+static void take_rollout(const struct st_item *i, const char *from)
+{
+	if (board_on_rollout && board_on_rollout(i))
+		log_unread(i->key, i->revision, NULL, "no order to bring in a version");
+	if (board_on_order) board_on_order(from);
 }
 
 static GHashTable *table_of(const char *key)
 {
-	return dl_item_kind(key) == DL_DRAIN ? drains : notes;
+	enum dl_item kind = dl_item_kind(key);
+
+	return kind == DL_DRAIN || kind == DL_ROLLOUT ? orders : notes;
 }
 
 static void keep_note(const struct st_item *i)
@@ -187,6 +197,7 @@
 		take_conf(i, from);
 		break;
 	case DL_DRAIN: take_drain(i, from); break;
+	case DL_ROLLOUT: take_rollout(i, from); break;
 	case DL_BACKEND:
 		revs.backends = MAX(revs.backends, i->revision);
 		take_backend(i);
@@ -219,7 +230,7 @@
 	uint32_t i;
 
 	find_missing(notes, prefix, listed, at, missing);
-	find_missing(drains, prefix, listed, at, missing);
+	find_missing(orders, prefix, listed, at, missing);
 	for (i = 0; i < missing->len; i++) {
 		struct st_item gone = {.key = g_ptr_array_index(missing, i), .revision = at};
 
@@ -238,12 +249,12 @@
 	return i;
 }
 
-void board_each_drain(void (*f)(const struct st_item *i, void *arg), void *arg)
+void board_each_order(void (*f)(const struct st_item *i, void *arg), void *arg)
 {
 	GHashTableIter it;
 	gpointer n;
 
-	g_hash_table_iter_init(&it, drains);
+	g_hash_table_iter_init(&it, orders);
 	while (g_hash_table_iter_next(&it, NULL, &n)) {
 		struct st_item i = item_of(n);
 
@@ -256,11 +267,11 @@
 	*(uint64_t *)sum ^= (g_str_hash(i->key) | 1) * (i->revision * DIGEST_MULTIPLIER + 1);
 }
 
-uint64_t board_drains_digest(void)
+uint64_t board_orders_digest(void)
 {
 	uint64_t sum = 0;
 
-	board_each_drain(add_to_digest, &sum);
+	board_each_order(add_to_digest, &sum);
 	return sum;
 }
 
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -83,7 +83,7 @@
 			      .link_mbps = cfg->link_mbps,
 			      .serves = mesh_self_serves(),
 			      .verdicts = poison_digest(),
-			      .drains = board_drains_digest(),
+			      .orders = board_orders_digest(),
 			      .from = watch_backends_from()};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
@@ -208,7 +208,7 @@
 	mesh_part_start();
 	mesh_members_start();
 	mesh_loads_start();
-	mesh_drains_start();
+	mesh_orders_start();
 	mesh_rank_start();
 	mesh_fetch_start();
 	beat_timer.fire = on_beat;
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -163,13 +163,14 @@
 	case MESH_THROUGH:
 	case MESH_UNDER_WAY:
 	case MESH_VERDICTS: return mesh_take_poison(in->from, a);
-	case MESH_DRAINS: return mesh_take_drains(in->from, a);
+	case MESH_ORDERS: return mesh_take_orders(in->from, a);
 	case MESH_ABSENT: return mesh_take_absent(a);
 	case MESH_FETCH:
 	case MESH_BEAT: return 0;
 	case MESH_LEAVING:
 	case MESH_SUSPECT:
-	case MESH_LIMITS: break;
+	case MESH_LIMITS:
+	case MESH_ROLLOUT: break;
 	}
 	return mesh_take_topic(in->from, a);
 }
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -34,7 +34,7 @@
 	mesh_write_peers(out);
 	mesh_write_absent(out);
 	/* Before the verdicts: with them one that starts has all that it waits for. */
-	mesh_write_drains(out);
+	mesh_write_orders(out);
 	mesh_write_topics(out);
 	mesh_write_verdicts(out);
 	if (!m->heard_us || m->said.serves) mesh_write_all_loads(out);
@@ -78,6 +78,17 @@
 	}
 }
 
+void mesh_send_judges(const GString *frame)
+{
+	uint32_t i;
+
+	for (i = 0; i < mesh_members()->len; i++) {
+		struct member *m = g_ptr_array_index(mesh_members(), i);
+
+		if (m->said.serves || m->hub) mesh_send(m, frame);
+	}
+}
+
 void mesh_send_all(const GString *frame)
 {
 	uint32_t i;
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -121,7 +121,7 @@
 	 * next heartbeat. */
 	if (!cn_open(&m->link) && mesh_linked_to(m)) mesh_connect(m);
 	mesh_heard_echo(b->echo_us);
-	mesh_heal_drains(m);
+	mesh_heal_orders(m);
 	mesh_heal_verdicts(m);
 	if (begins_to_serve) tell_loads(m);
 	mesh_learn_from(m);
--- a/src/fleet/mesh_drains.c
+++ b/src/fleet/mesh_orders.c
@@ -1,5 +1,5 @@
-/* Which data centres are drained, as instances tell each other: all that is known at once, as
- * the keys are few. The newest word on each counts, so that it may come twice, or late. */
+/* Operators' orders, as instances tell each other: all that is known at once, as the keys are
+ * few. The newest word on each counts, so that it may come twice, or late. */
 #include "mesh_impl.h"
 #include <errno.h>
 #include <string.h>
@@ -15,20 +15,20 @@
 	mesh_pack_item(p, i);
 }
 
-void mesh_write_drains(GString *out)
+void mesh_write_orders(GString *out)
 {
 	struct mesh_frame f;
 	msgpack_packer *p;
 	int n = 0;
 
-	board_each_drain(count, &n);
+	board_each_order(count, &n);
 	if (!n) return;
-	p = mesh_frame_begin(&f, MESH_DRAINS, 1 + n);
-	board_each_drain(pack, p);
+	p = mesh_frame_begin(&f, MESH_ORDERS, 1 + n);
+	board_each_order(pack, p);
 	mesh_frame_end(&f, out);
 }
 
-int mesh_take_drains(const struct member *m, const msgpack_object_array *a)
+int mesh_take_orders(const struct member *m, const msgpack_object_array *a)
 {
 	char key[BOARD_KEY_MAX + 1];
 	struct st_item i;
@@ -41,30 +41,30 @@
 	return 0;
 }
 
-void mesh_heal_drains(struct member *m)
+void mesh_heal_orders(struct member *m)
 {
 	GString *out;
 
-	if (m->said.drains == board_drains_digest()) return;
+	if (m->said.orders == board_orders_digest()) return;
 	out = g_string_new(NULL);
-	mesh_write_drains(out);
+	mesh_write_orders(out);
 	if (out->len) mesh_send(m, out);
 	g_string_free(out, TRUE);
 }
 
 /* Whoever has it from the store tells all; the rest heal each other by heartbeats. */
-static void on_drain(const char *from)
+static void on_order(const char *from)
 {
 	GString *out;
 
 	if (strcmp(from, board_platform) != 0) return;
 	out = g_string_new(NULL);
-	mesh_write_drains(out);
+	mesh_write_orders(out);
 	mesh_send_all(out);
 	g_string_free(out, TRUE);
 }
 
-void mesh_drains_start(void)
+void mesh_orders_start(void)
 {
-	board_on_drain = on_drain;
+	board_on_order = on_order;
 }
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -46,11 +46,11 @@
 	b->store_late = mesh_int(&a->ptr[13]) != 0;
 	b->link_mbps = a->size > MESH_BEAT_LINK ? mesh_mbps(&a->ptr[MESH_BEAT_LINK]) : 0;
 	b->serves = a->size > MESH_BEAT_SERVES ? mesh_int(&a->ptr[MESH_BEAT_SERVES]) != 0 : 1;
-	b->verdicts = b->drains = b->from = 0;
+	b->verdicts = b->orders = b->from = 0;
 	if (a->size > MESH_BEAT_VERDICTS)
 		b->verdicts = (uint64_t)mesh_int(&a->ptr[MESH_BEAT_VERDICTS]);
-	if (a->size > MESH_BEAT_DRAINS)
-		b->drains = (uint64_t)mesh_int(&a->ptr[MESH_BEAT_DRAINS]);
+	if (a->size > MESH_BEAT_ORDERS)
+		b->orders = (uint64_t)mesh_int(&a->ptr[MESH_BEAT_ORDERS]);
 	if (a->size > MESH_BEAT_FROM) b->from = (uint64_t)mesh_int(&a->ptr[MESH_BEAT_FROM]);
 	return 0;
 }
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -51,7 +51,7 @@
 	msgpack_pack_int(p, b->link_mbps);
 	msgpack_pack_int(p, b->serves);
 	msgpack_pack_uint64(p, b->verdicts);
-	msgpack_pack_uint64(p, b->drains);
+	msgpack_pack_uint64(p, b->orders);
 	msgpack_pack_uint64(p, b->from);
 	mesh_frame_end(&f, out);
 }
--- /dev/null
+++ b/src/fleet/ro_mesh.c
@@ -0,0 +1,172 @@
+/* What instances tell each other of versions that are brought in: how far it is, to all, and
+ * how their exchanges went, to those who judge by it. */
+#include "clock.h"
+#include "mesh.h"
+#include "mesh_topic.h"
+#include "ro_impl.h"
+#include <errno.h>
+
+#define TELL_US 250000   /* between two messages of one instance */
+#define SILENT_US 2000000 /* what one that fell silent had running is not counted */
+#define HEAD_FIELDS 7    /* type, service, order, stage, age, written, runs at old servers */
+#define COUNT_FIELDS (2 + ROLLOUT_TIMES)
+#define ROUTE_FIELDS (1 + ROLLOUT_SIDES * COUNT_FIELDS)
+
+static void pack_count(msgpack_packer *p, const struct rollout_count *c)
+{
+	int i;
+
+	msgpack_pack_uint32(p, c->answers);
+	msgpack_pack_uint32(p, c->bad);
+	for (i = 0; i < ROLLOUT_TIMES; i++) msgpack_pack_uint32(p, c->times[i]);
+}
+
+static void write_one(GString *out, const struct ro *o, int with_tally)
+{
+	int n = with_tally ? o->own.n : 0, i, side;
+	struct mesh_frame f;
+	msgpack_packer *p =
+		mesh_frame_begin(&f, MESH_ROLLOUT, HEAD_FIELDS + n * ROUTE_FIELDS);
+
+	mesh_pack_text(p, o->service);
+	msgpack_pack_uint64(p, o->order);
+	msgpack_pack_int(p, (int)o->stage);
+	msgpack_pack_int64(p, clock_us() - o->began_us);
+	msgpack_pack_int(p, (int)o->written);
+	msgpack_pack_uint32(p, ro_own_old_runs(o));
+	for (i = 0; i < n; i++) {
+		msgpack_pack_uint32(p, o->own.route[i].key);
+		for (side = 0; side < ROLLOUT_SIDES; side++)
+			pack_count(p, &o->own.route[i].of[side]);
+	}
+	mesh_frame_end(&f, out);
+}
+
+static void write_item(struct ro *o, void *out)
+{
+	write_one(out, o, 1);
+}
+
+static void write_all(GString *out)
+{
+	ro_each(write_item, out);
+}
+
+void ro_tell_stage(struct ro *o)
+{
+	GString *out = g_string_new(NULL);
+
+	write_one(out, o, 0);
+	mesh_send_all(out);
+	g_string_free(out, TRUE);
+}
+
+void ro_tell_own(struct ro *o)
+{
+	static int64_t told_us;
+	int64_t now = clock_us();
+	GString *out;
+
+	if (!o->own_changed || now - told_us < TELL_US) return;
+	told_us = now;
+	o->own_changed = 0;
+	out = g_string_new(NULL);
+	write_one(out, o, 1);
+	mesh_send_judges(out);
+	g_string_free(out, TRUE);
+}
+
+static void read_count(const msgpack_object *o, struct rollout_count *c)
+{
+	int i;
+
+	c->answers = (uint32_t)mesh_int(&o[0]);
+	c->bad = (uint32_t)mesh_int(&o[1]);
+	for (i = 0; i < ROLLOUT_TIMES; i++) c->times[i] = (uint32_t)mesh_int(&o[2 + i]);
+}
+
+static void read_tally(const msgpack_object_array *a, struct rollout_tally *t)
+{
+	uint32_t k, side;
+
+	for (k = HEAD_FIELDS; k + ROUTE_FIELDS <= a->size && t->n < ROLLOUT_ROUTES;
+	     k += ROUTE_FIELDS) {
+		struct rollout_route *r = &t->route[t->n++];
+
+		r->key = (uint32_t)mesh_int(&a->ptr[k]);
+		for (side = 0; side < ROLLOUT_SIDES; side++)
+			read_count(&a->ptr[k + 1 + side * COUNT_FIELDS], &r->of[side]);
+	}
+}
+
+/* A frame without a tally leaves the one before. */
+static void take_told(struct ro *o, const char *from, const msgpack_object_array *a)
+{
+	struct ro_told *t = g_hash_table_lookup(o->told, from);
+
+	if (!t) {
+		t = g_new0(struct ro_told, 1);
+		g_hash_table_insert(o->told, g_strdup(from), t);
+	}
+	t->at_us = clock_us();
+	t->old_runs = (uint32_t)mesh_int(&a->ptr[6]);
+	if (a->size <= HEAD_FIELDS) return;
+	t->tally = (struct rollout_tally){0};
+	read_tally(a, &t->tally);
+}
+
+static int take(const char *from, const msgpack_object_array *a)
+{
+	char service[ENTRY_TEXT_MAX + 1];
+	enum rollout_stage stage, written;
+	struct ro *o;
+
+	if (a->size < HEAD_FIELDS || mesh_text(&a->ptr[1], service, sizeof service))
+		return -EBADMSG;
+	stage = (enum rollout_stage)CLAMP(mesh_int(&a->ptr[3]), 0, ROLLOUT_COMPLETED);
+	written = (enum rollout_stage)CLAMP(mesh_int(&a->ptr[5]), 0, ROLLOUT_COMPLETED);
+	o = ro_find(service);
+	/* Of an order that is not known here yet: it is told again. */
+	if (!o || o->order != (uint64_t)mesh_int(&a->ptr[2])) return 0;
+	o->began_us = MIN(o->began_us, clock_us() - MAX(mesh_int(&a->ptr[4]), 0));
+	o->written = MAX(o->written, written);
+	take_told(o, from, a);
+	/* Who decided may not have a link to all. */
+	if (ro_rise(o, stage, from) && mesh_self_hub()) ro_tell_stage(o);
+	return 0;
+}
+
+static void add_told(gpointer name, gpointer told, gpointer sum)
+{
+	(void)name;
+	rollout_add(sum, &((struct ro_told *)told)->tally);
+}
+
+void ro_sum(const struct ro *o, struct rollout_tally *sum)
+{
+	rollout_add(sum, &o->own);
+	g_hash_table_foreach(o->told, add_told, sum);
+}
+
+uint32_t ro_old_runs(const struct ro *o)
+{
+	uint32_t n = ro_own_old_runs(o);
+	int64_t now = clock_us();
+	GHashTableIter it;
+	gpointer told;
+
+	g_hash_table_iter_init(&it, o->told);
+	while (g_hash_table_iter_next(&it, NULL, &told)) {
+		const struct ro_told *t = told;
+
+		if (now - t->at_us < SILENT_US) n += t->old_runs;
+	}
+	return n;
+}
+
+void ro_mesh_start(void)
+{
+	static const struct mesh_topic topic = {MESH_ROLLOUT, take, write_all};
+
+	mesh_add_topic(&topic);
+}
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -44,7 +44,9 @@
 #define WATCHERS_MAX 4 /* lists that the platform may have */
 
 /* Checkers list once more what watchers have told. */
-static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX], drains_checker;
+static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX];
+/* List orders alone: what else stands beside them may be a megabyte. */
+static struct watcher order_checkers[2];
 static int nwatchers;
 static int64_t started_us; /* monotonic */
 static int first_start;    /* of the whole fleet */
@@ -312,11 +314,15 @@
 	}
 }
 
-void watch_check_drains(void)
+void watch_check_orders(void)
 {
-	struct watcher *w = &drains_checker;
+	uint32_t i;
 
-	if (!w->call) w->call = st_range(w->list.prefix, NULL, on_listed, w);
+	for (i = 0; i < G_N_ELEMENTS(order_checkers); i++) {
+		struct watcher *w = &order_checkers[i];
+
+		if (!w->call) w->call = st_range(w->list.prefix, NULL, on_listed, w);
+	}
 }
 
 /* Others watch for this instance by now: its own call would stay for as long as nothing
@@ -349,8 +355,9 @@
 
 	first_start = first;
 	started_us = clock_us();
-	init_watcher(&drains_checker, (struct dl_list){dl_drains, DL_DRAIN});
-	drains_checker.once = 1;
+	init_watcher(&order_checkers[0], (struct dl_list){dl_drains, DL_DRAIN});
+	init_watcher(&order_checkers[1], (struct dl_list){dl_rollouts, DL_ROLLOUT});
+	order_checkers[0].once = order_checkers[1].once = 1;
 	for (i = 0; i < WATCHERS_MAX && dl_lists[i].prefix; i++) {
 		init_watcher(&watchers[i], dl_lists[i]);
 		init_watcher(&checkers[i], dl_lists[i]);
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -45,7 +45,7 @@
 	if (!r->rc) board_confirm(confirming_revision, r->sent_us);
 	if (r->rc == -ECANCELED) {
 		watch_apply(r, r->sent_us);
-		watch_check_drains(); /* what is gone is not named in the answer */
+		watch_check_orders(); /* what is gone is not named in the answer */
 	}
 	if (r->rc && r->rc != -ECANCELED) {
 		rest_until_us = clock_us() + mesh_rest_us();
@@ -58,22 +58,33 @@
 	age_us = draw_age();
 }
 
-/* Asks whether what is held here of the configuration, and of the drains of data centres, is
+static void add_order(struct st_change *ask, struct st_condition *held, GPtrArray *keys,
+		      const char *prefix, const char *name)
+{
+	char *key = g_strconcat(prefix, name, NULL);
+
+	g_ptr_array_add(keys, key);
+	held[ask->nconditions++] = (struct st_condition){key, board_revision_of(key)};
+}
+
+/* Asks whether what is held here of the configuration, and of the operators' orders, is
  * still the newest: conditions without a change. */
 static void confirm(void)
 {
 	struct st_condition held[ST_CONDITIONS_MAX];
 	struct st_change ask = {.conditions = held};
 	GPtrArray *dcs = be_dcs(), *keys = g_ptr_array_new_with_free_func(g_free);
+	const GPtrArray *services = board_conf()->services;
 	uint32_t i;
 
 	confirming_revision = board_conf()->revision;
 	held[ask.nconditions++] = (struct st_condition){dl_conf_key, confirming_revision};
-	for (i = 0; i < dcs->len && ask.nconditions < ST_CONDITIONS_MAX; i++) {
-		char *key = g_strconcat(dl_drains, g_ptr_array_index(dcs, i), NULL);
+	for (i = 0; i < dcs->len && ask.nconditions < ST_CONDITIONS_MAX; i++)
+		add_order(&ask, held, keys, dl_drains, g_ptr_array_index(dcs, i));
+	for (i = 0; i < services->len && ask.nconditions < ST_CONDITIONS_MAX; i++) {
+		const struct conf_service *s = g_ptr_array_index(services, i);
 
-		g_ptr_array_add(keys, key);
-		held[ask.nconditions++] = (struct st_condition){key, board_revision_of(key)};
+		add_order(&ask, held, keys, dl_rollouts, s->name);
 	}
 	asked_us = clock_us();
 	confirming = st_commit(&ask, on_confirmed, NULL);
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -44,11 +44,16 @@
 	char *id;
 	int64_t born_ms; /* when this life of it began, by its own clock; 0: not told */
 	char *service, *zone, *address;
+	char *version; /* of its software; empty: not told */
 	struct sockaddr_in sa;
 	enum be_state state;
 	int leaves_by_word; /* its own, or another instance's: its entry may not tell */
 	int unreadable;     /* its entry is, for now */
 	int64_t drained_us; /* since when its data centre has been drained; 0: it is not */
+	int64_t barred_us;  /* since when its version gets no work any more; 0: it may */
+	/* Its part in a rollout of its service: bits of enum ro_part. */
+	uint32_t ro_part;
+	int64_t broke_us; /* when an exchange with it broke off last */
 	uint32_t slots;
 	int64_t since_us;      /* monotonic: when state became what it is */
 	int64_t cold_until_us; /* cold until then, as it told */
@@ -80,7 +85,7 @@
 };
 
 struct be_info { /* an entry as the platform lists it */
-	const char *id, *service, *zone, *address;
+	const char *id, *service, *zone, *address, *version;
 	uint32_t slots;
 	int leaving;
 	int64_t cold_us;
@@ -125,7 +130,11 @@
  * said again. */
 void be_suspect(struct be *b, const char *said_by);
 void be_told_suspect(const char *id, int64_t born_ms, const char *said_by);
-/* Whether it leaves, is gone, or may be leaving, or its data centre is drained. */
+/* Servers of that version get nothing new, and what runs there goes on elsewhere; or may again. */
+void be_bar_version(const char *service, const char *version, int on);
+int be_version_is_barred(const char *service, const char *version);
+/* Whether it leaves, is gone, or may be leaving, or its data centre is drained, or its version
+ * barred. */
 int be_leaves(const struct be *b);
 /* Microseconds since it was first known that it does. */
 int64_t be_left_for_us(const struct be *b);
@@ -171,6 +180,8 @@
 /* Whether an instance has this address, where no backend server stands; NULL: it is not known.
  */
 extern int (*be_is_instance)(const struct sockaddr_in *at);
+/* Its part in a rollout of its service, asked for when it is first listed; set once. */
+extern uint32_t (*be_ro_part)(const struct be *b);
 /* Called when a new one, or a new life, is listed; set once. */
 extern void (*be_on_new)(struct be *b);
 /* How long after its notice a backend server may still get work in need; microseconds. */
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -23,14 +23,15 @@
 /* Of the first listing of backend servers some pages have come: used here, but nothing is said
  * or handed on of it before it is whole. Others would take it for all there is. */
 void board_set_partial(int now);
-/* Calls f for each item newer than the revisions of its kind, gone ones too; drains apart. */
+/* Calls f for each item newer than the revisions of its kind, gone ones too; orders apart. */
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg);
 
-/* Calls f for each key of a drain that ever stood, as far as is known: gone ones too. */
-void board_each_drain(void (*f)(const struct st_item *i, void *arg), void *arg);
-/* Two instances with the same digest know the same drains. */
-uint64_t board_drains_digest(void);
+/* Calls f for each key of an operators' order (to drain a data centre, to bring in a version)
+ * that ever stood, as far as is known: gone ones too. */
+void board_each_order(void (*f)(const struct st_item *i, void *arg), void *arg);
+/* Two instances with the same digest know the same orders. */
+uint64_t board_orders_digest(void);
 /* The revision at which a key stands; 0: it does not, as far as is known. */
 uint64_t board_revision_of(const char *key);
 
@@ -47,8 +48,11 @@
 int64_t board_confirmed_us(void);
 /* Called after a new configuration is in force; set once, may be NULL. */
 extern void (*board_on_conf)(struct conf *c);
-/* Called after news of a drain, with whoever told it; set once, may be NULL. */
-extern void (*board_on_drain)(const char *from);
+/* Called after news of an order, with whoever told it; set once, may be NULL. */
+extern void (*board_on_order)(const char *from);
+/* Called with an order to bring in a version, or with its key alone once it is withdrawn. 0, or
+ * negative when it can't be read; set once, may be NULL. */
+extern int (*board_on_rollout)(const struct st_item *i);
 /* Whose word the platform's own is. */
 extern const char board_platform[];
 #endif
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -9,6 +9,7 @@
 #include "hp.h"
 #include "store.h"
 #include <glib.h>
+#include <saddlehead/rollout.h>
 #include <stdint.h>
 
 #define DL_HANDLE_MAX 127 /* characters of a copy's name; a longer one is cut */
@@ -96,6 +97,7 @@
 	DL_OTHER,
 	DL_CONF,
 	DL_DRAIN, /* of a data centre, while the key stands; whatever it holds */
+	DL_ROLLOUT, /* of a service's new version */
 	DL_BACKEND
 };
 struct dl_list {
@@ -104,10 +106,25 @@
 };
 extern const struct dl_list dl_lists[]; /* to be watched; the prefix NULL at the end */
 extern const char *const dl_conf_key;
-extern const char *const dl_drains; /* the prefix of their keys */
+extern const char *const dl_drains;   /* the prefix of their keys */
+extern const char *const dl_rollouts; /* the same */
 enum dl_item dl_item_kind(const char *key);
 /* The data centre that the key of a drain names. */
 const char *dl_drained_dc(const char *key);
+/* The service that the key of a rollout names. */
+const char *dl_rollout_service(const char *key);
+struct dl_rollout {
+	char target[ENTRY_TEXT_MAX + 1]; /* the version to bring in */
+	int64_t for_us;                  /* to be done within it */
+};
+/* 0 or -EBADMSG. */
+int dl_read_rollout(const char *value, size_t n, const char *service, struct dl_rollout *d);
+/* Where operators read how far it is, and what stands there. Free both with g_free. */
+char *dl_rollout_status_key(const char *service);
+char *dl_write_rollout_status(enum rollout_stage s, const char *target);
+/* 0; -ENOENT: of another version; -EBADMSG. */
+int dl_read_rollout_status(const char *value, size_t n, const char *target,
+			   enum rollout_stage *s);
 /* The id of the backend server whose entry the key is. */
 const char *dl_backend_id(const char *key);
 /* NULL and e set when it is none. */
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -25,6 +25,9 @@
 	int64_t revoke_us;            /* a removed key runs nothing after it */
 	int64_t drain_us;             /* a leaving backend server gets nothing after it */
 	int64_t drain_dc_us;          /* the same of servers in a data centre that is drained */
+	/* Of requests to a service, what a version gets that nobody knows to be good: that part
+	 * of them, and so many more. */
+	double exposure_share, exposure_slack;
 	int64_t grace_us;             /* from the signal to stop until the kill */
 	int64_t answer_ttl_max_us;    /* callers keep an address at most so long */
 	double cold_over, cold_slack; /* a cold server falls over: see saddlehead/quota.h */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -22,7 +22,7 @@
 	int64_t echo_us;          /* the receiver's stamp that came last; 0: none */
 	int64_t echo_held_us;     /* since it came */
 	uint64_t verdicts;        /* digest of what it knows to be blamed */
-	uint64_t drains;          /* the same of drained data centres */
+	uint64_t orders;          /* the same of operators' orders */
 	uint64_t from; /* all changes of backend servers after it are known to it; 0: none */
 };
 
@@ -56,7 +56,7 @@
 #define MESH_BEAT_LINK 14       /* where link_mbps stands */
 #define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_BEAT_VERDICTS 16   /* where verdicts stands */
-#define MESH_BEAT_DRAINS 17     /* where drains stands */
+#define MESH_BEAT_ORDERS 17     /* where orders stands */
 #define MESH_BEAT_FROM 18       /* where from stands */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10 /* of earlier releases, which leave out the next one */
@@ -208,15 +208,14 @@
 /* A frame of some topic's type. 0 or -EBADMSG. */
 int mesh_take_topic(const struct member *m, const msgpack_object_array *a);
 
-/* mesh_drains.c */
-void mesh_drains_start(void);
-/* All drains that this instance knows, also those that are over; nothing where it knows none.
- */
-void mesh_write_drains(GString *out);
+/* mesh_orders.c */
+void mesh_orders_start(void);
+/* All orders that this instance knows, also those that are over; nothing where it knows none. */
+void mesh_write_orders(GString *out);
 /* Tells them to m if it knows others. */
-void mesh_heal_drains(struct member *m);
+void mesh_heal_orders(struct member *m);
 /* A frame of its type. 0 or -EBADMSG. */
-int mesh_take_drains(const struct member *m, const msgpack_object_array *a);
+int mesh_take_orders(const struct member *m, const msgpack_object_array *a);
 
 /* mesh_loads.c */
 void mesh_init_loads(struct member *m);
--- a/src/internal/mesh_topic.h
+++ b/src/internal/mesh_topic.h
@@ -22,9 +22,10 @@
 	MESH_THROUGH,   /* a run came through of what servers ended under */
 	MESH_UNDER_WAY, /* so many runs of it have not answered yet */
 	MESH_VERDICTS,  /* what is blamed for ends of servers, or is not any longer */
-	MESH_DRAINS,    /* keys of drained data centres, and of those taken back */
+	MESH_ORDERS,    /* of the operators: drained data centres, versions to bring in */
 	MESH_ABSENT, /* instances that were known and are not heard: their parts stay theirs */
-	MESH_LIMITS  /* what backend servers said of the requests that they take */
+	MESH_LIMITS, /* what backend servers said of the requests that they take */
+	MESH_ROLLOUT /* how far a version is that is brought in, and how exchanges with it went */
 };
 
 /* What one module tells the same module of other instances. */
@@ -55,4 +56,6 @@
 void mesh_send_all(const GString *frame);
 /* To those that callers come to. */
 void mesh_send_serving(const GString *frame);
+/* To these and to those that ask the store for all. */
+void mesh_send_judges(const GString *frame);
 #endif
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -40,6 +40,8 @@
 	MET_REST_PASSED_OVER,   /* choices in which a server rested, or came back from it */
 	MET_TURNS_WAITED,       /* requests that waited until a server may be asked */
 	MET_NOTICES_UNREAD,     /* answers whose word on the server can't be used */
+	MET_CANARIES,           /* requests sent to versions that are being brought in */
+	MET_ROLLBACKS,          /* versions found bad */
 	MET_COUNT_MAX
 };
 
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -9,6 +9,7 @@
 #include "fp.h"
 #include "hx.h"
 #include "met.h"
+#include "ro.h"
 #include "rq.h"
 #include <saddlehead/forecast.h>
 #include <saddlehead/length.h>
@@ -40,6 +41,7 @@
 	uint32_t used;     /* ... and now; on backup the same */
 	uint32_t bare; /* the same while it has no copy and is to be moved with its engine */
 	uint64_t recounted; /* its memory, at this count of events */
+	int was_cold;       /* its server, when it was sent */
 	int not_run;        /* the answer says so */
 	int answered;       /* the head of an answer that counts came */
 	int64_t sent_us, first_us;
@@ -94,6 +96,7 @@
 	int64_t waited_from;   /* since when; 0: it has not waited */
 	int64_t foreseen_us;   /* how long it was then expected to wait ... */
 	int64_t worked_out_us; /* ... and would have been by the forecast alone */
+	uint32_t parts;        /* bits of enum ro_part: which servers it may go to, by now */
 	int sends;             /* exchanges that were begun */
 	int held_back;         /* a repeat was, by the allowance */
 	int unreached;         /* of them, those that reached no server */
@@ -236,6 +239,12 @@
  * sent too often. */
 int rq_may_repeat(struct rq *r);
 
+/* rq_rollout.c */
+/* Its server is cold or not, now that it is sent. */
+void leg_note_cold(struct leg *l);
+/* Its exchange ended: what that tells of its server's version. */
+void leg_tell_version(const struct leg *l, enum ro_end how);
+
 /* rq_poison.c */
 /* Its exchange broke off with this error: perhaps its server ended. */
 void leg_note_broken(const struct leg *l, int err);
--- a/src/internal/watch_impl.h
+++ b/src/internal/watch_impl.h
@@ -20,8 +20,8 @@
 /* Whoever confirms the configuration for all also lists the rest for all: watches that are
  * silent, or waited for by instances that are cut off, hide nothing for long. */
 void watch_check_lists(void);
-/* The same of the drains of data centres, when one is not as this instance believes. */
-void watch_check_drains(void);
+/* The same of operators' orders, when one is not as this instance believes. */
+void watch_check_orders(void);
 /* Whether a listing or a watch is being answered with a configuration. */
 int watch_receives_conf(void);
 
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -136,6 +136,7 @@
 		leg_read(l);
 		leg_recount(l);
 		be_succeeded(l->be, 0);
+		leg_tell_version(l, RO_WELL); /* its end may come when it is too late to judge */
 		if (be_leaves(r->leg->be)) move_begin(r);
 	}
 	move_go_on(r);
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -73,6 +73,7 @@
 	/* Engines that did as they were told were taken for failing, and got no work. */
 	if (!move_stops_source(r)) {
 		leg_note_broken(l, err);
+		leg_tell_version(l, RO_BROKE);
 		be_failed(l->be, "broke off");
 	}
 	log_broke(l, "may_have_run", err);
@@ -92,6 +93,7 @@
 	struct rq *r = l->rq;
 
 	rq_came_through(r);
+	leg_tell_version(l, head->status < 500 ? RO_WELL : RO_BADLY);
 	if (head->status < 500) {
 		be_succeeded(l->be, clock_us() - l->sent_us);
 		rq_answer(r, head);
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -3,6 +3,7 @@
 #include "mesh.h"
 #include "met.h"
 #include "pace.h"
+#include "ro.h"
 #include "rq_impl.h"
 #include <math.h>
 #include <string.h>
@@ -28,7 +29,7 @@
 {
 	int64_t in_us = be_usable_in(b, now), wait_us;
 
-	if (in_us == INT64_MAX) return in_us;
+	if (in_us == INT64_MAX || !ro_is(b, r->parts)) return INT64_MAX;
 	wait_us = pace_wait_us(b, r->service, now);
 	return MAX(in_us, wait_us);
 }
@@ -77,7 +78,7 @@
 		struct be *b = g_ptr_array_index(list, i);
 
 		s[i].usable = b != not_this && be_last_resort(b, now) &&
-			      !pace_wait_us(b, r->service, now);
+			      ro_is(b, r->parts) && !pace_wait_us(b, r->service, now);
 	}
 	return n;
 }
@@ -107,7 +108,7 @@
 	return rate_now() * mesh_serving() * UNHEARD_US / 1e6;
 }
 
-struct be *rq_pick(struct rq *r, const struct be *not_this)
+static struct be *pick(struct rq *r, const struct be *not_this)
 {
 	static struct place_site s[PLACE_SITES_MAX];
 	int n = collect(r, rq_cfg->data_centre, not_this, s), i;
@@ -120,6 +121,24 @@
 	return chosen(r, i);
 }
 
+/* A canary is no reason to wait. */
+static int takes_now(const struct rq *r, struct be *b)
+{
+	return b && rq_fits(r, b) && !(r->service->engine && rq_waits(r, b));
+}
+
+struct be *rq_pick(struct rq *r, const struct be *not_this)
+{
+	uint32_t others = ro_parts_else(r->service->name);
+	struct be *b;
+
+	r->parts = ro_parts(r->service->name, !r->sends);
+	b = pick(r, not_this);
+	if (r->parts == others || takes_now(r, b)) return b;
+	r->parts = others;
+	return pick(r, not_this);
+}
+
 /* Not where it would have to leave again: with the entries of all engines gone for a moment a
  * stream went from one to the next after each event, 80 times in 0.4 s. */
 static int can_be_moved_to(const struct be *b)
@@ -131,8 +150,10 @@
 {
 	static struct place_site s[PLACE_SITES_MAX];
 	struct place_job now = {.prompt = rq_held(r)};
-	int n = collect(r, source->zone, source, s), i;
+	int n, i;
 
+	r->parts = ro_parts(r->service->name, 0);
+	n = collect(r, source->zone, source, s);
 	for (i = 0; i < n; i++)
 		if (!can_be_moved_to(g_ptr_array_index(be_of(r->service->name), i)))
 			s[i].usable = 0;
@@ -148,6 +169,7 @@
 	int n, i, at = -1;
 
 	if (r->route->resumable || r->route->kind != CONF_STREAM) return NULL;
+	r->parts = ro_parts(r->service->name, 0);
 	n = collect(r, l->be->zone, l->be, s);
 	for (i = 0; i < n; i++)
 		if (g_ptr_array_index(list, i) == l->be) at = i;
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -92,6 +92,8 @@
 	if (l->backup) be_ref(l->backup);
 	evs_init(&l->evs);
 	r->sends++;
+	leg_note_cold(l);
+	ro_sent(b, r->sends == 1);
 	log_sent(l, copy);
 	l->hx = hx_new(l);
 	l->hx->on_up = leg_on_up;
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -32,7 +32,10 @@
 		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "the time ran out before it was sent");
 		return;
 	}
-	if (is_servers_fault(r)) be_failed(r->leg->be, "no answer in time");
+	if (is_servers_fault(r)) {
+		leg_tell_version(r->leg, RO_BADLY);
+		be_failed(r->leg->be, "no answer in time");
+	}
 	rq_fail(r, REF_DEADLINE, "the time ran out");
 }
 
@@ -89,7 +92,10 @@
 
 	if (!l || !l->hx || r->runs + 1 >= r->route->attempts) return;
 	if (!is_silent(r) || !rq_may_repeat(r)) return;
-	if (!may_be_at_work(r)) be_failed(l->be, "silent");
+	if (!may_be_at_work(r)) {
+		leg_tell_version(l, RO_BADLY);
+		be_failed(l->be, "silent");
+	}
 	met_retried(l->answered ? RETRY_RESUME : RETRY_FIRST_BYTE);
 	if (l->hx->up)
 		r->runs++;
--- a/src/relay/rq_turn.c
+++ b/src/relay/rq_turn.c
@@ -24,7 +24,7 @@
 		struct be *b = g_ptr_array_index(list, i);
 		int64_t in_us = be_usable_in(b, now), wait_us;
 
-		if (in_us == INT64_MAX) continue;
+		if (in_us == INT64_MAX || !ro_is(b, ro_parts_else(r->service->name))) continue;
 		wait_us = pace_wait_us(b, r->service, now);
 		s[n].first_us = MAX(in_us, wait_us);
 		s[n].gap_us = pace_gap_us(b, r->service, now);
--- a/test/pw.h
+++ b/test/pw.h
@@ -99,6 +99,8 @@
 void pw_store_compact(void);
 /* Breaks the calls that wait at its second address. */
 void pw_store_cut_second(void);
+/* What a key holds, or NULL. Free with g_free. */
+char *pw_store_value(const char *key);
 /* Keys that begin so and stand now. */
 int pw_store_keys(const char *prefix);
 /* Calls that wait for changes now. */
@@ -141,6 +143,7 @@
 struct pw_server {
 	char id[64], service[64], ip[32], address[48];
 	char zone[16];   /* "a" at first, where entries are, too */
+	char version[16]; /* "v1" at first */
 	int64_t born_ms; /* of this life; 0: not told */
 	int cold_ms;     /* that its entry tells */
 	struct hs_listener listener;
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -245,6 +245,7 @@
 	g_strlcpy(s->service, service, sizeof s->service);
 	g_snprintf(s->address, sizeof s->address, "%s:%d", pw_server_ip(), PW_SERVER + serial);
 	g_strlcpy(s->zone, "a", sizeof s->zone);
+	g_strlcpy(s->version, "v1", sizeof s->version);
 	s->engine = engine;
 	s->arrived_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	s->work_ms = 5;
@@ -267,10 +268,10 @@
 	if (s->born_ms)
 		g_snprintf(born, sizeof born, ",\"born\":%" G_GINT64_FORMAT, s->born_ms);
 	g_snprintf(value, sizeof value,
-		   "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
+		   "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\","
 		   "\"slots\":%d,\"state\":\"%s\",\"coldRemainingMs\":%d,\"sequence\":1%s}",
-		   s->service, s->address, s->zone, s->engine ? 48 : 6, state, s->cold_ms,
-		   born);
+		   s->service, s->address, s->zone, s->version, s->engine ? 48 : 6, state,
+		   s->cold_ms, born);
 	pw_store_put(key, value);
 }
 
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -234,6 +234,19 @@
 	g_hash_table_remove_all(entries);
 }
 
+char *pw_store_value(const char *key)
+{
+	const struct entry *e = g_hash_table_lookup(entries, key);
+	char *text;
+	gsize n;
+
+	if (!e || !e->value) return NULL;
+	text = (char *)g_base64_decode(e->value, &n);
+	text = g_realloc(text, n + 1);
+	text[n] = '\0';
+	return text;
+}
+
 int pw_store_keys(const char *prefix)
 {
 	GHashTableIter it;
--- /dev/null
+++ b/test/test_canary.c
@@ -0,0 +1,344 @@
+/* Operators bring in new versions: good ones take over in time, bad ones get little and are
+ * rolled back, whatever else happens meanwhile. */
+#include "check.h"
+#include "clock.h"
+#include "pw.h"
+#include <signal.h>
+#include <string.h>
+
+#define CALL_EACH_MS 6 /* a call at each such step */
+#define FOR_S 5
+#define SHARE 0.1 /* bounds that entries are told: a bad version gets no more */
+#define SLACK 50
+#define SETTINGS "bounds.exposureShare=0.1\nbounds.exposureSlack=50\n"
+
+static struct pw_server *old[3], *new[3];
+static GPtrArray *calls;
+static int sent;
+
+static struct pw_server *add(const char *service, int engine, const char *version)
+{
+	struct pw_server *s = pw_server_new(service, engine);
+
+	g_strlcpy(s->version, version, sizeof s->version);
+	pw_server_list(s, "ready");
+	return s;
+}
+
+static void begin(struct pw_entry **e, int n)
+{
+	int i;
+
+	pw_init();
+	pw_settings(SETTINGS);
+	calls = g_ptr_array_new();
+	sent = 0;
+	for (i = 0; i < 3; i++) old[i] = add("app", 0, "v1");
+	for (i = 0; i < n; i++) e[i] = pw_entry_ready();
+}
+
+static void end(void)
+{
+	g_ptr_array_free(calls, TRUE);
+	pw_end();
+}
+
+static void order(const char *service, const char *version)
+{
+	char key[64], value[128];
+
+	g_snprintf(key, sizeof key, "op/rollout/%s", service);
+	g_snprintf(value, sizeof value,
+		   "{\"service\":\"%s\",\"targetVersion\":\"%s\",\"durationS\":%d}", service,
+		   version, FOR_S);
+	pw_store_put(key, value);
+}
+
+static void bring_in(enum pw_mode mode, int work_ms)
+{
+	int i;
+
+	order("app", "v2");
+	for (i = 0; i < 3; i++) {
+		new[i] = add("app", 0, "v2");
+		new[i]->mode = mode;
+		if (work_ms) new[i]->work_ms = work_ms;
+	}
+}
+
+/* Calls for so long, at each entry in turn. */
+static void load(struct pw_entry **e, int n, int ms)
+{
+	int64_t until = clock_us() + ms * 1000LL;
+
+	while (clock_us() < until) {
+		g_ptr_array_add(calls, pw_ask(e[sent++ % n], "GET", "/safe/", 4000));
+		pw_run(CALL_EACH_MS);
+	}
+}
+
+static int failed(void)
+{
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < calls->len; i++) {
+		struct pw_call *c = g_ptr_array_index(calls, i);
+
+		n += c->ended && c->status != 200;
+	}
+	return n;
+}
+
+static int arrivals(struct pw_server **s)
+{
+	return s[0]->arrivals + s[1]->arrivals + s[2]->arrivals;
+}
+
+static int bound(void)
+{
+	return (int)(SHARE * sent) + SLACK;
+}
+
+static int state_is(const char *service, const char *word)
+{
+	char *key = g_strconcat("status/rollout/", service, NULL);
+	char *value = pw_store_value(key);
+	int is = value && strstr(value, word) != NULL;
+
+	g_free(value);
+	g_free(key);
+	return is;
+}
+
+static void a_good_version_takes_over_in_time(void)
+{
+	struct pw_entry *e[1];
+
+	begin(e, 1);
+	load(e, 1, 300);
+	bring_in(PW_OK, 0);
+	load(e, 1, FOR_S * 1000 / 2);
+	CU_ASSERT(state_is("app", "running"));
+	CU_ASSERT(arrivals(new) > 0);
+	CU_ASSERT(arrivals(new) <= bound());
+	load(e, 1, FOR_S * 1000 / 2);
+	CU_ASSERT(state_is("app", "completed"));
+	old[0]->arrivals = old[1]->arrivals = old[2]->arrivals = 0;
+	load(e, 1, 300);
+	CU_ASSERT_EQUAL(arrivals(old), 0);
+	CU_ASSERT_EQUAL(failed(), 0);
+	end();
+}
+
+static void rolled_back(struct pw_entry **e, int n)
+{
+	load(e, n, FOR_S * 1000);
+	CU_ASSERT(state_is("app", "rolled_back"));
+	CU_ASSERT(arrivals(new) <= bound());
+	new[0]->arrivals = new[1]->arrivals = new[2]->arrivals = 0;
+	load(e, n, 500);
+	CU_ASSERT_EQUAL(arrivals(new), 0);
+}
+
+static void a_version_that_fails_is_rolled_back(void)
+{
+	struct pw_entry *e[2];
+
+	begin(e, 2);
+	bring_in(PW_ERROR, 0);
+	rolled_back(e, 2);
+	end();
+}
+
+static void a_version_that_is_slow_is_rolled_back(void)
+{
+	struct pw_entry *e[2];
+
+	begin(e, 2);
+	bring_in(PW_OK, 40);
+	rolled_back(e, 2);
+	end();
+}
+
+/* Just before it would be found good. */
+static void a_version_that_turns_bad_late_is_rolled_back(void)
+{
+	struct pw_entry *e[1];
+	int i;
+
+	begin(e, 1);
+	bring_in(PW_OK, 0);
+	load(e, 1, FOR_S * 1000 / 2);
+	for (i = 0; i < 3; i++) new[i]->mode = PW_ERROR;
+	load(e, 1, FOR_S * 1000 / 2);
+	CU_ASSERT(state_is("app", "rolled_back"));
+	CU_ASSERT(arrivals(new) <= bound());
+	end();
+}
+
+/* Whoever wrote last is killed; another one goes on from what the store has. */
+static void the_writer_may_be_killed(void)
+{
+	struct pw_entry *e[2];
+
+	begin(e, 2);
+	bring_in(PW_OK, 0);
+	load(e, 2, 1000);
+	pw_entry_kill(e[0], SIGKILL);
+	pw_entry_wait(e[0], 500);
+	load(&e[1], 1, FOR_S * 1000 - 1500);
+	CU_ASSERT(state_is("app", "completed"));
+	end();
+}
+
+/* All of them at once, after it was rolled back: the store tells those that start. */
+static void what_was_rolled_back_stays_so(void)
+{
+	struct pw_entry *e[2];
+	int i;
+
+	begin(e, 2);
+	bring_in(PW_ERROR, 0);
+	load(e, 2, 2500);
+	CU_ASSERT(state_is("app", "rolled_back"));
+	for (i = 0; i < 2; i++) pw_entry_kill(e[i], SIGKILL);
+	for (i = 0; i < 2; i++) pw_entry_wait(e[i], 500);
+	new[0]->arrivals = new[1]->arrivals = new[2]->arrivals = 0;
+	for (i = 0; i < 2; i++) pw_entry_again(e[i]);
+	for (i = 0; i < 2; i++) CU_ASSERT(pw_entry_until_ready(e[i]));
+	load(e, 2, 1500);
+	CU_ASSERT(state_is("app", "rolled_back"));
+	CU_ASSERT_EQUAL(arrivals(new), 0);
+	end();
+}
+
+/* Nothing goes to a version while nobody can say how far it is; after that all goes on. */
+static void a_store_that_is_away_holds_it_up(void)
+{
+	struct pw_entry *e[1];
+
+	begin(e, 1);
+	load(e, 1, 300);
+	bring_in(PW_OK, 0);
+	pw_run(50); /* told, and not written yet in most plays */
+	pw_store.mode = PW_STORE_DOWN;
+	load(e, 1, 1500);
+	CU_ASSERT(arrivals(new) <= bound());
+	pw_store.mode = PW_STORE_OK;
+	load(e, 1, FOR_S * 1000 - 500);
+	CU_ASSERT(state_is("app", "completed"));
+	CU_ASSERT_EQUAL(failed(), 0);
+	end();
+}
+
+static void orders_that_cannot_be_read_change_nothing(void)
+{
+	struct pw_entry *e[1];
+
+	begin(e, 1);
+	pw_store_put("op/rollout/app", "no such thing");
+	pw_store_put("op/rollout/", "{\"targetVersion\":\"v2\",\"durationS\":5}");
+	pw_run(200);
+	load(e, 1, 500);
+	CU_ASSERT_EQUAL(failed(), 0);
+	CU_ASSERT(arrivals(old) >= sent - 2);
+	CU_ASSERT(pw_log_has(e[0], "no order to bring in a version"));
+	CU_ASSERT(!state_is("app", "running"));
+	end();
+}
+
+/* It stays on its way: nobody can say that it is good. */
+static void a_version_without_servers_is_not_completed(void)
+{
+	struct pw_entry *e[1];
+
+	begin(e, 1);
+	order("app", "v9");
+	load(e, 1, FOR_S * 1000);
+	CU_ASSERT(state_is("app", "running"));
+	CU_ASSERT_EQUAL(failed(), 0);
+	end();
+}
+
+static void an_order_takes_the_place_of_another(void)
+{
+	struct pw_server *third;
+	struct pw_entry *e[1];
+	int before;
+
+	begin(e, 1);
+	bring_in(PW_OK, 0);
+	load(e, 1, 1000);
+	order("app", "v3");
+	third = add("app", 0, "v3");
+	pw_run(100);
+	before = arrivals(new);
+	load(e, 1, FOR_S * 1000);
+	CU_ASSERT_EQUAL(arrivals(new), before);
+	CU_ASSERT(third->arrivals > 0);
+	CU_ASSERT(state_is("app", "completed"));
+	CU_ASSERT(state_is("app", "v3"));
+	CU_ASSERT_EQUAL(failed(), 0);
+	end();
+}
+
+/* One that leaves after its first events. */
+static struct pw_call *ask_and_run(struct pw_entry *e, int ms)
+{
+	struct pw_call *c = pw_ask(e, "POST", "/sum/", 9000);
+
+	pw_run(ms);
+	return c;
+}
+
+/* Streams that run at the old version are done or moved before it is stopped. */
+static void streams_outlive_the_old_version(void)
+{
+	struct pw_server *first, *engine[2];
+	struct pw_call *c[4];
+	struct pw_entry *e;
+	int i;
+
+	pw_init();
+	pw_settings(SETTINGS);
+	pw_conf.timeout_ms = 20000;
+	pw_conf_write();
+	first = add("llm", 1, "v1");
+	first->events = 700; /* of 10 ms each: longer than the rollout */
+	e = pw_entry_ready();
+	for (i = 0; i < 4; i++) c[i] = pw_ask(e, "POST", "/chat/", 20000);
+	pw_run(300);
+	order("llm", "v2");
+	for (i = 0; i < 2; i++) {
+		engine[i] = add("llm", 1, "v2");
+		engine[i]->events = 700;
+	}
+	for (i = 0; i < 100; i++) pw_call_leave(ask_and_run(e, FOR_S * 10));
+	CU_ASSERT(state_is("llm", "completed"));
+	pw_server_die(first);
+	for (i = 0; i < 4; i++) {
+		CU_ASSERT(pw_call_wait(c[i], 9000));
+		CU_ASSERT(pw_stream_whole(c[i], 700));
+	}
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"a_good_version_takes_over_in_time", a_good_version_takes_over_in_time},
+	{"a_version_that_fails_is_rolled_back", a_version_that_fails_is_rolled_back},
+	{"a_version_that_is_slow_is_rolled_back", a_version_that_is_slow_is_rolled_back},
+	{"a_version_that_turns_bad_late_is_rolled_back",
+	 a_version_that_turns_bad_late_is_rolled_back},
+	{"the_writer_may_be_killed", the_writer_may_be_killed},
+	{"what_was_rolled_back_stays_so", what_was_rolled_back_stays_so},
+	{"a_store_that_is_away_holds_it_up", a_store_that_is_away_holds_it_up},
+	{"orders_that_cannot_be_read_change_nothing",
+	 orders_that_cannot_be_read_change_nothing},
+	{"a_version_without_servers_is_not_completed",
+	 a_version_without_servers_is_not_completed},
+	{"an_order_takes_the_place_of_another", an_order_takes_the_place_of_another},
+	{"streams_outlive_the_old_version", streams_outlive_the_old_version},
+};
+
+CHECK_MAIN(list)
