What watches have told is listed once more a part at a time

Change: two pages a turn, going on where the last turn ended; beyond that one question what has changed since the own watch's revision. A page names what went between its first and last key, if the store lists in order.

Test: 50, 200 and 800 entries by pages of 50; calls in 3.6 s at most 20.

--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -207,9 +207,15 @@
 	return 1;
 }
 
+static int is_on(const struct board_page *p, const char *key)
+{
+	if (!g_str_has_prefix(key, p->prefix) || strcmp(key, p->after) <= 0) return 0;
+	return !p->upto || strcmp(key, p->upto) <= 0;
+}
+
 /* Adds to missing the keys that stand in the table, and should have been listed. */
-static void find_missing(GHashTable *table, const char *prefix, GHashTable *listed, uint64_t at,
-			 GPtrArray *missing)
+static void find_missing(GHashTable *table, const struct board_page *p, GHashTable *listed,
+			 uint64_t at, GPtrArray *missing)
 {
 	GHashTableIter it;
 	gpointer key, value;
@@ -218,19 +224,26 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct note *n = value;
 
-		if (!n->value || n->revision > at || !g_str_has_prefix(key, prefix)) continue;
+		if (!n->value || n->revision > at || !is_on(p, key)) continue;
 		if (!g_hash_table_contains(listed, key))
 			g_ptr_array_add(missing, g_strdup(key));
 	}
 }
 
 void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at)
+{
+	struct board_page whole = {.prefix = prefix, .after = ""};
+
+	board_apply_missing_of(&whole, listed, at);
+}
+
+void board_apply_missing_of(const struct board_page *p, GHashTable *listed, uint64_t at)
 {
 	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
 	uint32_t i;
 
-	find_missing(notes, prefix, listed, at, missing);
-	find_missing(orders, prefix, listed, at, missing);
+	find_missing(notes, p, listed, at, missing);
+	find_missing(orders, p, listed, at, missing);
 	for (i = 0; i < missing->len; i++) {
 		struct st_item gone = {.key = g_ptr_array_index(missing, i), .revision = at};
 
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -31,7 +31,7 @@
 	/* What changed while this one had listed, and nobody watched for it, was asked for. */
 	int covered;
 	int glancing; /* its call waits for nothing */
-	struct st_call *call;
+	struct st_call *call, *glance;
 	struct ev_timer retry;
 	int64_t wait_us;        /* before the last retry; 0: the last call went well */
 	int64_t rest_until_us;  /* the store failed: this one asks no sooner unless it is to */
@@ -43,8 +43,7 @@
 
 #define WATCHERS_MAX 4 /* lists that the platform may have */
 
-/* Checkers list once more what watchers have told. */
-static struct watcher watchers[WATCHERS_MAX], checkers[WATCHERS_MAX];
+static struct watcher watchers[WATCHERS_MAX];
 /* List orders alone: what else stands beside them may be a megabyte. */
 static struct watcher order_checkers[2];
 static int nwatchers;
@@ -283,24 +282,45 @@
 		if (watchers[i].phase == WATCHING) start_again(&watchers[i]);
 }
 
-void watch_check_lists(void)
+static struct watcher *backends_watcher(void)
 {
 	int i;
 
-	for (i = 0; i < nwatchers; i++) {
-		if (watchers[i].list.of == DL_CONF || checkers[i].call) continue;
-		checkers[i].call =
-			st_range(checkers[i].list.prefix, NULL, on_listed, &checkers[i]);
+	for (i = 0; i < nwatchers; i++)
+		if (watchers[i].list.of == DL_BACKEND) return &watchers[i];
+	return NULL;
+}
+
+static void on_glanced(const struct st_reply *r, void *user)
+{
+	struct watcher *w = user;
+
+	w->glance = NULL;
+	watch_note_reply(r);
+	if (r->rc == -ESTALE) {
+		w->phase = LISTING;
+		w->begun = 1;
+		start_again(w);
+		return;
 	}
+	if (r->rc) return;
+	watch_apply(r, 0);
+	w->at = MAX(w->at, r->at);
+}
+
+void watch_glance(void)
+{
+	struct watcher *w = backends_watcher();
+
+	if (!w || w->phase != WATCHING || w->glance) return;
+	w->glance = st_watch(w->list.prefix, w->at, GLANCE_MS, on_glanced, w);
 }
 
 uint64_t watch_backends_from(void)
 {
-	int i;
+	const struct watcher *w = backends_watcher();
 
-	for (i = 0; i < nwatchers; i++)
-		if (watchers[i].list.of == DL_BACKEND) return watchers[i].from;
-	return 0;
+	return w ? w->from : 0;
 }
 
 void watch_told(enum dl_item kind, uint64_t after, uint64_t upto)
@@ -360,8 +380,7 @@
 	order_checkers[0].once = order_checkers[1].once = 1;
 	for (i = 0; i < WATCHERS_MAX && dl_lists[i].prefix; i++) {
 		init_watcher(&watchers[i], dl_lists[i]);
-		init_watcher(&checkers[i], dl_lists[i]);
-		checkers[i].once = 1;
+		watch_check_add(dl_lists[i]);
 		nwatchers++;
 		next(&watchers[i]);
 	}
--- /dev/null
+++ b/src/fleet/watch_check.c
@@ -0,0 +1,94 @@
+/* What watches have told is listed once more, a part at a time: what that costs does not grow
+ * with the list. Beyond that part a glance tells what a silent watch has not. */
+#include "board.h"
+#include "clock.h"
+#include "mesh.h"
+#include "watch_impl.h"
+#include <string.h>
+
+#define CHECKERS_MAX 4
+#define PAGES 2 /* of a list in one turn; a page holds some hundred items */
+
+struct checker {
+	struct dl_list list;
+	struct st_call *call;
+	char after[BOARD_KEY_MAX + 1]; /* the last key that was listed; empty: from the first */
+	int pages;                     /* that may still be asked for in this turn */
+};
+
+static struct checker checkers[CHECKERS_MAX];
+static int ncheckers;
+
+static void on_page(const struct st_reply *r, void *user);
+
+static void ask(struct checker *c)
+{
+	c->call = st_range(c->list.prefix, c->after[0] ? c->after : NULL, on_page, c);
+}
+
+static GHashTable *keys_of(const struct st_reply *r)
+{
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; i < r->n; i++) g_hash_table_add(keys, (gpointer)r->items[i].key);
+	return keys;
+}
+
+/* Whether what stands between two keys is known: pages come in the order of keys. */
+static int is_in_order(const struct checker *c, const struct st_reply *r)
+{
+	const char *before = c->after;
+	size_t i;
+
+	for (i = 0; i < r->n; i++) {
+		if (strcmp(r->items[i].key, before) <= 0) return 0;
+		before = r->items[i].key;
+	}
+	return 1;
+}
+
+static void take_page(struct checker *c, const struct st_reply *r)
+{
+	const char *last = r->more && r->n ? r->items[r->n - 1].key : NULL;
+	struct board_page page = {c->list.prefix, c->after, last};
+	struct board_revs base = board_revs();
+	GHashTable *listed = keys_of(r);
+	size_t i;
+
+	for (i = 0; i < r->n; i++) board_apply(&r->items[i], board_platform);
+	if (is_in_order(c, r)) board_apply_missing_of(&page, listed, r->at);
+	g_hash_table_destroy(listed);
+	mesh_pass_on(base);
+	g_strlcpy(c->after, last ? last : "", sizeof c->after);
+}
+
+static void on_page(const struct st_reply *r, void *user)
+{
+	struct checker *c = user;
+
+	c->call = NULL;
+	watch_note_reply(r);
+	if (r->rc) return;
+	take_page(c, r);
+	if (c->after[0] && --c->pages > 0) ask(c);
+}
+
+void watch_check_lists(void)
+{
+	int i;
+
+	for (i = 0; i < ncheckers; i++) {
+		struct checker *c = &checkers[i];
+
+		if (c->list.of == DL_CONF || c->call) continue;
+		if (c->after[0]) watch_glance();
+		c->pages = PAGES;
+		ask(c);
+	}
+}
+
+void watch_check_add(struct dl_list list)
+{
+	if (ncheckers < CHECKERS_MAX) checkers[ncheckers++] = (struct checker){.list = list};
+}
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -19,6 +19,12 @@
 /* Keys of the prefix that a complete listing as of revision at did not hold are gone. listed:
  * set of keys. */
 void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at);
+/* The same of a page of a listing: of keys after one (empty: from the first) up to another
+ * (NULL: to the last). */
+struct board_page {
+	const char *prefix, *after, *upto;
+};
+void board_apply_missing_of(const struct board_page *p, GHashTable *listed, uint64_t at);
 struct board_revs board_revs(void);
 /* Of the first listing of backend servers some pages have come: used here, but nothing is said
  * or handed on of it before it is whole. Others would take it for all there is. */
--- a/test/pw.h
+++ b/test/pw.h
@@ -87,6 +87,7 @@
 	int slow_answers; /* that were begun */
 	int slow_bytes;   /* of an answer over 64 KB are sent each tenth of a second; 0: at once
 			   */
+	int page;         /* items of an answer to a listing, in the order of keys; 0: all */
 	uint64_t revision;
 };
 extern struct pw_store pw_store;
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -228,7 +228,7 @@
 {
 	pw_store.mode = pw_store.second_mode = PW_STORE_OK;
 	pw_store.watches_silent = 0;
-	pw_store.slow_bytes = pw_store.slow_answers = 0;
+	pw_store.slow_bytes = pw_store.slow_answers = pw_store.page = 0;
 	pw_store.calls = pw_store.watches = pw_store.commits = 0;
 	pw_store_compact();
 	g_hash_table_remove_all(entries);
@@ -282,15 +282,56 @@
 	g_string_free(out, TRUE);
 }
 
+static int by_key(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The keys that begin so, in order. Free with g_ptr_array_unref. */
+static GPtrArray *keys_of(const char *prefix)
+{
+	GPtrArray *keys = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer key, e;
+
+	g_hash_table_iter_init(&it, entries);
+	while (g_hash_table_iter_next(&it, &key, &e))
+		if (((struct entry *)e)->value && g_str_has_prefix(key, prefix))
+			g_ptr_array_add(keys, key);
+	qsort(keys->pdata, keys->len, sizeof *keys->pdata, by_key);
+	return keys;
+}
+
+/* 1 when more follow. */
+static int json_page(GString *out, const char *prefix, const char *after)
+{
+	GPtrArray *keys = keys_of(prefix);
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < keys->len && (!pw_store.page || n < pw_store.page); i++) {
+		const char *key = g_ptr_array_index(keys, i);
+
+		if (strcmp(key, after) <= 0) continue;
+		if (n++) g_string_append_c(out, ',');
+		json_item(out, key, g_hash_table_lookup(entries, key));
+	}
+	n = i < keys->len;
+	g_ptr_array_unref(keys);
+	return n;
+}
+
 static void range(struct hs *h, const char *target)
 {
 	GString *out = g_string_new("{\"items\":[");
-	char prefix[256] = "";
+	char prefix[256] = "", after[256] = "";
+	int more;
 
 	pw_query(target, "pathPrefix", prefix, sizeof prefix);
-	json_items(out, prefix, 0, 0);
-	g_string_append_printf(out, "],\"more\":false,\"at\":%" G_GUINT64_FORMAT "}",
-			       pw_store.revision);
+	pw_query(target, "afterRevision", after, sizeof after);
+	more = json_page(out, prefix, after);
+	g_string_append_printf(out, "],\"more\":%s,\"at\":%" G_GUINT64_FORMAT "}",
+			       more ? "true" : "false", pw_store.revision);
 	answer(h, 200, out->str);
 	g_string_free(out, TRUE);
 }
--- a/test/test_lists.c
+++ b/test/test_lists.c
@@ -70,7 +70,71 @@
 	pw_end();
 }
 
+#define PAGE 50
+/* One asks whether the configuration is the newest, two list a page each, one asks what changed:
+ * once in 0.9 s at the soonest. */
+#define CALLS_A_TURN 4
+#define TURN_MS 900
+
+/* Entries of servers that nobody asks, which come before those that are. */
+static void list_idle_servers(int n)
+{
+	char key[32], value[256];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(key, sizeof key, "servers/a-%04d", i);
+		g_snprintf(value, sizeof value,
+			   "{\"service\":\"idle\",\"address\":\"%s:%d\",\"zone\":\"a\","
+			   "\"version\":\"v1\",\"slots\":6,\"state\":\"ready\"}",
+			   pw_server_ip(), 20000 + i);
+		pw_store_put(key, value);
+	}
+}
+
+static void what_checks_cost_does_not_grow_with_the_list(void)
+{
+	int pages;
+
+	for (pages = 1; pages <= 16; pages *= 4) {
+		pw_init();
+		pw_store.page = PAGE;
+		list_idle_servers(PAGE * pages);
+		pw_server_add("app", 0);
+		pw_entry_ready();
+		pw_run(1000);
+		pw_store.calls = 0;
+		pw_run(4 * TURN_MS);
+		CU_ASSERT(pw_store.calls <= 5 * CALLS_A_TURN);
+		pw_end();
+	}
+}
+
+/* Watches and glances say nothing; the page on which it stood is listed once more. */
+static void silent_watches_hide_nothing_of_a_long_list_for_long(void)
+{
+	struct pw_server *gone;
+	struct pw_entry *e;
+
+	pw_init();
+	pw_store.page = PAGE;
+	list_idle_servers(PAGE * 3);
+	gone = pw_server_add("app", 0);
+	pw_server_add("app", 0)->work_ms = SLOW_MS;
+	e = pw_entry_ready();
+	pw_run(1000);
+	pw_store.watches_silent = 1;
+	pw_server_unlist(gone);
+	pw_run(5000); /* two turns of 1.8 s at the most, and some way */
+	no_call_goes_to(e, gone);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"what_checks_cost_does_not_grow_with_the_list",
+	 what_checks_cost_does_not_grow_with_the_list},
+	{"silent_watches_hide_nothing_of_a_long_list_for_long",
+	 silent_watches_hide_nothing_of_a_long_list_for_long},
 	{"the_listing_of_another_hides_no_change", the_listing_of_another_hides_no_change},
 	{"one_that_never_watches_hears_of_what_went_before_others_started",
 	 one_that_never_watches_hears_of_what_went_before_others_started},
