Long lists are had from an instance of the own data centre

Change: heartbeats and requests for copies tell the data centre; whoever has no list asks near ones, and those that turn it away name near ones; it waits for them for 0.6 s until they are heard and 2 s in all. The configuration is had first, alone. A start reads the first page from the store and leaves the rest to its neighbours while somebody has it, or is to list it.

What one copy costs is unchanged; only where it comes from is.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -74,6 +74,13 @@
 	return 0;
 }
 
+uint32_t mesh_self_dc(void)
+{
+	uint32_t hash = g_str_hash(cfg->data_centre);
+
+	return hash ? hash : 1;
+}
+
 void mesh_write_own_beat(GString *out, const struct member *to)
 {
 	struct mesh_beat b = {.ready = self_ready,
@@ -84,7 +91,8 @@
 			      .serves = mesh_self_serves(),
 			      .verdicts = poison_digest(),
 			      .orders = board_orders_digest(),
-			      .from = watch_backends_from()};
+			      .from = watch_backends_from(),
+			      .dc = mesh_self_dc()};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
--- a/src/fleet/mesh_fetch.c
+++ b/src/fleet/mesh_fetch.c
@@ -13,11 +13,17 @@
 #define HOLD_SLACK_US 2000    /* timers fire a millisecond early */
 #define NEXT_US 25000         /* after a refusal, before another one is asked */
 #define REFUSED_US 400000     /* it is not asked again: half of a copy on a small link */
+/* An instance without any list of servers waits so long for one of its own data centre to have
+ * it: one copy crosses to each data centre, not one to each instance. */
+#define NEAR_US 2000000
+#define NEAR_HEARD_US 600000    /* from when on those that are there have been heard */
+#define NOTHING_NEWER INT64_MAX /* as a revision: no item is wanted */
 
 static struct mesh_in *fetch; /* the answer under way, or NULL */
 static size_t received;       /* bytes of it */
 static int64_t begun_us;      /* when it was asked for */
 static int64_t hold_us;       /* none begins before */
+static int64_t lacked_us;     /* since when there is a configuration, and no list */
 /* While fetching: how long nothing may come. Else: when the next one is asked. */
 static struct ev_timer timer;
 
@@ -44,26 +50,74 @@
 	return may_have_it(m) && clock_us() >= m->fetch_after_us;
 }
 
+/* Whoever was named by others alone was named as near. */
+static int is_near(const struct member *m)
+{
+	return !m->said.dc || m->said.dc == mesh_self_dc();
+}
+
+static int any_near(void)
+{
+	const GPtrArray *all = mesh_members();
+	uint32_t i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct member *m = g_ptr_array_index(all, i);
+
+		if (m->alive && is_near(m)) return 1;
+	}
+	return 0;
+}
+
+/* The list of servers is all that is missing, and all of it. */
+static int lacks_list_alone(void)
+{
+	const GPtrArray *all = mesh_members();
+	struct board_revs mine = board_revs();
+	uint32_t i;
+
+	if (!board_conf() || mine.backends) return 0;
+	for (i = 0; i < all->len; i++) {
+		const struct member *m = g_ptr_array_index(all, i);
+
+		if (m->alive && m->said.revs.conf > mine.conf) return 0;
+	}
+	return 1;
+}
+
+static int waits_for_near(void)
+{
+	int64_t now = clock_us();
+
+	if (!lacks_list_alone()) {
+		lacked_us = 0;
+		return 0;
+	}
+	if (!lacked_us) lacked_us = now;
+	return now - lacked_us < (any_near() ? NEAR_US : NEAR_HEARD_US);
+}
+
 /* The wider its link, the likelier an instance is asked; it may not have told how wide. */
-static int weight(const struct member *m)
+static int weight(const struct member *m, int near)
 {
-	return can_be_asked(m) ? MAX(1, m->said.link_mbps) : 0;
+	if (!can_be_asked(m) || (near && !is_near(m))) return 0;
+	return MAX(1, m->said.link_mbps);
 }
 
 /* One of those who know more, drawn by what their links carry; NULL: none can be asked now. */
-static struct member *draw(void)
+static struct member *draw(int near)
 {
 	const GPtrArray *all = mesh_members();
 	double sum = 0, at;
 	uint32_t i;
 
-	for (i = 0; i < all->len; i++) sum += weight(g_ptr_array_index(all, i));
+	for (i = 0; i < all->len; i++) sum += weight(g_ptr_array_index(all, i), near);
 	if (!sum) return NULL;
 	at = g_random_double() * sum;
 	for (i = 0; i < all->len; i++) {
 		struct member *m = g_ptr_array_index(all, i);
 
-		at -= weight(m);
+		at -= weight(m, near);
 		if (at < 0) return m;
 	}
 	return NULL;
@@ -114,11 +168,20 @@
 	try_another();
 }
 
+/* The configuration first, alone: it is small mostly, and anybody's will do. */
+static struct board_revs wanted_after(void)
+{
+	struct board_revs after = board_revs();
+
+	if (!board_conf()) after.backends = NOTHING_NEWER;
+	return after;
+}
+
 static void on_fetch_up(struct cn *c)
 {
 	GString *out = g_string_new(NULL);
 
-	mesh_write_fetch(out, board_revs());
+	mesh_write_fetch(out, wanted_after(), mesh_self_dc());
 	cn_write(c, out->str, out->len);
 	g_string_free(out, TRUE);
 }
@@ -185,7 +248,7 @@
 		ev_at(&timer, hold_us + HOLD_SLACK_US);
 		return;
 	}
-	m = draw();
+	m = draw(waits_for_near());
 	if (m)
 		begin(m);
 	else if (anybody_knows_more())
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -23,7 +23,7 @@
 	struct board_revs after;
 
 	if (mesh_read_revs(a, &after)) return -EBADMSG;
-	return mesh_serve(in, after);
+	return mesh_serve(in, after, a->size > 3 ? (uint32_t)mesh_int(&a->ptr[3]) : 0);
 }
 
 /* Of an earlier release, which waits for the answer on its link; what is large it has from the
--- a/src/fleet/mesh_serve.c
+++ b/src/fleet/mesh_serve.c
@@ -42,17 +42,17 @@
 	ev_in(&in->serve_timer, SERVE_US);
 }
 
-static void turn_away(struct mesh_in *in)
+static void turn_away(struct mesh_in *in, uint32_t dc)
 {
 	GString *out = g_string_new(NULL);
 
 	met_add(MET_PEER_BUSY, 1);
-	mesh_write_holders(out, HOLDERS_MAX);
+	mesh_write_holders(out, HOLDERS_MAX, dc);
 	cn_write(&in->cn, out->str, out->len);
 	g_string_free(out, TRUE);
 }
 
-int mesh_serve(struct mesh_in *in, struct board_revs after)
+int mesh_serve(struct mesh_in *in, struct board_revs after, uint32_t dc)
 {
 	GString *out;
 	int large, empty;
@@ -60,7 +60,7 @@
 	if (in->serving || in->ours) return -EBUSY;
 	large = mesh_items_size(after) > MESH_SMALL_MAX;
 	if (large && serving >= places()) {
-		turn_away(in);
+		turn_away(in, dc);
 		return -EBUSY;
 	}
 	out = g_string_new(NULL);
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -53,6 +53,7 @@
 	msgpack_pack_uint64(p, b->verdicts);
 	msgpack_pack_uint64(p, b->orders);
 	msgpack_pack_uint64(p, b->from);
+	msgpack_pack_uint32(p, b->dc);
 	mesh_frame_end(&f, out);
 }
 
@@ -83,13 +84,14 @@
 	mesh_frame_end(&f, out);
 }
 
-void mesh_write_fetch(GString *out, struct board_revs after)
+void mesh_write_fetch(GString *out, struct board_revs after, uint32_t dc)
 {
 	struct mesh_frame f;
-	msgpack_packer *p = mesh_frame_begin(&f, MESH_FETCH, 3);
+	msgpack_packer *p = mesh_frame_begin(&f, MESH_FETCH, 4);
 
 	msgpack_pack_uint64(p, after.conf);
 	msgpack_pack_uint64(p, after.backends);
+	msgpack_pack_uint32(p, dc);
 	mesh_frame_end(&f, out);
 }
 
@@ -162,7 +164,7 @@
 }
 
 /* Those from a drawn one on: each that is refused hears of others. */
-static int collect_holders(const struct member **found, int most)
+static int collect_holders(const struct member **found, int most, uint32_t dc)
 {
 	const GPtrArray *all = mesh_members();
 	struct board_revs mine = board_revs();
@@ -172,18 +174,22 @@
 	for (i = 0; i < all->len && n < most; i++) {
 		const struct member *m = g_ptr_array_index(all, (first + i) % all->len);
 
+		if (dc && m->said.dc != dc) continue;
 		if (holds_all(m, mine)) found[n++] = m;
 	}
 	return n;
 }
 
-void mesh_write_holders(GString *out, int most)
+void mesh_write_holders(GString *out, int most, uint32_t dc)
 {
 	const struct member **found = g_new(const struct member *, most);
-	int i, n = collect_holders(found, most);
+	int i, n = collect_holders(found, most, dc);
 	struct board_revs mine = board_revs();
 	struct mesh_frame f;
-	msgpack_packer *p = mesh_frame_begin(&f, MESH_HOLDERS, 3 + n);
+	msgpack_packer *p;
+
+	if (!n) n = collect_holders(found, most, 0);
+	p = mesh_frame_begin(&f, MESH_HOLDERS, 3 + n);
 
 	msgpack_pack_uint64(p, mine.conf);
 	msgpack_pack_uint64(p, mine.backends);
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -14,10 +14,13 @@
 #define RETRY_FIRST_US 100000 /* after a failed call, doubled up to ... */
 #define RETRY_MAX_US 800000   /* ... this: the store's return must be seen within a second */
 #define FIRST_WAIT_US 2000000 /* of the fleet's first start: callers come seconds later */
-#define IDLE_LOOK_US 100000   /* how often one that does not watch looks whether it must */
-#define SETTLE_US 600000      /* after the start: by then others are heard if they are there */
-#define REST_MIN_US 30000  /* after news: what changes with it comes in the same return, ... */
-#define REST_MAX_US 130000 /* ... and of those who watch one is back soon */
+/* What a long list has beyond its first page is waited for so long: another instance hands it
+ * on in one piece, where the store is asked for each page. */
+#define REST_WAIT_US 4000000
+#define IDLE_LOOK_US 100000 /* how often one that does not watch looks whether it must */
+#define SETTLE_US 600000    /* after the start: by then others are heard if they are there */
+#define REST_MIN_US 30000   /* after news: what changes with it comes in the same return, ... */
+#define REST_MAX_US 130000  /* ... and of those who watch one is back soon */
 
 enum phase { LISTING, WATCHING };
 
@@ -30,7 +33,9 @@
 	uint64_t from;
 	/* What changed while this one had listed, and nobody watched for it, was asked for. */
 	int covered;
-	int glancing; /* its call waits for nothing */
+	int glancing;    /* its call waits for nothing */
+	int64_t left_us; /* since when others are waited for to hand on the rest; 0: they are
+			    not */
 	struct st_call *call, *glance;
 	struct ev_timer retry;
 	int64_t wait_us;        /* before the last retry; 0: the last call went well */
@@ -96,6 +101,27 @@
 	jlog_end(g);
 }
 
+/* Who watches for all is known once others are heard; where none are named there are none. */
+static int must_watch(void)
+{
+	int alone = mesh_live() == 1 && mesh_known() > 1;
+
+	if (alone && clock_us() - started_us < SETTLE_US) return 0;
+	return mesh_watches();
+}
+
+/* Some watch for all, and list whole what no other instance has. */
+static int others_have_or_list(void)
+{
+	return mesh_is_informed() || !must_watch();
+}
+
+static int may_leave_rest(const struct watcher *w)
+{
+	if (w->once || w->left_us || w->list.of != DL_BACKEND || w->base.backends) return 0;
+	return mesh_known() > 1 && others_have_or_list();
+}
+
 static void on_listed(const struct st_reply *r, void *user)
 {
 	struct watcher *w = user;
@@ -117,6 +143,12 @@
 	if (r->more && !w->base.backends && w->list.of == DL_BACKEND) board_set_partial(1);
 	apply_all(r, r->sent_us);
 	for (i = 0; i < r->n; i++) g_hash_table_add(w->listed, g_strdup(r->items[i].key));
+	if (r->more && r->n && may_leave_rest(w)) {
+		w->left_us = clock_us();
+		g_hash_table_remove_all(w->listed);
+		ev_in(&w->retry, IDLE_LOOK_US);
+		return;
+	}
 	if (r->more && r->n) {
 		w->call = st_range(w->list.prefix, r->items[r->n - 1].key, on_listed, w);
 		return;
@@ -170,15 +202,6 @@
 		next(w);
 }
 
-/* Who watches for all is known once others are heard; where none are named there are none. */
-static int must_watch(void)
-{
-	int alone = mesh_live() == 1 && mesh_known() > 1;
-
-	if (alone && clock_us() - started_us < SETTLE_US) return 0;
-	return mesh_watches();
-}
-
 /* Something came that does not go on from what is known: another instance's listing does not
  * tell of keys that went before it. */
 static int has_gap(const struct watcher *w)
@@ -195,7 +218,13 @@
 /* Others have handed on whole what this one would list. */
 static int has_from_others(const struct watcher *w)
 {
-	return !w->begun && known_revision(w);
+	return (!w->begun || w->left_us) && known_revision(w);
+}
+
+static int waits_for_rest(const struct watcher *w)
+{
+	if (!w->left_us || clock_us() - w->left_us >= REST_WAIT_US) return 0;
+	return others_have_or_list();
 }
 
 /* On the first start all have time to get the lists from the few that watch. */
@@ -233,7 +262,7 @@
 		w->at = w->from = known_revision(w);
 		w->covered = 1; /* whoever told it tells what went, too */
 	}
-	if (!may_ask(w) || (w->phase == LISTING && others_will_tell())) {
+	if (!may_ask(w) || (w->phase == LISTING && (others_will_tell() || waits_for_rest(w)))) {
 		ev_in(&w->retry, IDLE_LOOK_US);
 		return;
 	}
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -24,6 +24,7 @@
 	uint64_t verdicts;        /* digest of what it knows to be blamed */
 	uint64_t orders;          /* the same of operators' orders */
 	uint64_t from; /* all changes of backend servers after it are known to it; 0: none */
+	uint32_t dc;   /* hash of its data centre; 0: not told */
 };
 
 struct mesh_row {
@@ -51,13 +52,14 @@
 };
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
-#define MESH_BEAT_FIELDS 19
-#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next five */
+#define MESH_BEAT_FIELDS 20
+#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next six */
 #define MESH_BEAT_LINK 14       /* where link_mbps stands */
 #define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_BEAT_VERDICTS 16   /* where verdicts stands */
 #define MESH_BEAT_ORDERS 17     /* where orders stands */
 #define MESH_BEAT_FROM 18       /* where from stands */
+#define MESH_BEAT_DC 19         /* where dc stands */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10 /* of earlier releases, which leave out the next one */
 #define MESH_ROW_BORN 10       /* where born_ms stands */
@@ -68,12 +70,14 @@
 /* mesh_write.c: one frame each, appended to out. */
 void mesh_write_beat(GString *out, const struct mesh_beat *b);
 void mesh_write_loads(GString *out, const struct mesh_row *row, int n, int whole);
-void mesh_write_fetch(GString *out, struct board_revs after);
+/* dc: of the one that asks, as in its beats. */
+void mesh_write_fetch(GString *out, struct board_revs after, uint32_t dc);
 void mesh_write_items(GString *out, struct board_revs after);
 /* The same unasked: for those who know all up to after. */
 void mesh_write_news(GString *out, struct board_revs after);
-/* Up to most of the members that have all that this instance has, drawn. */
-void mesh_write_holders(GString *out, int most);
+/* Up to most of the members that have all that this instance has, drawn: of that data centre,
+ * if there are any (0: of any). */
+void mesh_write_holders(GString *out, int most, uint32_t dc);
 /* The members that this instance hears: the dead are forgotten by all. */
 void mesh_write_peers(GString *out);
 
@@ -125,6 +129,8 @@
 int mesh_self_takes_callers(void);
 int mesh_self_draining(void);
 int mesh_self_store_up(void);
+/* Hash of this instance's data centre, as its beats tell it. */
+uint32_t mesh_self_dc(void);
 /* What this instance tells of itself to m. */
 void mesh_write_own_beat(GString *out, const struct member *m);
 
@@ -187,7 +193,7 @@
 
 /* mesh_serve.c */
 /* Hands on what is newer than after. 0; -EBUSY: too much is under way; -ENOENT: nothing is. */
-int mesh_serve(struct mesh_in *in, struct board_revs after);
+int mesh_serve(struct mesh_in *in, struct board_revs after, uint32_t dc);
 /* The connection is about to be dropped. */
 void mesh_serve_end(struct mesh_in *in);
 
@@ -210,7 +216,8 @@
 
 /* mesh_orders.c */
 void mesh_orders_start(void);
-/* All orders that this instance knows, also those that are over; nothing where it knows none. */
+/* All orders that this instance knows, also those that are over; nothing where it knows none.
+ */
 void mesh_write_orders(GString *out);
 /* Tells them to m if it knows others. */
 void mesh_heal_orders(struct member *m);
--- a/test/pw.h
+++ b/test/pw.h
@@ -83,7 +83,7 @@
 	enum pw_store_mode mode;
 	enum pw_store_mode second_mode; /* of its second address, which an entry may be given */
 	int watches_silent;             /* changes are not told to those who watch */
-	int calls, watches, commits;
+	int calls, watches, commits, listings;
 	int slow_answers; /* that were begun */
 	int slow_bytes;   /* of an answer over 64 KB are sent each tenth of a second; 0: at once
 			   */
@@ -143,10 +143,10 @@
 
 struct pw_server {
 	char id[64], service[64], ip[32], address[48];
-	char zone[16];   /* "a" at first, where entries are, too */
+	char zone[16];    /* "a" at first, where entries are, too */
 	char version[16]; /* "v1" at first */
-	int64_t born_ms; /* of this life; 0: not told */
-	int cold_ms;     /* that its entry tells */
+	int64_t born_ms;  /* of this life; 0: not told */
+	int cold_ms;      /* that its entry tells */
 	struct hs_listener listener;
 	int64_t leaving_us; /* when its entry first said that it leaves, or went */
 	enum pw_mode mode;
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -87,6 +87,7 @@
 	msgpack_pack_uint64(p, 0); /* knows of nothing that is blamed ... */
 	msgpack_pack_uint64(p, 0); /* ... or drained */
 	msgpack_pack_uint64(p, 0); /* has no list of its own */
+	msgpack_pack_uint32(p, 0); /* nor says where it stands */
 	finish(&f, out);
 }
 
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -229,7 +229,7 @@
 	pw_store.mode = pw_store.second_mode = PW_STORE_OK;
 	pw_store.watches_silent = 0;
 	pw_store.slow_bytes = pw_store.slow_answers = pw_store.page = 0;
-	pw_store.calls = pw_store.watches = pw_store.commits = 0;
+	pw_store.calls = pw_store.watches = pw_store.commits = pw_store.listings = 0;
 	pw_store_compact();
 	g_hash_table_remove_all(entries);
 }
@@ -327,6 +327,7 @@
 	char prefix[256] = "", after[256] = "";
 	int more;
 
+	pw_store.listings++;
 	pw_query(target, "pathPrefix", prefix, sizeof prefix);
 	pw_query(target, "afterRevision", after, sizeof after);
 	more = json_page(out, prefix, after);
--- a/test/test_lists.c
+++ b/test/test_lists.c
@@ -71,8 +71,8 @@
 }
 
 #define PAGE 50
-/* One asks whether the configuration is the newest, two list a page each, one asks what changed:
- * once in 0.9 s at the soonest. */
+/* One asks whether the configuration is the newest, two list a page each, one asks what
+ * changed: once in 0.9 s at the soonest. */
 #define CALLS_A_TURN 4
 #define TURN_MS 900
 
@@ -130,7 +130,64 @@
 	pw_end();
 }
 
+/* An instance of data centre b, which knows those that started before it. */
+static struct pw_entry *start_in_b(const struct pw_entry *seed)
+{
+	static char lines[128];
+
+	g_snprintf(lines, sizeof lines, "zone=b\nseedNodes=%s:1\nfirstStart=false\n", seed->ip);
+	pw_settings(lines);
+	return pw_entry_ready();
+}
+
+/* One of each data centre has the list; whoever starts takes it from the near one, and asks the
+ * store for no more than its first page. */
+static void a_long_list_is_had_from_the_own_data_centre(void)
+{
+	struct pw_entry *e[3];
+
+	pw_init();
+	pw_store.page = PAGE;
+	list_idle_servers(PAGE * 8);
+	pw_server_add("app", 0);
+	e[0] = pw_entry_ready();
+	pw_run(500);
+	e[1] = start_in_b(e[0]);
+	pw_run(HEARD_MS * 2);
+	pw_store.listings = 0;
+	e[2] = start_in_b(e[0]);
+	pw_run(600);
+	/* Its own of both lists, one for instances, and two turns of two pages. */
+	CU_ASSERT(pw_store.listings <= 7);
+	pw_run(600);
+	CU_ASSERT(pw_log_has(e[2], "\"lists_fetched\",\"from\":\"e2\""));
+	CU_ASSERT(!pw_log_has(e[2], "\"lists_fetched\",\"from\":\"e1\""));
+	CU_ASSERT_EQUAL(pw_status_of_key(e[2], "k1"), 200);
+	pw_end();
+}
+
+/* Nobody has it: those that watch list it whole. */
+static void a_long_list_that_nobody_has_is_read_from_the_store(void)
+{
+	struct pw_entry *e[2];
+	int i;
+
+	pw_init();
+	pw_store.page = PAGE;
+	list_idle_servers(PAGE * 8);
+	pw_server_add("zzz", 0); /* on the last page, as its key says */
+	pw_settings("firstStart=false\n");
+	for (i = 0; i < 2; i++) e[i] = pw_entry_start();
+	pw_run(2500);
+	for (i = 0; i < 2; i++) CU_ASSERT(pw_log_has(e[i], "list_read"));
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"a_long_list_is_had_from_the_own_data_centre",
+	 a_long_list_is_had_from_the_own_data_centre},
+	{"a_long_list_that_nobody_has_is_read_from_the_store",
+	 a_long_list_that_nobody_has_is_read_from_the_store},
 	{"what_checks_cost_does_not_grow_with_the_list",
 	 what_checks_cost_does_not_grow_with_the_list},
 	{"silent_watches_hide_nothing_of_a_long_list_for_long",
