A request looks at 128 servers, near ones first, from a place of its own on

Cause: candidates were the first 1,024 of a service's list, the same at all instances: eight of nine engines were never looked at, whatever happened to these.

Change: rings of servers by service and data centre in the order of hashes; each instance begins at a place of its own, passes over what can't be used, and beyond 96 that are full looks for some that are not. Fleets of up to 128 servers a service choose among the same as before.

--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -1,5 +1,7 @@
 /* Placing a generation: what a decision costs, and how long prompts wait where many instances
  * decide by counts of a known age. */
+#include "be.h"
+#include "be_ring.h"
 #include "clock.h"
 #include "crowding.h"
 #include "placing.h"
@@ -75,12 +77,76 @@
 	       counts_inbound, waits, r.longs, r.late, r.preempted, r.refused);
 }
 
+/* ---- a choice among the servers of a large fleet ---- */
+
+#define FLEET 10000
+#define DATA_CENTRES 6
+
+struct candidates {
+	struct place_site s[PLACE_SITES_MAX];
+	int64_t now;
+	int n;
+};
+
+static int consider(struct be *b, void *arg)
+{
+	struct candidates *c = arg;
+
+	c->s[c->n] = (struct place_site){.usable = be_usable(b, c->now),
+					 .near = b->zone[1] == '0',
+					 .slots = b->slots,
+					 .runs = b->own.runs + b->others.runs,
+					 .tokens = 33640};
+	c->n += c->s[c->n].usable;
+	return c->n < PLACE_SITES_MAX;
+}
+
+static void list_fleet(void)
+{
+	char id[16], zone[8], address[32];
+	struct be_info info = {.id = id,
+			       .service = "llm",
+			       .zone = zone,
+			       .address = address,
+			       .version = "v1",
+			       .slots = 24};
+	int i;
+
+	for (i = 0; i < FLEET; i++) {
+		snprintf(id, sizeof id, "i-%d", i);
+		snprintf(zone, sizeof zone, "z%d", i % DATA_CENTRES);
+		snprintf(address, sizeof address, "10.%d.%d.%d:80", i >> 16, i >> 8 & 255,
+			 i & 255);
+		be_update(&info);
+	}
+}
+
+static void choice(void)
+{
+	static struct candidates c;
+	struct place_job j = {3000, 400, 1.0};
+	int64_t from;
+	int i, sum = 0;
+
+	list_fleet();
+	from = clock_us();
+	for (i = 0; i < ROUNDS; i++) {
+		c.n = 0;
+		c.now = from;
+		be_walk("llm", "z0", (uint32_t)i * 2654435761u, consider, &c);
+		sum += place_generation(c.s, c.n, &j, (uint32_t)i);
+	}
+	printf("choice_of_%d_servers_us %.2f\n", FLEET,
+	       (double)(clock_us() - from) / ROUNDS + (sum < 0));
+}
+
 int main(void)
 {
 	int m;
 
 	cost(125);
-	cost(1000);
+	cost(PLACE_SITES_MAX);
+	choice();
 	table(160);
 	table(320);
 	for (m = 0; m < 4; m++) crowd(m & 1, m >> 1);
--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -3,7 +3,9 @@
 #define SADDLEHEAD_PLACE_H
 #include <stdint.h>
 
-#define PLACE_SITES_MAX 1024 /* candidates that are looked at: the first ones */
+/* Candidates of one choice: more find no better one by what a request costs, and each costs
+ * some tens of ns. */
+#define PLACE_SITES_MAX 128
 
 /* One backend server as a candidate. Loads are those of all instances together. */
 struct place_site {
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -1,6 +1,7 @@
 /* Backend servers that are known, by their names and by their services. */
 #include "be.h"
 #include "be_life.h"
+#include "be_ring.h"
 #include "clock.h"
 #include "hostport.h"
 #include "jlog.h"
@@ -73,6 +74,7 @@
 	g_hash_table_remove(by_id, b->id);
 	g_ptr_array_remove_fast(all, b);
 	g_ptr_array_remove_fast(g_hash_table_lookup(by_service, b->service), b);
+	be_ring_remove(b);
 	be_unref(b);
 }
 
@@ -119,6 +121,7 @@
 	g_hash_table_insert(by_id, b->id, b);
 	g_ptr_array_add(all, b);
 	add_to_service(b);
+	be_ring_add(b);
 	return b;
 }
 
--- /dev/null
+++ b/src/fleet/be_ring.c
@@ -0,0 +1,121 @@
+/* Servers by service and data centre, each data centre's in the order of their hashes: an
+ * instance looks at some of them from a place of its own on. */
+#include "be.h"
+#include "be_ring.h"
+#include <string.h>
+
+struct ring {
+	char *zone;
+	GPtrArray *of; /* of struct be, by hash */
+};
+
+static GHashTable *rings; /* service -> GPtrArray of struct ring */
+
+static uint32_t hash_of(const struct be *b)
+{
+	return g_str_hash(b->id) * 2654435761u; /* ids that follow each other lie apart */
+}
+
+static void free_ring(gpointer p)
+{
+	struct ring *r = p;
+
+	g_free(r->zone);
+	g_ptr_array_free(r->of, TRUE);
+	g_free(r);
+}
+
+static void free_list(gpointer list)
+{
+	g_ptr_array_free(list, TRUE);
+}
+
+static GPtrArray *rings_of(const char *service)
+{
+	return rings ? g_hash_table_lookup(rings, service) : NULL;
+}
+
+static struct ring *ring_of(const GPtrArray *list, const char *zone)
+{
+	uint32_t i;
+
+	for (i = 0; list && i < list->len; i++) {
+		struct ring *r = g_ptr_array_index(list, i);
+
+		if (!strcmp(r->zone, zone)) return r;
+	}
+	return NULL;
+}
+
+/* The first place whose server has that hash or a greater one. */
+static uint32_t place_of(const struct ring *r, uint32_t hash)
+{
+	uint32_t from = 0, to = r->of->len;
+
+	while (from < to) {
+		uint32_t mid = (from + to) / 2;
+
+		if (hash_of(g_ptr_array_index(r->of, mid)) < hash)
+			from = mid + 1;
+		else
+			to = mid;
+	}
+	return from;
+}
+
+void be_ring_add(struct be *b)
+{
+	GPtrArray *list = rings_of(b->service);
+	struct ring *r;
+
+	if (!rings) rings = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+	if (!list) {
+		list = g_ptr_array_new_with_free_func(free_ring);
+		g_hash_table_insert(rings, g_strdup(b->service), list);
+	}
+	r = ring_of(list, b->zone);
+	if (!r) {
+		r = g_new0(struct ring, 1);
+		r->zone = g_strdup(b->zone);
+		r->of = g_ptr_array_new();
+		g_ptr_array_add(list, r);
+	}
+	g_ptr_array_insert(r->of, (gint)place_of(r, hash_of(b)), b);
+}
+
+void be_ring_remove(struct be *b)
+{
+	struct ring *r = ring_of(rings_of(b->service), b->zone);
+	uint32_t i;
+
+	if (!r) return;
+	for (i = place_of(r, hash_of(b)); i < r->of->len; i++) {
+		if (g_ptr_array_index(r->of, i) != b) continue;
+		g_ptr_array_remove_index(r->of, i);
+		return;
+	}
+}
+
+/* 0 when f said that it has seen enough. */
+static int walk(const struct ring *r, uint32_t from, be_seen *f, void *arg)
+{
+	uint32_t n = r->of->len, first = n ? place_of(r, from) : 0, i;
+
+	for (i = 0; i < n; i++)
+		if (!f(g_ptr_array_index(r->of, (first + i) % n), arg)) return 0;
+	return 1;
+}
+
+void be_walk(const char *service, const char *zone, uint32_t from, be_seen *f, void *arg)
+{
+	const GPtrArray *list = rings_of(service);
+	const struct ring *near = ring_of(list, zone);
+	uint32_t i;
+
+	if (!list || (near && !walk(near, from, f, arg))) return;
+	for (i = 0; i < list->len; i++) {
+		const struct ring *r = g_ptr_array_index(list, (from + i) % list->len);
+
+		if (r != near && !walk(r, from, f, arg)) return;
+	}
+}
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -1,4 +1,5 @@
 /* Which backend server a request goes to, its memory moves to, and its copy is kept at. */
+#include "be_ring.h"
 #include "clock.h"
 #include "mesh.h"
 #include "met.h"
@@ -54,38 +55,80 @@
 	};
 }
 
-/* Fills sites for the service's backend servers; how many. */
-static int collect(struct rq *r, const char *dc, const struct be *not_this,
-		   struct place_site *s)
+/* Of the sites those that have no room: the others are looked for beyond them. */
+#define FULL_SITES_MAX (PLACE_SITES_MAX * 3 / 4)
+
+/* Candidates of one choice. */
+struct choice {
+	const struct rq *r;
+	const struct place_job *job;
+	const char *dc;            /* near ones are of this data centre */
+	const struct be *not_this; /* or NULL */
+	int64_t now;
+	int last_resort; /* those that are better than nothing */
+	struct place_site s[PLACE_SITES_MAX];
+	struct be *at[PLACE_SITES_MAX];
+	int n, full;
+	int passed_over[PACE_WHYS];
+};
+
+uint32_t rq_own_place(void)
 {
-	const GPtrArray *list = be_of(r->service->name);
-	int64_t now = clock_us();
-	int i, any = 0, n = list ? MIN((int)list->len, PLACE_SITES_MAX) : 0;
-	int passed_over[PACE_WHYS] = {0};
+	return g_str_hash(rq_cfg->ip) * 2654435761u;
+}
 
-	for (i = 0; i < n; i++) {
-		struct be *b = g_ptr_array_index(list, i);
+static int may_go_to(struct choice *c, struct be *b, struct place_site *s)
+{
+	if (b == c->not_this) return 0;
+	if (c->last_resort)
+		return be_last_resort(b, c->now) && ro_is(b, c->r->parts) &&
+		       !pace_wait_us(b, c->r->service, c->now);
+	if (!s->usable) c->passed_over[pace_why(b, c->r->service, c->now)] = 1;
+	return s->usable;
+}
 
-		fill_site(&s[i], b, r, dc, now);
-		if (!s[i].usable) passed_over[pace_why(b, r->service, now)] = 1;
-		if (b == not_this) s[i].usable = 0;
-		any |= s[i].usable;
-	}
-	met_add(MET_COLD_PASSED_OVER, passed_over[PACE_COLD]);
-	met_add(MET_LIMIT_PASSED_OVER, passed_over[PACE_LIMIT]);
-	met_add(MET_REST_PASSED_OVER, passed_over[PACE_REST]);
-	for (i = 0; i < n && !any; i++) {
-		struct be *b = g_ptr_array_index(list, i);
-
-		s[i].usable = b != not_this && be_last_resort(b, now) &&
-			      ro_is(b, r->parts) && !pace_wait_us(b, r->service, now);
+static int consider(struct be *b, void *arg)
+{
+	struct choice *c = arg;
+	struct place_site *s = &c->s[c->n];
+
+	fill_site(s, b, c->r, c->dc, c->now);
+	if (!may_go_to(c, b, s)) return 1;
+	if (!place_fits(s, c->job)) {
+		if (c->full == FULL_SITES_MAX) return 1;
+		c->full++;
 	}
-	return n;
+	s->usable = 1;
+	c->at[c->n++] = b;
+	return c->n < PLACE_SITES_MAX;
 }
 
-static struct be *chosen(const struct rq *r, int i)
+/* Valid until the next call. */
+static struct choice *collect(struct rq *r, const struct place_job *job, const char *dc,
+			      const struct be *not_this)
 {
-	return i < 0 ? NULL : g_ptr_array_index(be_of(r->service->name), i);
+	static struct choice c;
+
+	c.r = r;
+	c.job = job;
+	c.dc = dc;
+	c.not_this = not_this;
+	c.now = clock_us();
+	c.n = c.full = c.last_resort = 0;
+	memset(c.passed_over, 0, sizeof c.passed_over);
+	be_walk(r->service->name, dc, rq_own_place(), consider, &c);
+	met_add(MET_COLD_PASSED_OVER, c.passed_over[PACE_COLD]);
+	met_add(MET_LIMIT_PASSED_OVER, c.passed_over[PACE_LIMIT]);
+	met_add(MET_REST_PASSED_OVER, c.passed_over[PACE_REST]);
+	if (c.n) return &c;
+	c.last_resort = 1;
+	be_walk(r->service->name, dc, rq_own_place(), consider, &c);
+	return &c;
+}
+
+static struct be *chosen(const struct choice *c, int i)
+{
+	return i < 0 ? NULL : c->at[i];
 }
 
 static double rate;     /* generations placed in a second */
@@ -110,15 +153,11 @@
 
 static struct be *pick(struct rq *r, const struct be *not_this)
 {
-	static struct place_site s[PLACE_SITES_MAX];
-	int n = collect(r, rq_cfg->data_centre, not_this, s), i;
+	const struct choice *c = collect(r, &r->job, rq_cfg->data_centre, not_this);
 
-	if (r->service->engine) {
-		r->job.rivals = rivals();
-		i = place_generation(s, n, &r->job, g_random_int());
-	} else
-		i = place_call(s, n, g_random_int());
-	return chosen(r, i);
+	if (!r->service->engine) return chosen(c, place_call(c->s, c->n, g_random_int()));
+	r->job.rivals = rivals();
+	return chosen(c, place_generation(c->s, c->n, &r->job, g_random_int()));
 }
 
 /* A canary is no reason to wait. */
@@ -148,33 +187,27 @@
 
 struct be *rq_pick_target(struct rq *r, const struct be *source)
 {
-	static struct place_site s[PLACE_SITES_MAX];
 	struct place_job now = {.prompt = rq_held(r)};
-	int n, i;
+	struct choice *c;
+	int i;
 
 	r->parts = ro_parts(r->service->name, 0);
-	n = collect(r, source->zone, source, s);
-	for (i = 0; i < n; i++)
-		if (!can_be_moved_to(g_ptr_array_index(be_of(r->service->name), i)))
-			s[i].usable = 0;
-	return chosen(r, place_move(s, n, &now, g_random_int()));
+	c = collect(r, &now, source->zone, source);
+	for (i = 0; i < c->n; i++)
+		if (!can_be_moved_to(c->at[i])) c->s[i].usable = 0;
+	return chosen(c, place_move(c->s, c->n, &now, g_random_int()));
 }
 
 struct be *rq_pick_backup(struct leg *l)
 {
-	static struct place_site s[PLACE_SITES_MAX];
 	struct rq *r = l->rq;
-	const GPtrArray *list = be_of(r->service->name);
 	struct place_job now = {.prompt = rq_held(r)};
-	int n, i, at = -1;
+	const struct choice *c;
 
 	if (r->route->resumable || r->route->kind != CONF_STREAM) return NULL;
 	r->parts = ro_parts(r->service->name, 0);
-	n = collect(r, l->be->zone, l->be, s);
-	for (i = 0; i < n; i++)
-		if (g_ptr_array_index(list, i) == l->be) at = i;
-	i = place_backup(s, n, at, &now, BACKUP_PERCENT, g_random_int());
-	return chosen(r, i);
+	c = collect(r, &now, l->be->zone, l->be);
+	return chosen(c, place_backup(c->s, c->n, -1, &now, BACKUP_PERCENT, g_random_int()));
 }
 
 static void fill_forecast(struct forecast_site *s, struct be *b, const struct rq *r,
@@ -193,15 +226,31 @@
 	};
 }
 
+struct foreseen {
+	const struct rq *r;
+	int64_t now;
+	struct forecast_site s[PLACE_SITES_MAX];
+	int n;
+};
+
+static int foresee(struct be *b, void *arg)
+{
+	struct foreseen *f = arg;
+
+	fill_forecast(&f->s[f->n], b, f->r, f->now);
+	if (f->s[f->n].usable_in_us != FORECAST_NEVER) f->n++;
+	return f->n < PLACE_SITES_MAX;
+}
+
 int64_t rq_room_in(const struct rq *r, uint64_t before)
 {
-	static struct forecast_site s[PLACE_SITES_MAX];
-	const GPtrArray *list = be_of(r->service->name);
-	int64_t now = clock_us();
-	int i, n = list ? MIN((int)list->len, PLACE_SITES_MAX) : 0;
+	static struct foreseen f;
 
-	for (i = 0; i < n; i++) fill_forecast(&s[i], g_ptr_array_index(list, i), r, now);
-	return forecast_room_us(s, n, r->job.prompt + r->job.growth / 2, before);
+	f.r = r;
+	f.now = clock_us();
+	f.n = 0;
+	be_walk(r->service->name, rq_cfg->data_centre, rq_own_place(), foresee, &f);
+	return forecast_room_us(f.s, f.n, r->job.prompt + r->job.growth / 2, before);
 }
 
 int rq_fits(const struct rq *r, struct be *b)
--- a/src/relay/rq_turn.c
+++ b/src/relay/rq_turn.c
@@ -3,6 +3,7 @@
  * each waits for its turn while that comes within its time, and is told at once when to come
  * back where it does not.
  */
+#include "be_ring.h"
 #include "clock.h"
 #include "jlog.h"
 #include "pace.h"
@@ -13,41 +14,51 @@
 #define SPREAD_PART 4     /* those that are refused together come back over such a part of it */
 
 /* The next turns at the service's servers, without those that get no new work. */
-static int collect(const struct rq *r, struct quota_site *s, struct be **first)
+struct turns {
+	const struct rq *r;
+	int64_t now, least;
+	uint32_t parts;
+	struct quota_site s[PLACE_SITES_MAX];
+	struct be *first; /* the one that has the next turn */
+	double answer_us; /* the least of their usual times; 0: none is known */
+	int n;
+};
+
+static int add_turn(struct be *b, void *arg)
 {
-	const GPtrArray *list = be_of(r->service->name);
-	int64_t now = clock_us(), least = QUOTA_NEVER;
-	uint32_t i;
-	int n = 0;
-
-	for (i = 0; list && i < list->len && n < PLACE_SITES_MAX; i++) {
-		struct be *b = g_ptr_array_index(list, i);
-		int64_t in_us = be_usable_in(b, now), wait_us;
-
-		if (in_us == INT64_MAX || !ro_is(b, ro_parts_else(r->service->name))) continue;
-		wait_us = pace_wait_us(b, r->service, now);
-		s[n].first_us = MAX(in_us, wait_us);
-		s[n].gap_us = pace_gap_us(b, r->service, now);
-		if (s[n].first_us < least) *first = b;
-		least = MIN(least, s[n].first_us);
-		n++;
-	}
-	return n;
+	struct turns *t = arg;
+	int64_t in_us = be_usable_in(b, t->now), wait_us;
+
+	if (in_us == INT64_MAX || !ro_is(b, t->parts)) return 1;
+	wait_us = pace_wait_us(b, t->r->service, t->now);
+	t->s[t->n].first_us = MAX(in_us, wait_us);
+	t->s[t->n].gap_us = pace_gap_us(b, t->r->service, t->now);
+	if (t->s[t->n].first_us < t->least) t->first = b;
+	t->least = MIN(t->least, t->s[t->n].first_us);
+	if (b->answer_us > 0 && (!t->answer_us || b->answer_us < t->answer_us))
+		t->answer_us = b->answer_us;
+	return ++t->n < PLACE_SITES_MAX;
+}
+
+static struct turns *collect(const struct rq *r)
+{
+	static struct turns t;
+
+	t.r = r;
+	t.now = clock_us();
+	t.least = QUOTA_NEVER;
+	t.parts = ro_parts_else(r->service->name);
+	t.first = NULL;
+	t.answer_us = 0;
+	t.n = 0;
+	be_walk(r->service->name, rq_cfg->data_centre, rq_own_place(), add_turn, &t);
+	return &t;
 }
 
 /* What it takes at the least after its turn has come. */
 static int64_t answer_us(const struct rq *r)
 {
-	const GPtrArray *list = be_of(r->service->name);
-	double least = 0;
-	uint32_t i;
-
-	for (i = 0; i < list->len; i++) {
-		const struct be *b = g_ptr_array_index(list, i);
-
-		if (b->answer_us > 0 && (!least || b->answer_us < least)) least = b->answer_us;
-	}
-	return MAX((int64_t)least * ANSWER_TIMES, LEFT_MIN_US);
+	return MAX((int64_t)collect(r)->answer_us * ANSWER_TIMES, LEFT_MIN_US);
 }
 
 static void count(const struct rq *o, void *n)
@@ -60,12 +71,12 @@
  * next one. */
 static int64_t turn_us(const struct rq *r, struct be **first)
 {
-	static struct quota_site s[PLACE_SITES_MAX];
+	struct turns *t = collect(r);
 	uint32_t ahead = 0;
-	int n = collect(r, s, first);
 
+	if (t->first) *first = t->first;
 	rq_line_ahead(r, RQ_WAITS_TURN, count, &ahead);
-	return quota_turn_us(s, n, ahead);
+	return quota_turn_us(t->s, t->n, ahead);
 }
 
 static int in_time(const struct rq *r, int64_t wait_us)
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -300,7 +300,11 @@
 {
 	char *first = g_strconcat(service, "-1", NULL),
 	     *second = g_strconcat(service, "-2", NULL);
-	struct be_info i = {first, service, "a", "127.0.0.1:9", 8, 0, 0, 0};
+	struct be_info i = {.id = first,
+			    .service = service,
+			    .zone = "a",
+			    .address = "127.0.0.1:9",
+			    .slots = 8};
 	struct be *b;
 
 	be_update(&i);
