--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -189,7 +189,7 @@
 	if (!all->len || !mesh_self_hub()) return;
 	m = g_ptr_array_index(all, g_random_int_range(0, (gint32)all->len));
 	out = g_string_new(NULL);
-	mesh_write_peers(out);
+	mesh_write_peers(out, 0);
 	mesh_send(m, out);
 	g_string_free(out, TRUE);
 }
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -11,6 +11,9 @@
 #define ROWS_MAX 256 /* of one message */
 
 static struct ev_timer teller;
+static GPtrArray *changed;    /* servers whose own load others have not been told */
+static GHashTable *in_use;    /* set of those with something of this instance on them */
+static unsigned told_entries; /* loads that members told, all together */
 
 static void add(struct be_load *a, const struct be_load *b)
 {
@@ -64,6 +67,7 @@
 
 static void free_told(gpointer p)
 {
+	told_entries--;
 	uncount(p);
 	g_free(p);
 }
@@ -103,6 +107,7 @@
 	if (t && r->born_ms < t->born_ms) return;
 	if (!t) {
 		t = g_new0(struct told_load, 1);
+		told_entries++;
 		g_hash_table_insert(m->loads, g_strdup(r->id), t);
 	}
 	uncount(t);
@@ -117,7 +122,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < mesh_members()->len; i++) {
+	for (i = 0; told_entries && i < mesh_members()->len; i++) {
 		struct member *m = g_ptr_array_index(mesh_members(), i);
 		struct told_load *t = g_hash_table_lookup(m->loads, b->id);
 
@@ -146,21 +151,35 @@
 	return !b->own.runs && !b->own.backup && !b->own.inbound;
 }
 
-static int collect(struct mesh_row *row, int whole)
+static void fill_row(struct mesh_row *row, const struct be *b)
 {
-	const GPtrArray *all = be_all();
-	uint32_t i;
+	g_strlcpy(row->id, b->id, sizeof row->id);
+	row->born_ms = b->born_ms;
+	row->ends = b->ends;
+	row->load = b->own;
+}
+
+static int collect_in_use(struct mesh_row *row)
+{
+	GHashTableIter it;
+	gpointer b;
 	int n = 0;
 
-	for (i = 0; i < all->len && n < ROWS_MAX; i++) {
-		struct be *b = g_ptr_array_index(all, i);
+	g_hash_table_iter_init(&it, in_use);
+	while (n < ROWS_MAX && g_hash_table_iter_next(&it, &b, NULL)) fill_row(&row[n++], b);
+	return n;
+}
 
-		if (whole ? idle(b) : !b->dirty) continue;
-		if (!whole) b->dirty = 0; /* a whole message goes to one instance */
-		g_strlcpy(row[n].id, b->id, sizeof row[n].id);
-		row[n].born_ms = b->born_ms;
-		row[n].ends = b->ends;
-		row[n++].load = b->own;
+static int collect_changed(struct mesh_row *row)
+{
+	int n = 0;
+
+	while (n < ROWS_MAX && changed->len) {
+		struct be *b = g_ptr_array_index(changed, changed->len - 1);
+
+		fill_row(&row[n++], b);
+		b->dirty = 0;
+		g_ptr_array_set_size(changed, (gint)changed->len - 1);
 	}
 	return n;
 }
@@ -168,7 +187,7 @@
 static void write_rows(GString *out, int whole)
 {
 	struct mesh_row *row = g_new(struct mesh_row, ROWS_MAX);
-	int n = collect(row, whole);
+	int n = whole ? collect_in_use(row) : collect_changed(row);
 
 	if (n || whole) mesh_write_loads(out, row, n, whole);
 	g_free(row);
@@ -230,21 +249,38 @@
 {
 	GString *out = g_string_new(NULL);
 
-	(void)t;
 	write_rows(out, 0);
 	if (out->len) mesh_send_serving(out);
 	g_string_free(out, TRUE);
+	if (changed->len) ev_in(t, TELL_US);
+}
+
+static void note_use(struct be *b)
+{
+	if (idle(b))
+		g_hash_table_remove(in_use, b);
+	else if (!g_hash_table_contains(in_use, b))
+		g_hash_table_add(in_use, be_ref(b));
 }
 
 void mesh_load_changed(struct be *b)
 {
+	if (!b->dirty) g_ptr_array_add(changed, be_ref(b));
 	b->dirty = 1;
+	note_use(b);
 	mesh_note_load();
 	if (!teller.armed) ev_in(&teller, TELL_US);
 }
 
+static void unref(gpointer b)
+{
+	be_unref(b);
+}
+
 void mesh_loads_start(void)
 {
+	changed = g_ptr_array_new_with_free_func(unref);
+	in_use = g_hash_table_new_full(NULL, NULL, unref, NULL);
 	teller.fire = on_tell;
 	be_on_new = on_new;
 }
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -198,27 +198,32 @@
 	g_free(found);
 }
 
-static int count_alive(const GPtrArray *all)
+static int is_told(const struct member *m, int hubs_alone)
+{
+	return m->alive && (m->hub || !hubs_alone);
+}
+
+static int count_told(const GPtrArray *all, int hubs_alone)
 {
 	uint32_t i;
 	int n = 0;
 
-	for (i = 0; i < all->len; i++)
-		n += ((const struct member *)g_ptr_array_index(all, i))->alive;
+	for (i = 0; i < all->len; i++) n += is_told(g_ptr_array_index(all, i), hubs_alone);
 	return n;
 }
 
-void mesh_write_peers(GString *out)
+void mesh_write_peers(GString *out, int hubs_alone)
 {
 	const GPtrArray *all = mesh_members();
 	struct mesh_frame f;
-	msgpack_packer *p = mesh_frame_begin(&f, MESH_PEERS, 1 + 2 * count_alive(all));
+	int n = count_told(all, hubs_alone);
+	msgpack_packer *p = mesh_frame_begin(&f, MESH_PEERS, 1 + 2 * n);
 	uint32_t i;
 
 	for (i = 0; i < all->len; i++) {
 		const struct member *m = g_ptr_array_index(all, i);
 
-		if (!m->alive) continue;
+		if (!is_told(m, hubs_alone)) continue;
 		mesh_pack_text(p, m->ip);
 		msgpack_pack_int(p, m->link_mbps);
 	}
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -78,8 +78,9 @@
 /* Up to most of the members that have all that this instance has, drawn: of that data centre,
  * if there are any (0: of any). */
 void mesh_write_holders(GString *out, int most, uint32_t dc);
-/* The members that this instance hears: the dead are forgotten by all. */
-void mesh_write_peers(GString *out);
+/* The members that this instance hears, or the hubs among them: the dead are forgotten by all.
+ */
+void mesh_write_peers(GString *out, int hubs_alone);
 
 /* Bytes of items: more is not passed on unasked, and counts as a copy that is handed on. */
 #define MESH_SMALL_MAX 8192
