Routes and workspaces bound to regions stay there, and callers find their own

Cause: allowedRegions was read nowhere, and nothing knew of regions: a prompt's memory could be moved over a link of 60 Mbit/s.

Change: both bind where both are set: choice, turns, copies and moves pass over other regions. What is not bound prefers its own: a call counts 25 ms more elsewhere, a generation 300 tokens, copies are never kept there, and memory moves there last.

--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -11,6 +11,7 @@
 struct place_site {
 	int usable;
 	int near;         /* in the same data centre as the one that asks (or as the source) */
+	int away;         /* in another region: what goes there crosses a narrow link */
 	uint32_t slots;   /* requests at once; 0: not told */
 	uint32_t runs;    /* requests on it */
 	uint32_t unread;  /* prompt tokens that wait to be read there */
--- a/src/core/conf.c
+++ b/src/core/conf.c
@@ -11,6 +11,7 @@
 	g_free(r->name);
 	g_free(r->host);
 	g_free(r->prefix);
+	g_strfreev(r->regions);
 	g_free(r);
 }
 
@@ -24,6 +25,7 @@
 static void free_group(gpointer p)
 {
 	g_free(((struct conf_group *)p)->name);
+	g_strfreev(((struct conf_group *)p)->regions);
 	g_free(p);
 }
 
@@ -131,6 +133,32 @@
 	return g_hash_table_lookup(c->by_service, name);
 }
 
+static int is_among(char *const *regions, const char *region)
+{
+	if (!regions) return 1;
+	return region && g_strv_contains((const gchar *const *)regions, region);
+}
+
+int conf_allows(const struct conf_route *r, const struct conf_group *g, const char *region)
+{
+	return is_among(r->regions, region) && (!g || is_among(g->regions, region));
+}
+
+int conf_binds_regions(const struct conf *c, const char *host)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->groups->len; i++)
+		if (((const struct conf_group *)g_ptr_array_index(c->groups, i))->regions)
+			return 1;
+	for (i = 0; i < c->routes->len; i++) {
+		const struct conf_route *r = g_ptr_array_index(c->routes, i);
+
+		if (r->regions && !g_ascii_strcasecmp(r->host, host)) return 1;
+	}
+	return 0;
+}
+
 const char *conf_pick(const struct conf_route *r, double draw)
 {
 	double sum = 0;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -7,6 +7,7 @@
 #define HOLD_UP_PERCENT 20 /* of a prompt, for each request that its reading holds up */
 #define PRESSURE_COST 1    /* each token of memory over the mark risks a preemption */
 #define QUEUE_COST 1000    /* each request more than an engine runs at once waits for another */
+#define AWAY_COST 300      /* there and back between regions */
 #define TIE 64             /* costs closer than this are equal */
 
 /* Tokens that an engine reads in a millisecond between those that it makes. */
@@ -26,12 +27,15 @@
 #define ALL_BACKUP_PERCENT 30
 
 /* Moves and copies. */
-#define FAR_TIMES 2     /* memory moves between data centres in so many times the time */
+#define FAR_TIMES 2 /* memory moves between data centres in so many times the time */
+/* The same between regions: a long prompt's memory takes seconds over their link. */
+#define AWAY_TIMES 64
 #define ROOM_STEPS 8    /* parts of the memory: within one others choose, too */
 #define FAR_ROOM_STEP 1 /* a copy in another data centre is worth it from so much more room */
 
 /* Plain calls, in microseconds. */
 #define FAR_US 1400   /* a call to another data centre takes about so much longer */
+#define AWAY_US 25000 /* the same to another region, there and back */
 #define DRAW_US 1000  /* calls whose times are closer than this are drawn among */
 #define CALL_US 15000 /* a call's time before any was measured */
 /* Of the usual time of a call: with less left it most likely runs for nobody. */
@@ -101,6 +105,7 @@
 	uint64_t cost = s->unread + (uint64_t)s->runs * RUN_COST + hold_up_cost(s, j);
 
 	cost += over_mark(s, j) * PRESSURE_COST;
+	if (s->away) cost += AWAY_COST;
 	if (s->slots && s->runs >= s->slots)
 		cost += (uint64_t)(s->runs - s->slots + 1) * QUEUE_COST;
 	return cost;
@@ -190,6 +195,7 @@
 /* When its memory has arrived, in tokens of a near link; those before it come first. */
 static uint64_t arrival_cost(const struct place_site *s, const struct place_job *j)
 {
+	if (s->away) return (s->inbound + need(j)) * AWAY_TIMES;
 	return (s->inbound + need(j)) * (s->near ? 1 : FAR_TIMES);
 }
 
@@ -233,7 +239,7 @@
 
 	if (percent_used(s, n, j) > ALL_BACKUP_PERCENT) return -1;
 	for (i = 0; i < n; i++) {
-		if (i == main || !s[i].usable || !s[i].tokens) continue;
+		if (i == main || !s[i].usable || s[i].away || !s[i].tokens) continue;
 		if ((taken(&s[i]) + need(j)) * 100 > (uint64_t)s[i].tokens * percent) continue;
 		choose(&c, i, room_cost(&s[i]));
 	}
@@ -248,6 +254,7 @@
 
 	if (s->slots) us += each * s->runs / s->slots;
 	if (s->slots && s->runs >= s->slots) us += each * (s->runs - s->slots + 1);
+	if (s->away) return us + AWAY_US;
 	return s->near ? us : us + FAR_US;
 }
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -22,8 +22,10 @@
 #include <string.h>
 
 #define ADDRESSES_MAX 64 /* in one answer of the directory */
-#define TTL_PART 0.4     /* of the longest that callers keep an answer: changes are seen soon */
-#define TTL_HELD 3       /* some callers keep an answer so many times its life */
+#define ADDRESSES_CANDIDATES \
+	4096         /* it is drawn from so many at most: the first that are known */
+#define TTL_PART 0.4 /* of the longest that callers keep an answer: changes are seen soon */
+#define TTL_HELD 3   /* some callers keep an answer so many times its life */
 #define DRAIN_END_US 400000 /* before the kill: what is left is ended properly */
 #define DRAIN_CLOSE_US \
 	1000000             /* after it, connections at rest are closed: callers know by then */
@@ -87,10 +89,14 @@
 
 static void answer_where(struct hs *h)
 {
-	static const char *all[4096];
-	int n = mesh_addresses(all, G_N_ELEMENTS(all));
+	static const char *all[ADDRESSES_CANDIDATES];
+	struct dl_where w;
 	GString *out;
+	int n;
 
+	dl_read_where(&h->hp.head, &w);
+	n = mesh_addresses(all, ADDRESSES_CANDIDATES, w.region[0] ? w.region : NULL,
+			   board_conf() && conf_binds_regions(board_conf(), w.host));
 	if (!n) {
 		hs_answer(h, 503, NULL, "", 0);
 		return;
@@ -184,9 +190,10 @@
 
 int entry_start(struct entry_cfg *c, struct err *e)
 {
-	int rc;
+	int rc, i;
 
 	cfg = c;
+	for (i = 0; i < c->ndcs; i++) be_set_region(c->dc[i].name, c->dc[i].region);
 	set_needs(c);
 	pace_start();
 	leave_start();
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -110,6 +110,7 @@
 	b->service = g_strdup(i->service);
 	b->zone = g_strdup(i->zone);
 	b->address = g_strdup(i->address);
+	b->region = be_region_of(i->zone);
 	b->version = g_strdup(i->version ? i->version : "");
 	b->sa = *sa;
 	b->since_us = clock_us();
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -74,13 +74,23 @@
 	return 0;
 }
 
-uint32_t mesh_self_dc(void)
+uint32_t mesh_place_hash(const char *name)
 {
-	uint32_t hash = g_str_hash(cfg->data_centre);
+	uint32_t hash = g_str_hash(name);
 
 	return hash ? hash : 1;
 }
 
+uint32_t mesh_self_dc(void)
+{
+	return mesh_place_hash(cfg->data_centre);
+}
+
+uint32_t mesh_self_region(void)
+{
+	return mesh_place_hash(cfg->region);
+}
+
 void mesh_write_own_beat(GString *out, const struct member *to)
 {
 	struct mesh_beat b = {.ready = self_ready,
@@ -92,7 +102,8 @@
 			      .verdicts = poison_digest(),
 			      .orders = board_orders_digest(),
 			      .from = watch_backends_from(),
-			      .dc = mesh_self_dc()};
+			      .dc = mesh_self_dc(),
+			      .region = mesh_self_region()};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -53,6 +53,8 @@
 		b->orders = (uint64_t)mesh_int(&a->ptr[MESH_BEAT_ORDERS]);
 	if (a->size > MESH_BEAT_FROM) b->from = (uint64_t)mesh_int(&a->ptr[MESH_BEAT_FROM]);
 	b->dc = a->size > MESH_BEAT_DC ? (uint32_t)mesh_int(&a->ptr[MESH_BEAT_DC]) : 0;
+	b->region =
+		a->size > MESH_BEAT_REGION ? (uint32_t)mesh_int(&a->ptr[MESH_BEAT_REGION]) : 0;
 	return 0;
 }
 
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -44,7 +44,8 @@
 	char *id;
 	int64_t born_ms; /* when this life of it began, by its own clock; 0: not told */
 	char *service, *zone, *address;
-	char *version; /* of its software; empty: not told */
+	char *version;      /* of its software; empty: not told */
+	const char *region; /* NULL: not told */
 	struct sockaddr_in sa;
 	enum be_state state;
 	int leaves_by_word; /* its own, or another instance's: its entry may not tell */
@@ -121,6 +122,9 @@
 /* Whether a stream whose memory is there alone may still go on there: not where its data centre
  * has been drained for be_drain_need_us, even if it is lost. */
 int be_may_go_on(const struct be *b);
+/* Where a data centre lies; NULL: not told. */
+void be_set_region(const char *dc, const char *region);
+const char *be_region_of(const char *dc);
 /* Whether no server of the service is ready but in drained data centres, and one is there. */
 int be_only_drained(const char *service);
 /* Names of the data centres where servers stand, or which are drained. Free with
@@ -130,7 +134,8 @@
  * said again. */
 void be_suspect(struct be *b, const char *said_by);
 void be_told_suspect(const char *id, int64_t born_ms, const char *said_by);
-/* Servers of that version get nothing new, and what runs there goes on elsewhere; or may again. */
+/* Servers of that version get nothing new, and what runs there goes on elsewhere; or may again.
+ */
 void be_bar_version(const char *service, const char *version, int on);
 int be_version_is_barred(const char *service, const char *version);
 /* Whether it leaves, is gone, or may be leaving, or its data centre is drained, or its version
--- a/src/internal/conf.h
+++ b/src/internal/conf.h
@@ -29,6 +29,7 @@
 	int resumable;      /* a stream may go on in a new run */
 	struct conf_split split[CONF_SPLIT_MAX];
 	int nsplit;
+	char **regions; /* it may be served there alone; NULL: anywhere */
 };
 
 struct conf_service {
@@ -50,7 +51,8 @@
 
 struct conf_group {
 	char *name;
-	int priority; /* -1: none of its own */
+	int priority;   /* -1: none of its own */
+	char **regions; /* as a route's */
 };
 
 struct conf {
@@ -79,6 +81,11 @@
 const struct conf_route *conf_route(const struct conf *c, const char *host, const char *path);
 const struct conf_group *conf_group(const struct conf *c, const char *key);
 const struct conf_service *conf_service(const struct conf *c, const char *name);
+/* Whether something of the route, and of the group (NULL: of none), may be served and kept in
+ * the region (NULL: not known where). */
+int conf_allows(const struct conf_route *r, const struct conf_group *g, const char *region);
+/* Whether some route of the host, or some group, is bound to regions. */
+int conf_binds_regions(const struct conf *c, const char *host);
 /* The service for a draw from 0 up to 1. */
 const char *conf_pick(const struct conf_route *r, double draw);
 #endif
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -96,7 +96,7 @@
 enum dl_item {
 	DL_OTHER,
 	DL_CONF,
-	DL_DRAIN, /* of a data centre, while the key stands; whatever it holds */
+	DL_DRAIN,   /* of a data centre, while the key stands; whatever it holds */
 	DL_ROLLOUT, /* of a service's new version */
 	DL_BACKEND
 };
@@ -136,6 +136,11 @@
 /* Questions to this instance itself. */
 enum dl_question { DL_NONE, DL_READY, DL_WHERE };
 enum dl_question dl_question(const struct hp_head *h);
+/* Of DL_WHERE: for which host, and where the caller is; empty where it does not say. */
+struct dl_where {
+	char host[ENTRY_TEXT_MAX + 1], region[ENTRY_TEXT_MAX + 1];
+};
+void dl_read_where(const struct hp_head *h, struct dl_where *w);
 void dl_write_where(GString *out, const char *const *address, int n, double ttl_s);
 
 /* Settings as the platform lays them. 0, or negative with e set. */
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -45,9 +45,10 @@
 /* The same of those that the settings name. */
 void mesh_learn_seeds(void);
 /* Addresses of the active instances that take callers, this one included if it is; how many.
- * When none is, all that take callers, and then all that are known. Valid until the next call
- * of the loop. */
-int mesh_addresses(const char **out, int max);
+ * Those of the caller's own region (NULL: not told) where there are some; with bound set any of
+ * it that take callers. When none is, all that take callers, and then all that are known. Valid
+ * until the next call of the loop. */
+int mesh_addresses(const char **out, int max, const char *region, int bound);
 /* Instances that were heard of lately, this one included; at least 1. */
 int mesh_live(void);
 /* Other instances that callers come to, as far as they are heard. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -23,8 +23,9 @@
 	int64_t echo_held_us;     /* since it came */
 	uint64_t verdicts;        /* digest of what it knows to be blamed */
 	uint64_t orders;          /* the same of operators' orders */
-	uint64_t from; /* all changes of backend servers after it are known to it; 0: none */
-	uint32_t dc;   /* hash of its data centre; 0: not told */
+	uint64_t from;   /* all changes of backend servers after it are known to it; 0: none */
+	uint32_t dc;     /* hash of its data centre; 0: not told */
+	uint32_t region; /* the same of its region */
 };
 
 struct mesh_row {
@@ -52,14 +53,15 @@
 };
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
-#define MESH_BEAT_FIELDS 20
-#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next six */
+#define MESH_BEAT_FIELDS 21
+#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next seven */
 #define MESH_BEAT_LINK 14       /* where link_mbps stands */
 #define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_BEAT_VERDICTS 16   /* where verdicts stands */
 #define MESH_BEAT_ORDERS 17     /* where orders stands */
 #define MESH_BEAT_FROM 18       /* where from stands */
 #define MESH_BEAT_DC 19         /* where dc stands */
+#define MESH_BEAT_REGION 20     /* where region stands */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10 /* of earlier releases, which leave out the next one */
 #define MESH_ROW_BORN 10       /* where born_ms stands */
@@ -130,8 +132,11 @@
 int mesh_self_takes_callers(void);
 int mesh_self_draining(void);
 int mesh_self_store_up(void);
-/* Hash of this instance's data centre, as its beats tell it. */
+/* A data centre's or a region's name as beats tell it; never 0. */
+uint32_t mesh_place_hash(const char *name);
+/* Hashes of this instance's data centre and region, as its beats tell them; never 0. */
 uint32_t mesh_self_dc(void);
+uint32_t mesh_self_region(void);
 /* What this instance tells of itself to m. */
 void mesh_write_own_beat(GString *out, const struct member *m);
 
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -162,6 +162,8 @@
 /* rq_pick.c */
 /* Where this instance begins to look among servers, as be_walk has it. */
 uint32_t rq_own_place(void);
+/* Whether it may be served there, by the regions that its route and workspace are bound to. */
+int rq_allows(const struct rq *r, const struct be *b);
 /* The best of the service but not_this (NULL: any); NULL: none is usable. */
 struct be *rq_pick(struct rq *r, const struct be *not_this);
 /* Whether a plain call can still be answered there in its time; generations wait by forecast.
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -25,12 +25,25 @@
 				.inbound = b->own.inbound + b->others.inbound};
 }
 
+int rq_allows(const struct rq *r, const struct be *b)
+{
+	return conf_allows(r->route, r->group, b->region);
+}
+
+/* In another region, as far as is known. */
+static int is_away(const struct be *b, const char *dc)
+{
+	const char *region = be_region_of(dc);
+
+	return region && b->region && strcmp(region, b->region) != 0;
+}
+
 /* Microseconds until b may get new work of r's service; INT64_MAX: not as far as is known. */
 static int64_t usable_in(struct be *b, const struct rq *r, int64_t now)
 {
 	int64_t in_us = be_usable_in(b, now), wait_us;
 
-	if (in_us == INT64_MAX || !ro_is(b, r->parts)) return INT64_MAX;
+	if (in_us == INT64_MAX || !ro_is(b, r->parts) || !rq_allows(r, b)) return INT64_MAX;
 	wait_us = pace_wait_us(b, r->service, now);
 	return MAX(in_us, wait_us);
 }
@@ -43,6 +56,7 @@
 	*s = (struct place_site){
 		.usable = usable_in(b, r, now) == 0,
 		.near = !strcmp(b->zone, dc),
+		.away = is_away(b, dc),
 		.slots = b->slots,
 		.runs = all.runs,
 		.unread = all.unread,
@@ -82,7 +96,7 @@
 	if (b == c->not_this) return 0;
 	if (c->last_resort)
 		return be_last_resort(b, c->now) && ro_is(b, c->r->parts) &&
-		       !pace_wait_us(b, c->r->service, c->now);
+		       rq_allows(c->r, b) && !pace_wait_us(b, c->r->service, c->now);
 	if (!s->usable) c->passed_over[pace_why(b, c->r->service, c->now)] = 1;
 	return s->usable;
 }
--- a/test/pw.h
+++ b/test/pw.h
@@ -245,6 +245,7 @@
 	int link_mbps;    /* over which it moves */
 	int cold_per_s;   /* requests that a server of app bears in its first second; 0: any */
 	const char *keys; /* JSON list of w1's keys */
+	const char *regions; /* JSON list of those of /chat/ and /safe/; NULL: any */
 	const char *safe_service;
 };
 extern struct pw_conf pw_conf;
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -19,15 +19,18 @@
 GString *pw_conf_text(void)
 {
 	GString *s = g_string_new(NULL);
-	char safe[64], name[32], cold[64] = "";
+	char safe[160], chat[160], name[32], cold[64] = "", regions[96] = "";
 	int i;
 
 	if (pw_conf.cold_per_s)
 		g_snprintf(cold, sizeof cold, ",\"coldStartS\":1.0,\"coldPerS\":%d",
 			   pw_conf.cold_per_s);
-	g_snprintf(safe, sizeof safe, ",\"maxAttempts\":%d", pw_conf.attempts);
+	if (pw_conf.regions)
+		g_snprintf(regions, sizeof regions, ",\"allowedRegions\":%s", pw_conf.regions);
+	g_snprintf(safe, sizeof safe, ",\"maxAttempts\":%d%s", pw_conf.attempts, regions);
+	g_snprintf(chat, sizeof chat, ",\"maxAttempts\":3%s", regions);
 	g_string_printf(s, "{\"version\":%d,\"routes\":[", pw_conf.version);
-	route(s, "chat", "streaming", "llm", 1, ",\"maxAttempts\":3");
+	route(s, "chat", "streaming", "llm", 1, chat);
 	route(s, "sum", "streaming", "llm", 0, ",\"maxAttempts\":2,\"streamResumption\":true");
 	route(s, "safe", "safe", pw_conf.safe_service, 2, safe);
 	/* more attempts than one: its kind alone must keep it from running twice */
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -36,6 +36,20 @@
 	return r ? r->name : "none";
 }
 
+static void route_and_workspace_both_bind_to_regions(void)
+{
+	char *of_route[] = {"a", "b", NULL}, *of_group[] = {"b", NULL};
+	struct conf_route r = {.regions = of_route}, free_route = {0};
+	struct conf_group g = {.regions = of_group};
+
+	CU_ASSERT(conf_allows(&r, NULL, "a"));
+	CU_ASSERT(!conf_allows(&r, &g, "a"));
+	CU_ASSERT(conf_allows(&r, &g, "b"));
+	CU_ASSERT(!conf_allows(&free_route, &g, "c"));
+	CU_ASSERT(conf_allows(&free_route, NULL, "c"));
+	CU_ASSERT(!conf_allows(&r, NULL, NULL)); /* nobody knows where that is */
+}
+
 static void the_longest_prefix_of_the_host_decides(void)
 {
 	struct conf *c = conf_new();
@@ -281,6 +295,7 @@
 }
 
 static const struct check list[] = {
+	{"route_and_workspace_both_bind_to_regions", route_and_workspace_both_bind_to_regions},
 	{"the_longest_prefix_of_the_host_decides", the_longest_prefix_of_the_host_decides},
 	{"a_split_is_drawn_by_weight", a_split_is_drawn_by_weight},
 	{"events_are_whole_and_come_once", events_are_whole_and_come_once},
