What slow callers have not taken is bounded for each and for all

Cause: beyond 128 KB an engine's answer was not read on, and engines break off what is left unread; in all nothing was bounded; bytes taken by a trickling reader were kept until it had taken everything.

Change: up to a megabyte each while memory is there, a quarter of the instance's memory for all; beyond it those that took nothing for a second end first, with a counter and a reason of their own.

Test: test_hold, 12 and 48 readers of 16 MB each that stop, one that reads on, one that returns.

--- a/src/base/reason.c
+++ b/src/base/reason.c
@@ -35,6 +35,7 @@
 	[REF_SUSPECT] = {"may_crash_engines", 503},
 	[REF_DC_DRAINED] = {"data_centre_drained", 503},
 	[REF_PACED] = {"servers_paced", 503},
+	[REF_SLOW_READER] = {"reader_too_slow", 502},
 };
 
 static const char *const retries[RETRY_MAX] = {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -6,6 +6,7 @@
 #include "dialect.h"
 #include "ev.h"
 #include "hs.h"
+#include "hs_hold.h"
 #include "jlog.h"
 #include "leave.h"
 #include "limit.h"
@@ -42,6 +43,8 @@
 static struct ev_timer state_timer;
 static int64_t drain_us;
 
+#define MEGABYTE (1u << 20)
+#define HELD_PART 4     /* of an instance's memory, for what callers have not taken yet */
 #define STATE_US 200000 /* how often readiness is worked out for other instances */
 
 static int64_t ttl_us(void)
@@ -208,6 +211,7 @@
 	rq_init(c);
 	rq_poison_start(c->first_start);
 	rc = listen_all(e);
+	if (!rc) hs_hold_start(&front, (size_t)c->memory_mb * MEGABYTE / HELD_PART, rq_on_slow);
 	if (rc) return rc;
 	rc = mesh_start(c);
 	if (rc)
--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #define READ_SIZE 16384      /* bytes a read; larger ones only cost stack */
+#define TAKEN_MAX 65536      /* bytes at the start of what is written that are gone already */
 #define READS_A_TURN 4       /* then others get their turn */
 #define USER_TIMEOUT_MS 3000 /* unacknowledged bytes for so long: the peer is cut off */
 #define KEEPALIVE_IDLE_S 3   /* a peer silent for so long is asked ... */
@@ -72,12 +73,21 @@
 		if (n < 0 && errno == EINTR) continue;
 		if (n < 0) return errno == EAGAIN ? 0 : -errno;
 		c->out_off += n;
+		c->taken += (uint64_t)n;
 	}
 	if (c->out) g_string_truncate(c->out, 0);
 	c->out_off = 0;
 	return 0;
 }
 
+/* A peer that takes some of it now and then would keep all that it ever took. */
+static void drop_taken(struct cn *c)
+{
+	if (c->out_off < TAKEN_MAX) return;
+	g_string_erase(c->out, 0, (gssize)c->out_off);
+	c->out_off = 0;
+}
+
 static void on_writable(struct cn *c)
 {
 	int err = 0;
@@ -228,6 +238,7 @@
 	}
 	if ((size_t)done == n) return;
 	if (!c->out) c->out = g_string_new(NULL);
+	drop_taken(c);
 	g_string_append_len(c->out, (const char *)p + done, n - done);
 	watch(c);
 }
--- a/src/internal/cn.h
+++ b/src/internal/cn.h
@@ -10,6 +10,7 @@
 	struct sockaddr_in peer;
 	GString *out; /* accepted for writing, not taken by the kernel yet */
 	size_t out_off;
+	uint64_t taken; /* bytes that the kernel took of out, so far */
 	uint32_t events;
 	int connecting, paused, got_eof;
 	void (*on_up)(struct cn *c); /* connected; may be NULL */
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -22,6 +22,7 @@
 	char front_text[ENTRY_TEXT_MAX + 1]; /* as callers are told it */
 	struct sockaddr_in front, ready, directory, platform;
 	int has_directory;                /* 0: another program answers where to go */
+	int memory_mb;                    /* that this instance may use */
 	int link_mbps;                    /* what this instance's link carries; 0: not told */
 	uint16_t peer_port, metrics_port; /* 0: no metrics */
 	struct sockaddr_in seed[ENTRY_SEEDS_MAX]; /* some other instances' peer ports */
--- a/src/internal/hs.h
+++ b/src/internal/hs.h
@@ -33,8 +33,10 @@
 	GString *in;   /* came early: the next request's bytes */
 	GString *body; /* of this request */
 	struct ev_timer timer;
-	int64_t arrived_us; /* the last byte of the request; monotonic */
-	uint32_t index;     /* in the listener's conns */
+	int64_t arrived_us;  /* the last byte of the request; monotonic */
+	uint32_t index;      /* in the listener's conns */
+	uint64_t taken_seen; /* of cn, at the last look */
+	int64_t still_us;    /* when it had last taken some */
 	int busy, closing, keep;
 	void *user;
 };
--- a/src/internal/reason.h
+++ b/src/internal/reason.h
@@ -33,10 +33,11 @@
 	REF_CALLER_LEFT,
 	REF_CONFLICT,
 	REF_INTERNAL,
-	REF_CRASHES,    /* backend servers ended under it: not sent again */
-	REF_SUSPECT,    /* the same may be so, and others of it are under way */
-	REF_DC_DRAINED, /* all servers that would do are in data centres that are drained */
-	REF_PACED,      /* all servers that would do have had their share of requests */
+	REF_CRASHES,     /* backend servers ended under it: not sent again */
+	REF_SUSPECT,     /* the same may be so, and others of it are under way */
+	REF_DC_DRAINED,  /* all servers that would do are in data centres that are drained */
+	REF_PACED,       /* all servers that would do have had their share of requests */
+	REF_SLOW_READER, /* the caller takes its answer too slowly, and memory is short */
 	REF_MAX
 };
 
--- a/src/internal/rq.h
+++ b/src/internal/rq.h
@@ -12,6 +12,8 @@
 void rq_on_request(struct hs *h);
 void rq_on_left(struct hs *h);
 void rq_on_drain(struct hs *h);
+/* Its caller takes too little: ends the connection, and what runs for it. */
+void rq_on_slow(struct hs *h);
 /* A backend server leaves: what runs there goes on elsewhere where it can. */
 void rq_on_leaving(struct be *b);
 /* A backend server's life is over: what ran there goes on elsewhere at once where it can. */
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -202,6 +202,18 @@
 	let_go(r);
 }
 
+void rq_on_slow(struct hs *h)
+{
+	struct rq *r = h->user;
+
+	met_refused(REF_SLOW_READER);
+	if (r) {
+		rq_log(r, refusal_info(REF_SLOW_READER)->code, "memory is short");
+		let_go(r);
+	}
+	hs_abort(h);
+}
+
 void rq_on_drain(struct hs *h)
 {
 	struct rq *r = h->user;
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -1,5 +1,6 @@
 /* What comes back from a backend server, and is passed on to the caller. */
 #include "clock.h"
+#include "hs_hold.h"
 #include "jlog.h"
 #include "leave.h"
 #include "rq_impl.h"
@@ -8,7 +9,6 @@
 
 #define ANSWER_MAX (4u << 20) /* bytes of a plain answer: a thousand times one of today */
 #define RECOUNT_EVENTS 32 /* a stream's memory is told anew after so many: a percent of it */
-#define READ_PAUSE 131072 /* bytes that a slow reader may leave: some 400 events */
 
 /* These statuses promise that the request has not run. */
 static int promises(int status)
@@ -97,7 +97,7 @@
 
 	write_stream_head(r, head);
 	write_chunk(r, p, n);
-	if (l->hx && cn_pending(&r->h->cn) > READ_PAUSE) {
+	if (l->hx && !hs_may_hold(r->h)) {
 		met_add(MET_PAUSES, 1);
 		hx_pause(l->hx, 1);
 	}
@@ -136,7 +136,8 @@
 		leg_read(l);
 		leg_recount(l);
 		be_succeeded(l->be, 0);
-		leg_tell_version(l, RO_WELL); /* its end may come when it is too late to judge */
+		leg_tell_version(l,
+				 RO_WELL); /* its end may come when it is too late to judge */
 		if (be_leaves(r->leg->be)) move_begin(r);
 	}
 	move_go_on(r);
--- /dev/null
+++ b/test/test_hold.c
@@ -0,0 +1,192 @@
+/* Callers that take their answers slowly: what is kept for them is bounded, for each and for
+ * all, and those that read are not made to wait for the others. */
+#include "check.h"
+#include "clock.h"
+#include "hs_hold.h"
+#include "pw.h"
+#include <string.h>
+
+#define MOST (8u << 20) /* bytes for all */
+#define PIECE (256u << 10)
+#define STREAM (16u << 20) /* bytes of one answer: more than the system's buffers take */
+#define PORT 7300
+#define READERS 12
+
+static struct hs_listener listener;
+static GPtrArray *answered; /* of struct hs, under way */
+static int ended;
+
+static void on_request(struct hs *h)
+{
+	h->user = GSIZE_TO_POINTER(STREAM); /* bytes that are left to be written */
+	g_ptr_array_add(answered, h);
+}
+
+static void on_left(struct hs *h)
+{
+	g_ptr_array_remove_fast(answered, h);
+}
+
+static void on_slow(struct hs *h)
+{
+	g_ptr_array_remove_fast(answered, h);
+	ended++;
+	hs_abort(h);
+}
+
+/* As fast as may be: servers have all of it ready. */
+static void write_some(void)
+{
+	static char piece[PIECE];
+	uint32_t i;
+
+	for (i = answered->len; i-- > 0;) {
+		struct hs *h = g_ptr_array_index(answered, i);
+		size_t left = GPOINTER_TO_SIZE(h->user);
+
+		if (!left || !hs_may_hold(h)) continue;
+		h->user = GSIZE_TO_POINTER(left - PIECE);
+		hs_write(h, piece, PIECE);
+	}
+}
+
+struct reader {
+	struct cn cn;
+	size_t got;
+	int gone;
+};
+
+static void on_data(struct cn *c, const char *p, size_t n)
+{
+	(void)p;
+	((struct reader *)c)->got += n;
+}
+
+static void on_end(struct cn *c, int err)
+{
+	(void)err;
+	((struct reader *)c)->gone = 1;
+	cn_close(c);
+}
+
+static void on_up(struct cn *c)
+{
+	static const char ask[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	cn_write(c, ask, sizeof ask - 1);
+}
+
+static void begin(struct reader *r, int n)
+{
+	struct sockaddr_in at;
+	int i;
+
+	pw_init();
+	pw_address_of(pw_ip(1), PORT, &at);
+	answered = g_ptr_array_new();
+	ended = 0;
+	memset(&listener, 0, sizeof listener);
+	listener.limits = pw_limits;
+	listener.on_request = on_request;
+	listener.on_left = on_left;
+	CU_ASSERT_EQUAL(hs_listen(&listener, &at), 0);
+	hs_hold_start(&listener, MOST, on_slow);
+	memset(r, 0, n * sizeof *r);
+	for (i = 0; i < n; i++) {
+		r[i].cn.on_up = on_up;
+		r[i].cn.on_data = on_data;
+		r[i].cn.on_end = on_end;
+		cn_connect(&r[i].cn, &at);
+	}
+	pw_run(50);
+}
+
+static size_t held(void)
+{
+	size_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < answered->len; i++)
+		sum += cn_pending(&((struct hs *)g_ptr_array_index(answered, i))->cn);
+	return sum;
+}
+
+/* The most that was held at any time. */
+static size_t serve(int ms)
+{
+	int64_t until = clock_us() + ms * 1000LL;
+	size_t most = 0;
+
+	while (clock_us() < until) {
+		write_some();
+		most = MAX(most, held());
+		pw_run(5);
+	}
+	return most;
+}
+
+static void end(struct reader *r, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (!r[i].gone) cn_reset(&r[i].cn);
+	pw_run(20);
+	hs_stop(&listener);
+	g_ptr_array_free(answered, TRUE);
+	pw_end();
+}
+
+/* One goes on reading, the others have stopped. */
+static void readers_that_stop_hold_up_nobody(void)
+{
+	static struct reader r[READERS];
+	int i;
+
+	begin(r, READERS);
+	for (i = 1; i < READERS; i++) cn_pause(&r[i].cn, 1);
+	CU_ASSERT(serve(2500) <= READERS * ((1u << 20) + PIECE));
+	CU_ASSERT_EQUAL(r[0].got, STREAM);
+	CU_ASSERT(!r[0].gone);
+	CU_ASSERT(held() <= MOST);
+	end(r, READERS);
+}
+
+/* It stops for a while and takes the rest then. */
+static void a_reader_that_returns_has_all_of_it(void)
+{
+	static struct reader r[1];
+
+	begin(r, 1);
+	cn_pause(&r[0].cn, 1);
+	serve(1500);
+	cn_pause(&r[0].cn, 0);
+	serve(1500);
+	CU_ASSERT_EQUAL(r[0].got, STREAM);
+	CU_ASSERT_EQUAL(ended, 0);
+	end(r, 1);
+}
+
+/* All of them want more than there is: those that take nothing go, and are told apart. */
+static void memory_that_is_short_ends_those_that_take_nothing(void)
+{
+	static struct reader r[4 * READERS];
+	int i;
+
+	begin(r, 4 * READERS);
+	for (i = 1; i < 4 * READERS; i++) cn_pause(&r[i].cn, 1);
+	serve(2500);
+	CU_ASSERT(held() <= MOST);
+	CU_ASSERT_EQUAL(r[0].got, STREAM);
+	CU_ASSERT(ended > 0);
+	end(r, 4 * READERS);
+}
+
+static const struct check list[] = {
+	{"readers_that_stop_hold_up_nobody", readers_that_stop_hold_up_nobody},
+	{"a_reader_that_returns_has_all_of_it", a_reader_that_returns_has_all_of_it},
+	{"memory_that_is_short_ends_those_that_take_nothing",
+	 memory_that_is_short_ends_those_that_take_nothing},
+};
+
+CHECK_MAIN(list)
