News of the lists go by a tree: hubs, and one near hub for each that stands by

Change: watchers tell hubs and those that serve callers; each hub passes on to those that stand by of which it is the first in an order by hash, among hubs of their data centre if there are any. Heartbeats heal what is lost, as before.

Ruled out: gossip (three seconds at this size), subsets of servers (each promise that rests on knowing all would need an owner).

Worked out: copies of one change 2,955 before, some 1,023 now, 57 of them between data centres.

--- a/include/saddlehead/roles.h
+++ b/include/saddlehead/roles.h
@@ -60,6 +60,8 @@
 /* Whether self is among these for the instance to; all by the hashes of their addresses. hubs:
  * the n others. */
 int roles_tells_all(uint32_t self, uint32_t to, const uint32_t *hubs, int n);
+/* Whether self is the first in that order. */
+int roles_is_first(uint32_t self, uint32_t to, const uint32_t *hubs, int n);
 
 /* An instance whose configuration grows too old. */
 struct roles_old {
--- a/src/core/roles.c
+++ b/src/core/roles.c
@@ -88,13 +88,24 @@
 	return (x ^ x >> 15) * 2246822519u;
 }
 
-int roles_tells_all(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
+/* So many hubs come before self. */
+static int rank_for(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
 {
 	uint32_t mine = order_for(self, to);
 	int i, before = 0;
 
 	for (i = 0; i < n; i++) before += order_for(hubs[i], to) < mine;
-	return before < ROLES_TELLERS;
+	return before;
+}
+
+int roles_tells_all(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
+{
+	return rank_for(self, to, hubs, n) < ROLES_TELLERS;
+}
+
+int roles_is_first(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
+{
+	return !rank_for(self, to, hubs, n);
 }
 
 int roles_may_ask(const struct roles_old *o, int64_t now_us)
--- a/src/fleet/mesh_fetch.c
+++ b/src/fleet/mesh_fetch.c
@@ -17,6 +17,7 @@
  * it: one copy crosses to each data centre, not one to each instance. */
 #define NEAR_US 2000000
 #define NEAR_HEARD_US 600000    /* from when on those that are there have been heard */
+#define NARROWER_MOST 2        /* times: a narrower link costs more than a far one */
 #define NOTHING_NEWER INT64_MAX /* as a revision: no item is wanted */
 
 static struct mesh_in *fetch; /* the answer under way, or NULL */
@@ -104,6 +105,22 @@
 	return MAX(1, m->said.link_mbps);
 }
 
+/* Somebody near can be asked whose link is about as wide as any. */
+static int has_near(void)
+{
+	const GPtrArray *all = mesh_members();
+	int widest = 0, near = 0;
+	uint32_t i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct member *m = g_ptr_array_index(all, i);
+
+		widest = MAX(widest, weight(m, 0));
+		if (m->said.dc == mesh_self_dc()) near = MAX(near, weight(m, 1));
+	}
+	return near && near * NARROWER_MOST >= widest;
+}
+
 /* One of those who know more, drawn by what their links carry; NULL: none can be asked now. */
 static struct member *draw(int near)
 {
@@ -248,7 +265,7 @@
 		ev_at(&timer, hold_us + HOLD_SLACK_US);
 		return;
 	}
-	m = draw(waits_for_near());
+	m = draw(waits_for_near() || has_near());
 	if (m)
 		begin(m);
 	else if (anybody_knows_more())
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -96,7 +96,12 @@
 	struct board_revs after, mine = board_revs();
 
 	if (mesh_read_revs(a, &after)) return -EBADMSG;
-	if (mine.backends >= after.backends) return take_items(in, a);
+	if (mine.backends >= after.backends) {
+		int rc = take_items(in, a);
+
+		if (!rc) mesh_forward(mine);
+		return rc;
+	}
 	mesh_fetch_soon(in->from);
 	return 0;
 }
--- a/src/fleet/mesh_know.c
+++ b/src/fleet/mesh_know.c
@@ -14,21 +14,6 @@
 	board_confirm(b->revs.conf, b->echo_us + b->echo_held_us - b->confirmed_ago_us);
 }
 
-/* What is large is fetched by those who lack it, from whoever has a place for them. */
-void mesh_pass_on(struct board_revs base)
-{
-	GString *out;
-
-	if (mesh_items_size(base) > MESH_SMALL_MAX) {
-		mesh_beat_now();
-		return;
-	}
-	out = g_string_new(NULL);
-	mesh_write_news(out, base);
-	if (out->len) mesh_send_all(out);
-	g_string_free(out, TRUE);
-}
-
 void mesh_learn_from(struct member *m)
 {
 	take_confirmation(&m->said);
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -185,6 +185,11 @@
 /* Nothing is sent where no link is up; one that is full is broken off. */
 void mesh_send(struct member *m, const GString *frame);
 
+/* mesh_tree.c */
+/* News came from another instance: passes what is newer than base on to those that have it from
+ * this hub. */
+void mesh_forward(struct board_revs base);
+
 /* mesh_know.c: takes what m just said of its lists: how sure it is, and that it knows more. */
 void mesh_learn_from(struct member *m);
 
