How far a list is complete is told apart from what is in it

Change: board_complete says up to where all changes have come: by a whole listing up to its first page, by watches and news up to their last change. What a check finds is passed on as it is, without that claim.

Test: a later change is not handed on before earlier ones (test_pure); the test of a listing that is not whole asserts the same as before by the new word. An old configuration says nothing of what it does not know (test_entry, 404 and 401 before).

--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -25,7 +25,6 @@
 static GHashTable *notes;  /* of the configuration and of backend servers: thousands */
 static GHashTable *orders; /* of the operators: few, and looked at with each heartbeat */
 static struct board_revs revs;
-static int partial; /* the first listing of backend servers is not whole yet */
 static struct conf *conf;
 static int64_t confirmed_us = BOARD_NEVER;
 static int64_t back_us = -BACK_US; /* when the platform returned from being away */
@@ -57,15 +56,12 @@
 
 struct board_revs board_revs(void)
 {
-	struct board_revs r = revs;
-
-	if (partial) r.backends = 0;
-	return r;
+	return revs;
 }
 
-void board_set_partial(int now)
+void board_complete(uint64_t revision)
 {
-	partial = now;
+	revs.backends = MAX(revs.backends, revision);
 }
 
 void board_confirm(uint64_t revision, int64_t at_us)
@@ -198,10 +194,7 @@
 		break;
 	case DL_DRAIN: take_drain(i, from); break;
 	case DL_ROLLOUT: take_rollout(i, from); break;
-	case DL_BACKEND:
-		revs.backends = MAX(revs.backends, i->revision);
-		take_backend(i);
-		break;
+	case DL_BACKEND: take_backend(i); break;
 	case DL_OTHER: break;
 	}
 	return 1;
@@ -230,14 +223,14 @@
 	}
 }
 
-void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at)
+GPtrArray *board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at)
 {
 	struct board_page whole = {.prefix = prefix, .after = ""};
 
-	board_apply_missing_of(&whole, listed, at);
+	return board_apply_missing_of(&whole, listed, at);
 }
 
-void board_apply_missing_of(const struct board_page *p, GHashTable *listed, uint64_t at)
+GPtrArray *board_apply_missing_of(const struct board_page *p, GHashTable *listed, uint64_t at)
 {
 	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
 	uint32_t i;
@@ -249,7 +242,7 @@
 
 		board_apply(&gone, board_platform);
 	}
-	g_ptr_array_free(missing, TRUE);
+	return missing;
 }
 
 static struct st_item item_of(const struct note *n)
@@ -295,6 +288,12 @@
 	return n && n->value ? n->revision : 0;
 }
 
+static int is_newer(const struct note *n, struct board_revs after)
+{
+	if (dl_item_kind(n->key) == DL_CONF) return n->revision > after.conf;
+	return n->revision > after.backends && n->revision <= revs.backends;
+}
+
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg)
 {
@@ -306,10 +305,7 @@
 		const struct note *n = value;
 		struct st_item i = item_of(n);
 
-		if (partial && dl_item_kind(n->key) == DL_BACKEND) continue;
-		if (n->revision <=
-		    (dl_item_kind(n->key) == DL_CONF ? after.conf : after.backends))
-			continue;
+		if (!is_newer(n, after)) continue;
 		f(&i, arg);
 	}
 }
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -49,42 +49,51 @@
 	m->said.revs.backends = MAX(m->said.revs.backends, r.backends);
 }
 
-static void note_item(struct board_revs *newest, const struct st_item *i)
+/* Up to where the frame makes the lists complete, as its sender tells: the newest item may have
+ * changed again since. Earlier releases send no such word, and mean their newest item. */
+struct claims {
+	struct board_revs newest;
+	uint64_t told;
+};
+
+static void note_item(struct claims *c, const struct st_item *i)
 {
-	if (dl_item_kind(i->key) == DL_CONF) newest->conf = MAX(newest->conf, i->revision);
-	if (dl_item_kind(i->key) == DL_BACKEND)
-		newest->backends = MAX(newest->backends, i->revision);
+	enum dl_item kind = dl_item_kind(i->key);
+
+	if (!*i->key) c->told = MAX(c->told, i->revision);
+	if (kind == DL_CONF) c->newest.conf = MAX(c->newest.conf, i->revision);
+	if (kind == DL_BACKEND) c->newest.backends = MAX(c->newest.backends, i->revision);
 }
 
-/* 0 or -EBADMSG; newest: of the items. */
+/* 0 or -EBADMSG. */
 static int apply_items(struct mesh_in *in, const msgpack_object_array *a,
-		       struct board_revs *newest)
+		       struct board_revs *upto)
 {
-	struct board_revs after;
+	struct claims c = {0};
 	char key[512];
 	struct st_item i;
 	uint32_t k;
 
-	if (mesh_read_revs(a, &after)) return -EBADMSG;
-
 	for (k = 3; k < a->size; k++) {
 		if (mesh_read_item(&a->ptr[k], &i, key, sizeof key)) return -EBADMSG;
 		board_apply(&i, in->from->said.name);
-		note_item(newest, &i);
+		note_item(&c, &i);
 	}
-	if (!after.backends && in->from->said.revs.backends) board_set_partial(0);
-	note_has(in->from, *newest);
+	if (c.told) c.newest.backends = c.told;
+	*upto = c.newest;
+	note_has(in->from, *upto);
 	return 0;
 }
 
 static int take_items(struct mesh_in *in, const msgpack_object_array *a)
 {
-	struct board_revs after, newest = {0};
+	struct board_revs after, upto, mine = board_revs();
 
-	if (mesh_read_revs(a, &after) || apply_items(in, a, &newest)) return -EBADMSG;
-	watch_told(DL_CONF, after.conf, newest.conf);
+	if (mesh_read_revs(a, &after) || apply_items(in, a, &upto)) return -EBADMSG;
+	if (mine.backends >= after.backends) board_complete(upto.backends);
+	watch_told(DL_CONF, after.conf, upto.conf);
 	if (in->from->said.from && after.backends >= in->from->said.from)
-		watch_told(DL_BACKEND, after.backends, newest.backends);
+		watch_told(DL_BACKEND, after.backends, upto.backends);
 	return 0;
 }
 
--- a/src/fleet/mesh_orders.c
+++ b/src/fleet/mesh_orders.c
@@ -1,5 +1,7 @@
 /* Operators' orders, as instances tell each other: all that is known at once, as the keys are
- * few. The newest word on each counts, so that it may come twice, or late. */
+ * few; and entries of servers that were found changed. The newest word on each counts, so that
+ * it may come twice, or late. */
+#include "dialect.h"
 #include "mesh_impl.h"
 #include <errno.h>
 #include <string.h>
@@ -36,7 +38,8 @@
 
 	for (k = 1; k < a->size; k++) {
 		if (mesh_read_item(&a->ptr[k], &i, key, sizeof key)) return -EBADMSG;
-		board_apply(&i, m->said.name);
+		if (!board_apply(&i, m->said.name) || dl_item_kind(key) != DL_BACKEND) continue;
+		mesh_forward_item(&i);
 	}
 	return 0;
 }
--- a/src/fleet/mesh_tree.c
+++ b/src/fleet/mesh_tree.c
@@ -46,20 +46,49 @@
 	return is_mine(m);
 }
 
-static void send_news(struct board_revs base, int mine_alone)
+static void send_frame(const GString *out, int mine_alone)
 {
-	GString *out = g_string_new(NULL);
 	uint32_t i;
 
-	mesh_write_news(out, base);
 	for (i = 0; out->len && i < mesh_members()->len; i++) {
 		struct member *m = g_ptr_array_index(mesh_members(), i);
 
 		if (is_told(m, mine_alone)) mesh_send(m, out);
 	}
+}
+
+static void send_news(struct board_revs base, int mine_alone)
+{
+	GString *out = g_string_new(NULL);
+
+	mesh_write_news(out, base);
+	send_frame(out, mine_alone);
+	g_string_free(out, TRUE);
+}
+
+static void send_items(const struct st_item *items, size_t n, int mine_alone)
+{
+	GString *out = g_string_new(NULL);
+	struct mesh_frame f;
+	msgpack_packer *p = mesh_frame_begin(&f, MESH_ORDERS, 1 + (int)n);
+	size_t i;
+
+	for (i = 0; i < n; i++) mesh_pack_item(p, &items[i]);
+	mesh_frame_end(&f, out);
+	send_frame(out, mine_alone);
 	g_string_free(out, TRUE);
 }
 
+void mesh_tell_items(const struct st_item *items, size_t n)
+{
+	if (n) send_items(items, n, 0);
+}
+
+void mesh_forward_item(const struct st_item *item)
+{
+	if (mesh_self_hub()) send_items(item, 1, 1);
+}
+
 /* What is large is fetched by those who lack it, from whoever has a place for them. */
 void mesh_pass_on(struct board_revs base)
 {
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -133,17 +133,27 @@
 	mesh_pack_item(arg, i);
 }
 
+/* Leads the items: up to where they make the receiver's list of servers complete. Earlier
+ * releases pass over an item that is of no list. */
+static void pack_claim(msgpack_packer *p)
+{
+	struct st_item claim = {.key = "", .revision = board_revs().backends};
+
+	mesh_pack_item(p, &claim);
+}
+
 static void write_newer(GString *out, enum mesh_type type, struct board_revs after)
 {
+	int n = 0, claims = board_revs().backends > after.backends;
 	struct mesh_frame f;
 	msgpack_packer *p;
-	int n = 0;
 
 	board_each_newer(after, count_item, &n);
-	if (!n) return;
-	p = mesh_frame_begin(&f, type, 3 + n);
+	if (!n && !claims) return;
+	p = mesh_frame_begin(&f, type, 3 + claims + n);
 	msgpack_pack_uint64(p, after.conf);
 	msgpack_pack_uint64(p, after.backends);
+	if (claims) pack_claim(p);
 	board_each_newer(after, pack_item, p);
 	mesh_frame_end(&f, out);
 }
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -84,6 +84,19 @@
 	mesh_pass_on(base);
 }
 
+/* All changes of the list since the revision w->at, up to the last of them. */
+static void apply_changes(const struct watcher *w, const struct st_reply *r)
+{
+	struct board_revs base = board_revs();
+	uint64_t upto = 0;
+	size_t i;
+
+	apply_all(r, 0);
+	for (i = 0; i < r->n; i++) upto = MAX(upto, r->items[i].revision);
+	if (w->list.of == DL_BACKEND) board_complete(upto);
+	mesh_pass_on(base);
+}
+
 static uint64_t known_revision(const struct watcher *w)
 {
 	struct board_revs revs = board_revs();
@@ -140,7 +153,6 @@
 		/* Pages are no snapshot: what changed since the first is watched from there. */
 		w->at = r->at;
 	}
-	if (r->more && !w->base.backends && w->list.of == DL_BACKEND) board_set_partial(1);
 	apply_all(r, r->sent_us);
 	for (i = 0; i < r->n; i++) g_hash_table_add(w->listed, g_strdup(r->items[i].key));
 	if (r->more && r->n && may_leave_rest(w)) {
@@ -153,8 +165,8 @@
 		w->call = st_range(w->list.prefix, r->items[r->n - 1].key, on_listed, w);
 		return;
 	}
-	if (w->list.of == DL_BACKEND) board_set_partial(0);
-	board_apply_missing(w->list.prefix, w->listed, w->at);
+	g_ptr_array_unref(board_apply_missing(w->list.prefix, w->listed, w->at));
+	if (w->list.of == DL_BACKEND) board_complete(w->at);
 	g_hash_table_remove_all(w->listed);
 	log_list(w, "list_read");
 	if (w->once) {
@@ -194,7 +206,7 @@
 	}
 	w->wait_us = 0;
 	w->covered = 1;
-	watch_apply(r, 0);
+	apply_changes(w, r);
 	if (r->at > w->at) w->at = r->at;
 	if (r->n)
 		ev_in(&w->retry, g_random_int_range(REST_MIN_US, REST_MAX_US));
@@ -333,7 +345,7 @@
 		return;
 	}
 	if (r->rc) return;
-	watch_apply(r, 0);
+	apply_changes(w, r);
 	w->at = MAX(w->at, r->at);
 }
 
--- a/src/fleet/watch_check.c
+++ b/src/fleet/watch_check.c
@@ -48,18 +48,34 @@
 	return 1;
 }
 
+static void tell_missing(const GPtrArray *keys, uint64_t at)
+{
+	uint32_t i;
+
+	for (i = 0; i < keys->len; i++) {
+		struct st_item gone = {.key = g_ptr_array_index(keys, i), .revision = at};
+
+		mesh_tell_items(&gone, 1);
+	}
+}
+
+/* What was told nowhere yet: its watch says so, too, unless it has fallen silent. */
 static void take_page(struct checker *c, const struct st_reply *r)
 {
 	const char *last = r->more && r->n ? r->items[r->n - 1].key : NULL;
 	struct board_page page = {c->list.prefix, c->after, last};
-	struct board_revs base = board_revs();
 	GHashTable *listed = keys_of(r);
+	GPtrArray *missing;
 	size_t i;
 
-	for (i = 0; i < r->n; i++) board_apply(&r->items[i], board_platform);
-	if (is_in_order(c, r)) board_apply_missing_of(&page, listed, r->at);
+	for (i = 0; i < r->n; i++)
+		if (board_apply(&r->items[i], board_platform)) mesh_tell_items(&r->items[i], 1);
+	if (is_in_order(c, r)) {
+		missing = board_apply_missing_of(&page, listed, r->at);
+		tell_missing(missing, r->at);
+		g_ptr_array_unref(missing);
+	}
 	g_hash_table_destroy(listed);
-	mesh_pass_on(base);
 	g_strlcpy(c->after, last ? last : "", sizeof c->after);
 }
 
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -6,7 +6,8 @@
 #include "store.h"
 #include <glib.h>
 
-/* What has come, by revision; each only goes up. */
+/* What has come, by revision; each only goes up. backends: of servers' entries all changes up
+ * to it have, and perhaps some later ones; 0: their list is not whole yet. */
 struct board_revs {
 	uint64_t conf, backends;
 };
@@ -17,19 +18,21 @@
 /* Takes an item that is newer than what is known. from: "platform" or the peer. 1 if taken. */
 int board_apply(const struct st_item *i, const char *from);
 /* Keys of the prefix that a complete listing as of revision at did not hold are gone. listed:
- * set of keys. */
-void board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at);
+ * set of keys. Returns those keys; free with g_ptr_array_unref. */
+GPtrArray *board_apply_missing(const char *prefix, GHashTable *listed, uint64_t at);
 /* The same of a page of a listing: of keys after one (empty: from the first) up to another
  * (NULL: to the last). */
 struct board_page {
 	const char *prefix, *after, *upto;
 };
-void board_apply_missing_of(const struct board_page *p, GHashTable *listed, uint64_t at);
+GPtrArray *board_apply_missing_of(const struct board_page *p, GHashTable *listed, uint64_t at);
 struct board_revs board_revs(void);
-/* Of the first listing of backend servers some pages have come: used here, but nothing is said
- * or handed on of it before it is whole. Others would take it for all there is. */
-void board_set_partial(int now);
-/* Calls f for each item newer than the revisions of its kind, gone ones too; orders apart. */
+/* All changes of backend servers up to that revision have been applied here. An item alone does
+ * not tell so: a listing takes several calls, and what changes meanwhile is on none of its
+ * pages. */
+void board_complete(uint64_t revision);
+/* Calls f for each item newer than the revisions of its kind, gone ones too; orders apart. Of
+ * backend servers those up to where their changes are complete. */
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg);
 
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -29,6 +29,9 @@
 /* Passes on what is newer than base, which this instance just heard from the store. Of what is
  * large others are only told that it is here. */
 void mesh_pass_on(struct board_revs base);
+/* Passes on items of backend servers that were found changed, as they are: nothing is said of
+ * what else has changed. */
+void mesh_tell_items(const struct st_item *items, size_t n);
 /* A heartbeat to all, out of turn: something that they should know. */
 void mesh_beat_now(void);
 /* Whether all that callers come to were heard a moment ago; who was not for long is gone. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -190,6 +190,9 @@
  * this hub. */
 void mesh_forward(struct board_revs base);
 
+/* The same of one item that says nothing of others. */
+void mesh_forward_item(const struct st_item *item);
+
 /* mesh_know.c: takes what m just said of its lists: how sure it is, and that it knows more. */
 void mesh_learn_from(struct member *m);
 
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -16,7 +16,7 @@
 
 int rq_confirmed(const struct rq *r)
 {
-	if (r->route->open || !rq_cfg->fail_closed) return 1;
+	if ((r->route && r->route->open) || !rq_cfg->fail_closed) return 1;
 	return clock_us() - board_confirmed_us() < rq_cfg->revoke_us;
 }
 
@@ -40,6 +40,12 @@
 	}
 	r->conf = conf_ref(c);
 	r->route = conf_route(c, r->in.host, r->in.target);
+	/* Also what an old configuration does not know: a newer one may. */
+	if (!rq_confirmed(r)) {
+		rq_refuse(r, REF_PLATFORM_DOWN, RETRY_SOON_US,
+			  "the configuration is not confirmed");
+		return -EAGAIN;
+	}
 	if (!r->route) {
 		rq_refuse(r, REF_NOT_FOUND, 0, "no route");
 		return -ENOENT;
@@ -49,9 +55,7 @@
 		rq_refuse(r, REF_UNAUTHORIZED, 0, "unknown key");
 		return -EACCES;
 	}
-	if (rq_confirmed(r)) return 0;
-	rq_refuse(r, REF_PLATFORM_DOWN, RETRY_SOON_US, "the configuration is not confirmed");
-	return -EAGAIN;
+	return 0;
 }
 
 const struct fp *rq_fp(struct rq *r)
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -384,7 +384,35 @@
 	pw_end();
 }
 
+/* A newer configuration may have the route, and the key. */
+static void an_old_configuration_says_nothing_of_what_it_does_not_know(void)
+{
+	struct pw_server *s[1];
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_settings("bounds.failClosed=true\nbounds.revokeMs=1000\n");
+	s[0] = pw_server_add("app", 0);
+	e = pw_entry_ready();
+	c = pw_ask(e, "GET", "/nowhere/", 1000);
+	CU_ASSERT(pw_call_wait(c, 500));
+	CU_ASSERT_EQUAL(c->status, 404);
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "no such key"), 401);
+	pw_store.mode = PW_STORE_DOWN;
+	pw_run(1500);
+	c = pw_ask(e, "GET", "/nowhere/", 1000);
+	CU_ASSERT(pw_call_wait(c, 500));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "no such key"), 503);
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 503);
+	CU_ASSERT_EQUAL(s[0]->arrivals, 0);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"an_old_configuration_says_nothing_of_what_it_does_not_know",
+	 an_old_configuration_says_nothing_of_what_it_does_not_know},
 	{"a_key_that_is_taken_away_runs_nothing", a_key_that_is_taken_away_runs_nothing},
 	{"without_a_confirmed_configuration_keyed_requests_are_refused",
 	 without_a_confirmed_configuration_keyed_requests_are_refused},
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -260,25 +260,44 @@
 	return n;
 }
 
-/* Who is handed half of a listing takes it for all there is, and never asks for the rest. */
-static void a_listing_that_is_not_whole_is_not_handed_on(void)
+static void apply_server(const char *key, uint64_t revision)
 {
 	static const char value[] =
 		"{\"service\":\"app\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":"
 		"\"v\","
 		"\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1}";
 	struct st_item i = {
-		.key = "servers/i-1", .value = value, .len = sizeof value - 1, .revision = 7};
+		.key = key, .value = value, .len = sizeof value - 1, .revision = revision};
 
-	board_init();
-	board_set_partial(1);
 	CU_ASSERT_EQUAL(board_apply(&i, "platform"), 1);
+}
+
+/* Who is handed half of a listing takes it for all there is, and never asks for the rest. */
+static void a_listing_that_is_not_whole_is_not_handed_on(void)
+{
+	board_init();
+	apply_server("servers/i-1", 7);
 	CU_ASSERT_PTR_NOT_NULL(be_find("i-1")); /* it may be used here */
 	CU_ASSERT_EQUAL(board_revs().backends, 0);
 	CU_ASSERT_EQUAL(handed_on(), 0);
-	board_set_partial(0);
+	board_complete(7);
+	CU_ASSERT_EQUAL(board_revs().backends, 7);
+	CU_ASSERT_EQUAL(handed_on(), 1);
+}
+
+/* One that was seen before others that changed earlier is no word that these have come: whoever
+ * took it so never heard of them. */
+static void a_later_change_is_not_handed_on_before_earlier_ones(void)
+{
+	board_init();
+	apply_server("servers/i-1", 7);
+	board_complete(7);
+	apply_server("servers/i-2", 12);
 	CU_ASSERT_EQUAL(board_revs().backends, 7);
 	CU_ASSERT_EQUAL(handed_on(), 1);
+	apply_server("servers/i-3", 9);
+	board_complete(12);
+	CU_ASSERT_EQUAL(handed_on(), 3);
 }
 
 static void addresses_are_checked(void)
@@ -309,6 +328,8 @@
 	 an_empty_list_of_workspaces_lets_nobody_in},
 	{"a_listing_that_is_not_whole_is_not_handed_on",
 	 a_listing_that_is_not_whole_is_not_handed_on},
+	{"a_later_change_is_not_handed_on_before_earlier_ones",
+	 a_later_change_is_not_handed_on_before_earlier_ones},
 	{"addresses_are_checked", addresses_are_checked},
 };
 
