Of many lives that are over the oldest is forgotten, not the newest

Cause: beyond 1,024 ids nothing more was remembered, so that late word of a life could revive it where thousands of servers are replaced.

Test: 3,000 lives; the newest are known.

Conclusion: kept; word is late by seconds, and the newest are asked about.

--- a/src/fleet/be_life.c
+++ b/src/fleet/be_life.c
@@ -4,7 +4,7 @@
 #include "clock.h"
 #include <string.h>
 
-#define NOTES_MAX 1024   /* ids: a fleet replaces some hundred servers in a bad minute */
+#define NOTES_MAX 1024   /* ids: word that is late by seconds meets one of the newest */
 #define KEEP_US 60000000 /* word of a life comes late by seconds at most */
 
 struct note {
@@ -21,7 +21,22 @@
 	return *(int64_t *)now - ((struct note *)note)->at_us > KEEP_US;
 }
 
-/* NULL: there are too many, all of them new. */
+/* Of many the oldest goes: late word of it is the least likely. */
+static void drop_oldest(void)
+{
+	GHashTableIter it;
+	gpointer id, note, oldest = NULL;
+	int64_t at_us = INT64_MAX;
+
+	g_hash_table_iter_init(&it, notes);
+	while (g_hash_table_iter_next(&it, &id, &note)) {
+		if (((struct note *)note)->at_us >= at_us) continue;
+		at_us = ((struct note *)note)->at_us;
+		oldest = id;
+	}
+	if (oldest) g_hash_table_remove(notes, oldest);
+}
+
 static struct note *note_of(const char *id)
 {
 	int64_t now = clock_us();
@@ -31,7 +46,7 @@
 	n = g_hash_table_lookup(notes, id);
 	if (!n && g_hash_table_size(notes) >= NOTES_MAX)
 		g_hash_table_foreach_remove(notes, is_old, &now);
-	if (!n && g_hash_table_size(notes) >= NOTES_MAX) return NULL;
+	if (!n && g_hash_table_size(notes) >= NOTES_MAX) drop_oldest();
 	if (!n) {
 		n = g_new0(struct note, 1);
 		g_hash_table_insert(notes, g_strdup(id), n);
@@ -47,9 +62,11 @@
 
 void be_life_over(const char *id, int64_t born_ms)
 {
-	struct note *n = born_ms ? note_of(id) : NULL;
+	struct note *n;
 
-	if (n) n->over_ms = MAX(n->over_ms, born_ms);
+	if (!born_ms) return;
+	n = note_of(id);
+	n->over_ms = MAX(n->over_ms, born_ms);
 }
 
 int be_life_is_over(const char *id, int64_t born_ms)
@@ -61,9 +78,11 @@
 
 void be_life_leaves(const char *id, int64_t born_ms)
 {
-	struct note *n = born_ms ? note_of(id) : NULL;
+	struct note *n;
 
-	if (n) n->leaving_ms = MAX(n->leaving_ms, born_ms);
+	if (!born_ms) return;
+	n = note_of(id);
+	n->leaving_ms = MAX(n->leaving_ms, born_ms);
 }
 
 int be_life_is_leaving(const char *id, int64_t born_ms)
--- a/test/test_ring.c
+++ b/test/test_ring.c
@@ -1,5 +1,6 @@
 /* Servers of a large fleet as instances look at them: each at some, all of them at all. */
 #include "be.h"
+#include "be_life.h"
 #include "be_ring.h"
 #include "check.h"
 #include <stdio.h>
@@ -148,7 +149,24 @@
 	CU_ASSERT_EQUAL(after.n, before.n - 1);
 }
 
+/* More servers begin a new life than are remembered: the newest are. */
+static void late_word_of_many_lives_is_known_for_what_it_is(void)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < 3000; i++) {
+		snprintf(id, sizeof id, "l-%d", i);
+		be_life_over(id, 100);
+	}
+	CU_ASSERT(be_life_is_over("l-2999", 100));
+	CU_ASSERT(be_life_is_over("l-2500", 100));
+	CU_ASSERT(!be_life_is_over("l-2999", 101));
+}
+
 static const struct check list[] = {
+	{"late_word_of_many_lives_is_known_for_what_it_is",
+	 late_word_of_many_lives_is_known_for_what_it_is},
 	{"each_looks_at_near_ones_first", each_looks_at_near_ones_first},
 	{"each_server_is_looked_at_by_somebody", each_server_is_looked_at_by_somebody},
 	{"what_is_away_is_looked_past", what_is_away_is_looked_past},
