--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -23,6 +23,7 @@
 int (*board_on_rollout)(const struct st_item *i);
 
 static GTree *notes;       /* of the configuration and of backend servers, by key: thousands */
+static GTree *by_age;      /* of the latter, by revision: what is new is at its end */
 static GHashTable *orders; /* of the operators: few, and looked at with each heartbeat */
 static struct board_revs revs;
 static struct conf *conf;
@@ -44,8 +45,18 @@
 	return strcmp(a, b);
 }
 
+static gint compare_age(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct note *x = a, *y = b;
+
+	(void)arg;
+	if (x->revision != y->revision) return x->revision < y->revision ? -1 : 1;
+	return strcmp(x->key, y->key);
+}
+
 void board_init(void)
 {
+	by_age = g_tree_new_full(compare_age, NULL, NULL, NULL);
 	notes = g_tree_new_full(by_key, NULL, NULL, free_note);
 	orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_note);
 }
@@ -180,17 +191,21 @@
 	return is_order(key) ? g_hash_table_lookup(orders, key) : g_tree_lookup(notes, key);
 }
 
-static void keep_note(const struct st_item *i)
+/* known: the one before, or NULL. */
+static void keep_note(const struct st_item *i, const struct note *known)
 {
 	struct note *n = g_new0(struct note, 1);
 
 	n->key = g_strdup(i->key);
 	n->value = i->value ? g_bytes_new(i->value, i->len) : NULL;
 	n->revision = i->revision;
-	if (is_order(n->key))
+	if (is_order(n->key)) {
 		g_hash_table_replace(orders, n->key, n);
-	else
-		g_tree_replace(notes, n->key, n);
+		return;
+	}
+	if (known) g_tree_remove(by_age, known);
+	if (dl_item_kind(n->key) == DL_BACKEND) g_tree_insert(by_age, n, n);
+	g_tree_replace(notes, n->key, n);
 }
 
 int board_apply(const struct st_item *i, const char *from)
@@ -200,7 +215,7 @@
 
 	if (strlen(i->key) > BOARD_KEY_MAX) return 0;
 	if (kind == DL_OTHER || (known && known->revision >= i->revision)) return 0;
-	keep_note(i);
+	keep_note(i, known);
 	switch (kind) {
 	case DL_CONF:
 		revs.conf = MAX(revs.conf, i->revision);
@@ -325,21 +340,23 @@
 	return n && n->value ? n->revision : 0;
 }
 
-static int is_newer(const struct note *n, struct board_revs after)
-{
-	if (dl_item_kind(n->key) == DL_CONF) return n->revision > after.conf;
-	return n->revision > after.backends && n->revision <= revs.backends;
-}
-
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
 		      void *arg)
 {
-	GTreeNode *at;
+	const struct note *c = g_tree_lookup(notes, dl_conf_key);
+	struct note first = {.key = "", .revision = after.backends + 1};
+	GTreeNode *at = g_tree_lower_bound(by_age, &first);
+	struct st_item i;
 
-	for (at = g_tree_node_first(notes); at; at = g_tree_node_next(at)) {
+	if (c && c->revision > after.conf) {
+		i = item_of(c);
+		f(&i, arg);
+	}
+	for (; at; at = g_tree_node_next(at)) {
 		const struct note *n = g_tree_node_value(at);
-		struct st_item i = item_of(n);
 
-		if (is_newer(n, after)) f(&i, arg);
+		if (n->revision > revs.backends) return;
+		i = item_of(n);
+		f(&i, arg);
 	}
 }
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -91,6 +91,7 @@
 	uint64_t upto = 0;
 	size_t i;
 
+	if (!r->n) return;
 	apply_all(r, 0);
 	for (i = 0; i < r->n; i++) upto = MAX(upto, r->items[i].revision);
 	if (w->list.of == DL_BACKEND) board_complete(upto);
