--- a/src/core/rollout_judge.c
+++ b/src/core/rollout_judge.c
@@ -18,15 +18,16 @@
 /* Answers of the old version, for a comparison. */
 #define OLD_MIN 20
 
-#define GOOD_MIN 20          /* answers of the new version, ... */
-#define GOOD_ROUTE_MIN 6     /* ... and on each route with a tenth of the old one's */
+#define GOOD_MIN 20      /* answers of the new version, ... */
+#define GOOD_ROUTE_MIN 6 /* ... and on each route with a tenth of the old one's */
 #define GOOD_ROUTE_PART 10
 #define GOOD_LAST_MIN 10
 #define GOOD_LAST_CLEAN_MIN 3 /* the same, if none of them was bad */
 
 static int class_of(int64_t us)
 {
-	double k = us > FIRST_CLASS_US ? log((double)us / FIRST_CLASS_US) / log(CLASS_FACTOR) : 0;
+	double k =
+		us > FIRST_CLASS_US ? log((double)us / FIRST_CLASS_US) / log(CLASS_FACTOR) : 0;
 
 	return k < ROLLOUT_TIMES - 1 ? (int)k : ROLLOUT_TIMES - 1;
 }
@@ -99,7 +100,7 @@
 {
 	double usual = times * old.bad / old.all + margin;
 
-	return new.bad >= BAD_MIN && tail(new.all, new.bad, usual) < CHANCE;
+	return new.bad >= BAD_MIN &&tail(new.all, new.bad, usual) < CHANCE;
 }
 
 static struct share bad_of(const struct rollout_count *c)
@@ -151,7 +152,8 @@
 	int from = median(old) + SLOW_CLASSES;
 
 	explain(why, r->key, 0, bad_of(new), bad_of(old));
-	if (old->answers >= OLD_MIN && is_worse(bad_of(new), bad_of(old), BAD_TIMES, BAD_MARGIN))
+	if (old->answers >= OLD_MIN &&
+	    is_worse(bad_of(new), bad_of(old), BAD_TIMES, BAD_MARGIN))
 		return 1;
 	if (timed(old) < OLD_MIN || from >= ROLLOUT_TIMES) return 0;
 	explain(why, r->key, 1, slow_of(new, from), slow_of(old, from));
@@ -177,7 +179,8 @@
 
 	if (new->answers >= GOOD_MIN && is_covered(t, all->of[ROLLOUT_OLD].answers)) return 1;
 	if (!last) return 0;
-	return new->answers >= GOOD_LAST_MIN || (new->answers >= GOOD_LAST_CLEAN_MIN && !new->bad);
+	return new->answers >= GOOD_LAST_MIN ||
+	       (new->answers >= GOOD_LAST_CLEAN_MIN && !new->bad);
 }
 
 enum rollout_verdict rollout_judge(const struct rollout_tally *t, int last,
@@ -193,8 +196,9 @@
 	}
 	/* Times of routes together say nothing: a canary may get more of the long ones. */
 	explain(why, 0, 0, bad_of(&all.of[ROLLOUT_NEW]), bad_of(&all.of[ROLLOUT_OLD]));
-	if (why->old_all >= OLD_MIN && is_worse(bad_of(&all.of[ROLLOUT_NEW]),
-						bad_of(&all.of[ROLLOUT_OLD]), BAD_TIMES, BAD_MARGIN))
+	if (why->old_all >= OLD_MIN &&
+	    is_worse(bad_of(&all.of[ROLLOUT_NEW]), bad_of(&all.of[ROLLOUT_OLD]), BAD_TIMES,
+		     BAD_MARGIN))
 		return ROLLOUT_BAD;
 	return is_good(t, &all, last) ? ROLLOUT_GOOD : ROLLOUT_OPEN;
 }
--- a/src/fleet/mesh_fetch.c
+++ b/src/fleet/mesh_fetch.c
@@ -17,7 +17,7 @@
  * it: one copy crosses to each data centre, not one to each instance. */
 #define NEAR_US 2000000
 #define NEAR_HEARD_US 600000    /* from when on those that are there have been heard */
-#define NARROWER_MOST 2        /* times: a narrower link costs more than a far one */
+#define NARROWER_MOST 2         /* times: a narrower link costs more than a far one */
 #define NOTHING_NEWER INT64_MAX /* as a revision: no item is wanted */
 
 static struct mesh_in *fetch; /* the answer under way, or NULL */
--- a/src/fleet/ro_mesh.c
+++ b/src/fleet/ro_mesh.c
@@ -6,9 +6,9 @@
 #include "ro_impl.h"
 #include <errno.h>
 
-#define TELL_US 250000   /* between two messages of one instance */
+#define TELL_US 250000    /* between two messages of one instance */
 #define SILENT_US 2000000 /* what one that fell silent had running is not counted */
-#define HEAD_FIELDS 7    /* type, service, order, stage, age, written, runs at old servers */
+#define HEAD_FIELDS 7     /* type, service, order, stage, age, written, runs at old servers */
 #define COUNT_FIELDS (2 + ROLLOUT_TIMES)
 #define ROUTE_FIELDS (1 + ROLLOUT_SIDES * COUNT_FIELDS)
 
@@ -25,8 +25,7 @@
 {
 	int n = with_tally ? o->own.n : 0, i, side;
 	struct mesh_frame f;
-	msgpack_packer *p =
-		mesh_frame_begin(&f, MESH_ROLLOUT, HEAD_FIELDS + n * ROUTE_FIELDS);
+	msgpack_packer *p = mesh_frame_begin(&f, MESH_ROLLOUT, HEAD_FIELDS + n * ROUTE_FIELDS);
 
 	mesh_pack_text(p, o->service);
 	msgpack_pack_uint64(p, o->order);
--- a/src/internal/mesh_topic.h
+++ b/src/internal/mesh_topic.h
@@ -25,7 +25,8 @@
 	MESH_ORDERS,    /* of the operators: drained data centres, versions to bring in */
 	MESH_ABSENT, /* instances that were known and are not heard: their parts stay theirs */
 	MESH_LIMITS, /* what backend servers said of the requests that they take */
-	MESH_ROLLOUT /* how far a version is that is brought in, and how exchanges with it went */
+	MESH_ROLLOUT /* how far a version is that is brought in, and how exchanges with it went
+		      */
 };
 
 /* What one module tells the same module of other instances. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -175,6 +175,15 @@
 struct be *rq_pick_target(struct rq *r, const struct be *source);
 /* Where a running copy of its memory should be kept, or NULL. */
 struct be *rq_pick_backup(struct leg *l);
+/* Microseconds until b may get new work of r's service; INT64_MAX: not as far as is known. */
+int64_t rq_usable_in(struct be *b, const struct rq *r, int64_t now);
+/* b as a candidate; dc: the data centre from which it is near or far. */
+void rq_fill_site(struct place_site *s, struct be *b, const struct rq *r, const char *dc,
+		  int64_t now);
+/* What all instances together have on b. */
+struct be_load rq_load_of(const struct be *b);
+
+/* rq_room.c */
 /* Whether the request as it is now fits into b's memory. */
 int rq_fits(const struct rq *r, struct be *b);
 /* Whether it had better wait for another engine than b, where it fits. */
@@ -182,8 +191,6 @@
 /* Microseconds until there is room for the request somewhere, after so many tokens that waited
  * before it; FORECAST_NEVER: not as far as is known. */
 int64_t rq_room_in(const struct rq *r, uint64_t before);
-/* What all instances together have on b. */
-struct be_load rq_load_of(const struct be *b);
 
 /* rq_wait.c */
 /* 1 when r waits for memory from now on, or is refused as it would wait for too long. b: where
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -39,7 +39,7 @@
 }
 
 /* Microseconds until b may get new work of r's service; INT64_MAX: not as far as is known. */
-static int64_t usable_in(struct be *b, const struct rq *r, int64_t now)
+int64_t rq_usable_in(struct be *b, const struct rq *r, int64_t now)
 {
 	int64_t in_us = be_usable_in(b, now), wait_us;
 
@@ -48,13 +48,13 @@
 	return MAX(in_us, wait_us);
 }
 
-static void fill_site(struct place_site *s, struct be *b, const struct rq *r, const char *dc,
-		      int64_t now)
+void rq_fill_site(struct place_site *s, struct be *b, const struct rq *r, const char *dc,
+		  int64_t now)
 {
 	struct be_load all = rq_load_of(b);
 
 	*s = (struct place_site){
-		.usable = usable_in(b, r, now) == 0,
+		.usable = rq_usable_in(b, r, now) == 0,
 		.near = !strcmp(b->zone, dc),
 		.away = is_away(b, dc),
 		.slots = b->slots,
@@ -106,7 +106,7 @@
 	struct choice *c = arg;
 	struct place_site *s = &c->s[c->n];
 
-	fill_site(s, b, c->r, c->dc, c->now);
+	rq_fill_site(s, b, c->r, c->dc, c->now);
 	if (!may_go_to(c, b, s)) return 1;
 	if (!place_fits(s, c->job)) {
 		if (c->full == FULL_SITES_MAX) return 1;
@@ -223,73 +223,3 @@
 	c = collect(r, &now, l->be->zone, l->be);
 	return chosen(c, place_backup(c->s, c->n, -1, &now, BACKUP_PERCENT, g_random_int()));
 }
-
-static void fill_forecast(struct forecast_site *s, struct be *b, const struct rq *r,
-			  int64_t now)
-{
-	struct be_load all = rq_load_of(b);
-	uint32_t foreseen = all.held + all.backup;
-
-	*s = (struct forecast_site){
-		.usable_in_us = usable_in(b, r, now),
-		.tokens = r->service->tokens,
-		.used = all.used + all.inbound,
-		.growth = foreseen > all.used ? foreseen - all.used : 0,
-		.runs = all.runs,
-		.token_us = rq_token_us(r),
-	};
-}
-
-struct foreseen {
-	const struct rq *r;
-	int64_t now;
-	struct forecast_site s[PLACE_SITES_MAX];
-	int n;
-};
-
-static int foresee(struct be *b, void *arg)
-{
-	struct foreseen *f = arg;
-
-	fill_forecast(&f->s[f->n], b, f->r, f->now);
-	if (f->s[f->n].usable_in_us != FORECAST_NEVER) f->n++;
-	return f->n < PLACE_SITES_MAX;
-}
-
-int64_t rq_room_in(const struct rq *r, uint64_t before)
-{
-	static struct foreseen f;
-
-	f.r = r;
-	f.now = clock_us();
-	f.n = 0;
-	be_walk(r->service->name, rq_cfg->data_centre, rq_own_place(), foresee, &f);
-	return forecast_room_us(f.s, f.n, r->job.prompt + r->job.growth / 2, before);
-}
-
-int rq_fits(const struct rq *r, struct be *b)
-{
-	struct place_job now = {.prompt = r->job.prompt + rq_made(r), .growth = r->job.growth};
-	struct place_site s;
-
-	if (!r->service->engine) return 1;
-	fill_site(&s, b, r, b->zone, clock_us());
-	return place_fits(&s, &now);
-}
-
-int rq_waits(const struct rq *r, struct be *b)
-{
-	struct place_site s;
-
-	fill_site(&s, b, r, b->zone, clock_us());
-	return place_waits(&s, clock_us() - r->began_us, r->route->aim_us);
-}
-
-int rq_in_time(const struct rq *r, struct be *b)
-{
-	struct place_site s;
-
-	if (r->service->engine) return 1;
-	fill_site(&s, b, r, rq_cfg->data_centre, clock_us());
-	return place_call_in_time(&s, r->end_us - clock_us());
-}
--- a/test/test_rollout.c
+++ b/test/test_rollout.c
@@ -38,8 +38,8 @@
 struct version {
 	const char *name;
 	int bad;
-	double fails;   /* share of its answers */
-	double slow;    /* share of its answers that take slow_x as long */
+	double fails; /* share of its answers */
+	double slow;  /* share of its answers that take slow_x as long */
 	double slow_x;
 	int64_t from_us; /* only after it */
 	int route;       /* only there; -1: on all */
