--- a/src/fleet/ro_order.c
+++ b/src/fleet/ro_order.c
@@ -8,8 +8,9 @@
 /* An order that comes so soon after an instance's start may have been followed by its life
  * before, which used its part of the slack. */
 #define SETTLED_US 2000000
-#define DRAW_US 200000 /* those who may write wait for so long at most: one of them is first \
-			*/
+#define DRAW_US                                                                      \
+	200000 /* those who may write wait for so long at most: one of them is first \
+		*/
 
 void ro_free(gpointer p)
 {
