--- a/test/test_canary.c
+++ b/test/test_canary.c
@@ -324,6 +324,35 @@
 	pw_end();
 }
 
+/* One of them is bad. */
+static void two_services_at_once_are_told_apart(void)
+{
+	struct pw_entry *e[1];
+	struct pw_server *llm[2];
+	int64_t until;
+	int i;
+
+	begin(e, 1);
+	for (i = 0; i < 2; i++) {
+		llm[i] = add("llm", 1, i ? "v2" : "v1");
+		llm[i]->events = 5;
+	}
+	pw_run(100);
+	order("llm", "v2");
+	bring_in(PW_ERROR, 0);
+	until = clock_us() + FOR_S * 1000000LL;
+	while (clock_us() < until) {
+		load(e, 1, 2 * CALL_EACH_MS);
+		pw_ask(e[0], "POST", "/sum/", 3000);
+	}
+	CU_ASSERT(state_is("app", "rolled_back"));
+	CU_ASSERT(state_is("llm", "completed"));
+	llm[0]->arrivals = 0;
+	pw_call_wait(pw_ask(e[0], "POST", "/sum/", 3000), 3000);
+	CU_ASSERT_EQUAL(llm[0]->arrivals, 0);
+	end();
+}
+
 static const struct check list[] = {
 	{"a_good_version_takes_over_in_time", a_good_version_takes_over_in_time},
 	{"a_version_that_fails_is_rolled_back", a_version_that_fails_is_rolled_back},
@@ -338,6 +367,7 @@
 	{"a_version_without_servers_is_not_completed",
 	 a_version_without_servers_is_not_completed},
 	{"an_order_takes_the_place_of_another", an_order_takes_the_place_of_another},
+	{"two_services_at_once_are_told_apart", two_services_at_once_are_told_apart},
 	{"streams_outlive_the_old_version", streams_outlive_the_old_version},
 };
 
