Hubs beat seldom to most of those that stand by, and tell them who died

Cause: 19 hubs each sent 985 heartbeats in 0.4 s: 47 a second into each instance, 2,460 out of each hub, most of the messages of a fleet at rest.

Change: three hubs, drawn by hash for each instance, go on so; the others send each third one and say so, so that their silence counts from there. That a hub or an instance with callers died gets from the hub that passes news on to those that stand by, who take it if they have not heard it either.

Worked out: 21 heartbeats a second into an instance that stands by, 1,090 out of a hub. Test: one wide hub among 60; the code before sends all of them often.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -91,6 +91,13 @@
 	return mesh_place_hash(cfg->region);
 }
 
+/* Beats to m come each so many of this instance's. */
+static int beats_every(const struct member *m)
+{
+	if (!mesh_self_serves() && !mesh_self_hub()) return MESH_QUIET_BEATS;
+	return m->hub || m->said.serves || mesh_tells(m) ? 1 : MESH_QUIET_BEATS;
+}
+
 void mesh_write_own_beat(GString *out, const struct member *to)
 {
 	struct mesh_beat b = {.ready = self_ready,
@@ -103,7 +110,8 @@
 			      .orders = board_orders_digest(),
 			      .from = watch_backends_from(),
 			      .dc = mesh_self_dc(),
-			      .region = mesh_self_region()};
+			      .region = mesh_self_region(),
+			      .every = beats_every(to)};
 	int64_t now = clock_us(), confirmed = board_confirmed_us();
 
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
@@ -131,12 +139,12 @@
 	g_string_free(out, TRUE);
 }
 
-/* Those of an instance that serves nobody are spread over the beats, by the receiver. */
+/* The slow ones are spread over the beats, by the receiver. */
 static int is_due(const struct member *m)
 {
-	int fast = mesh_self_serves() || mesh_self_hub();
+	int every = beats_every(m);
 
-	return fast || (beats + g_str_hash(m->ip)) % MESH_QUIET_BEATS == 0;
+	return every == 1 || (beats + g_str_hash(m->ip)) % every == 0;
 }
 
 /* Links between two that stand by are let go. */
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -3,7 +3,6 @@
 #include "mesh_impl.h"
 #include "met.h"
 #include <arpa/inet.h>
-#include <saddlehead/roles.h>
 #include <stddef.h>
 
 /* Between two tries to connect: one a heartbeat, as an opening packet to an instance that
@@ -26,29 +25,13 @@
 	(void)n;
 }
 
-/* Who stands by is told by a few hubs who is there, and hubs hear from all. */
-static int tells_all(const struct member *m)
-{
-	uint32_t hubs[ROLES_ACTIVE + ROLES_SPARE], i;
-	int n = 0;
-
-	if (!mesh_self_hub()) return 0;
-	for (i = 0; i < mesh_members()->len; i++) {
-		const struct member *h = g_ptr_array_index(mesh_members(), i);
-
-		if (h->hub && h != m && n < (int)G_N_ELEMENTS(hubs))
-			hubs[n++] = g_str_hash(h->ip);
-	}
-	return roles_tells_all(g_str_hash(mesh_cfg()->ip), g_str_hash(m->ip), hubs, n);
-}
-
 static void on_link_up(struct cn *c)
 {
 	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
 	GString *out = g_string_new(NULL);
 
 	mesh_write_own_beat(out, m);
-	mesh_write_peers(out, !tells_all(m));
+	mesh_write_peers(out, !mesh_tells(m));
 	mesh_write_absent(out);
 	/* Before the verdicts: with them one that starts has all that it waits for. */
 	mesh_write_orders(out);
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -127,17 +127,31 @@
 	mesh_learn_from(m);
 }
 
-static void check_alive(struct member *m, int64_t now)
+static void set_dead(struct member *m)
 {
-	int64_t dead_us = m->said.serves || m->hub ? DEAD_US : QUIET_DEAD_US;
-
-	if (!m->alive || now - m->heard_us < dead_us) return;
 	m->alive = 0;
 	mesh_drop_loads(m);
 	mesh_passed_over(m);
 	log_member(m, "member_dead");
 }
 
+static void check_alive(struct member *m, int64_t now)
+{
+	int64_t dead_us = m->said.serves || m->hub ? DEAD_US : QUIET_DEAD_US;
+
+	dead_us = MAX(dead_us, m->said.every * DEAD_US);
+	if (!m->alive || now - m->heard_us < dead_us) return;
+	set_dead(m);
+	mesh_tell_death(m);
+}
+
+void mesh_told_silent(struct member *m, int64_t silent_us)
+{
+	int64_t mine_us = clock_us() - m->heard_us;
+
+	if (m->alive && silent_us >= DEAD_US && mine_us >= DEAD_US) set_dead(m);
+}
+
 static int forgotten(struct member *m, int64_t now)
 {
 	if (now - MAX(m->heard_us, m->learnt_us) < FORGET_US) return 0;
--- a/src/fleet/mesh_part.c
+++ b/src/fleet/mesh_part.c
@@ -113,6 +113,7 @@
 int mesh_take_absent(const msgpack_object_array *a)
 {
 	char ip[ENTRY_TEXT_MAX + 1];
+	struct member *m;
 	uint32_t i;
 
 	for (i = 1; i + ABSENT_FIELDS <= a->size; i += ABSENT_FIELDS) {
@@ -121,6 +122,8 @@
 		if (mesh_text(&a->ptr[i], ip, sizeof ip)) return -EBADMSG;
 		if (!is_another(ip) || silent_us < 0 || silent_us > FORGET_US) continue;
 		know_heard(ip, mesh_mbps(&a->ptr[i + 1]), clock_us() - silent_us);
+		m = mesh_member_known(ip);
+		if (m) mesh_told_silent(m, silent_us);
 	}
 	return 0;
 }
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -55,6 +55,8 @@
 	b->dc = a->size > MESH_BEAT_DC ? (uint32_t)mesh_int(&a->ptr[MESH_BEAT_DC]) : 0;
 	b->region =
 		a->size > MESH_BEAT_REGION ? (uint32_t)mesh_int(&a->ptr[MESH_BEAT_REGION]) : 0;
+	b->every = a->size > MESH_BEAT_EVERY ? (int)mesh_int(&a->ptr[MESH_BEAT_EVERY]) : 1;
+	b->every = CLAMP(b->every, 1, MESH_QUIET_BEATS);
 	return 0;
 }
 
--- a/src/fleet/mesh_tree.c
+++ b/src/fleet/mesh_tree.c
@@ -25,6 +25,16 @@
 	return n;
 }
 
+int mesh_tells(const struct member *m)
+{
+	uint32_t hubs[HUBS_MAX];
+	int n;
+
+	if (!mesh_self_hub()) return 0;
+	n = collect_hubs(m, 0, hubs);
+	return roles_tells_all(g_str_hash(mesh_cfg()->ip), g_str_hash(m->ip), hubs, n);
+}
+
 /* Whether this hub is the one that passes news on to m, which stands by. */
 static int is_mine(const struct member *m)
 {
@@ -106,3 +116,14 @@
 	if (mine.conf == base.conf && mine.backends == base.backends) return;
 	if (mesh_items_size(base) <= MESH_SMALL_MAX) send_news(base, 1);
 }
+
+void mesh_tell_death(const struct member *m)
+{
+	GString *out;
+
+	if (!mesh_self_hub() || !(m->hub || m->said.serves)) return;
+	out = g_string_new(NULL);
+	mesh_write_absent(out);
+	send_frame(out, 1);
+	g_string_free(out, TRUE);
+}
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -55,6 +55,7 @@
 	msgpack_pack_uint64(p, b->from);
 	msgpack_pack_uint32(p, b->dc);
 	msgpack_pack_uint32(p, b->region);
+	msgpack_pack_int(p, b->every);
 	mesh_frame_end(&f, out);
 }
 
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -26,6 +26,7 @@
 	uint64_t from;   /* all changes of backend servers after it are known to it; 0: none */
 	uint32_t dc;     /* hash of its data centre; 0: not told */
 	uint32_t region; /* the same of its region */
+	int every;       /* the next one comes so many times as late as the fastest */
 };
 
 struct mesh_row {
@@ -53,8 +54,8 @@
 };
 
 /* Fields of a heartbeat and of a load, the type or the name included: both sides go by them. */
-#define MESH_BEAT_FIELDS 21
-#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next seven */
+#define MESH_BEAT_FIELDS 22
+#define MESH_BEAT_FIELDS_MIN 14 /* of earlier releases, which leave out the next eight */
 #define MESH_BEAT_LINK 14       /* where link_mbps stands */
 #define MESH_BEAT_SERVES 15     /* where serves stands; one that does not tell it wants loads */
 #define MESH_BEAT_VERDICTS 16   /* where verdicts stands */
@@ -62,6 +63,7 @@
 #define MESH_BEAT_FROM 18       /* where from stands */
 #define MESH_BEAT_DC 19         /* where dc stands */
 #define MESH_BEAT_REGION 20     /* where region stands */
+#define MESH_BEAT_EVERY 21      /* where every stands */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10 /* of earlier releases, which leave out the next one */
 #define MESH_ROW_BORN 10       /* where born_ms stands */
@@ -122,7 +124,8 @@
 void mesh_in_forget(const struct member *m);
 
 /* Nobody is sent to an instance that serves none: that it died may be known later, for a third
- * of the messages of most of a large fleet. Beats of those that serve, to one of the others. */
+ * of the messages of most of a large fleet. Those that stand by hear a few hubs as often as
+ * these hear each other, and of the death of the others from these. */
 #define MESH_QUIET_BEATS 3
 
 /* mesh.c */
@@ -151,6 +154,8 @@
 struct member *mesh_learnt(const char *ip, int link_mbps);
 /* A beat of m came: it lives. */
 void mesh_heard(struct member *m, const struct mesh_beat *b);
+/* Another instance has not heard m for so long. */
+void mesh_told_silent(struct member *m, int64_t silent_us);
 /* Finds the dead, and forgets those not heard of for long. */
 void mesh_check_members(int64_t now);
 void mesh_members_start(void);
@@ -186,6 +191,11 @@
 void mesh_send(struct member *m, const GString *frame);
 
 /* mesh_tree.c */
+/* Whether this hub is one of the few that tell m, which stands by, of all instances, and beat
+ * to it as to hubs. */
+int mesh_tells(const struct member *m);
+/* m died: those that stand by are told which have it from this hub. */
+void mesh_tell_death(const struct member *m);
 /* News came from another instance: passes what is newer than base on to those that have it from
  * this hub. */
 void mesh_forward(struct board_revs base);
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -89,6 +89,7 @@
 	msgpack_pack_uint64(p, 0); /* has no list of its own */
 	msgpack_pack_uint32(p, 0); /* nor says where it stands */
 	msgpack_pack_uint32(p, 0);
+	msgpack_pack_int(p, 1);
 	finish(&f, out);
 }
 
--- a/test/test_standby.c
+++ b/test/test_standby.c
@@ -112,7 +112,41 @@
 	pw_end();
 }
 
+#define MANY 60
+#define BEAT_MS 400 /* of a hub to another one; to most others each third one is left */
+#define LATE_MS 300
+
+/* The only wide one among many: it takes callers, and all hear from it. */
+static void a_hub_beats_seldom_to_most_that_stand_by(void)
+{
+	struct pw_peer *p[MANY];
+	struct pw_entry *e;
+	int i, often = 0;
+
+	pw_init();
+	pw_server_add("app", 0);
+	pw_settings("limits.linkMbps=1000\n");
+	e = pw_entry_ready();
+	for (i = 0; i < MANY; i++) {
+		p[i] = pw_peer_new(e, 0);
+		p[i]->link_mbps = 10;
+		p[i]->store_up = 1;
+	}
+	pw_run(2500);
+	for (i = 0; i < MANY; i++) p[i]->gap_us = 0;
+	pw_run(4000);
+	for (i = 0; i < MANY; i++) {
+		often += p[i]->gap_us < (BEAT_MS + LATE_MS) * 1000;
+		CU_ASSERT(p[i]->gap_us < (3 * BEAT_MS + LATE_MS) * 1000);
+	}
+	CU_ASSERT(often >= 8); /* the other hubs */
+	CU_ASSERT(often <= MANY * 2 / 3);
+	pw_peers_end();
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"a_hub_beats_seldom_to_most_that_stand_by", a_hub_beats_seldom_to_most_that_stand_by},
 	{"one_of_many_stands_by", one_of_many_stands_by},
 	{"on_the_first_start_few_list", on_the_first_start_few_list},
 	{"a_store_that_is_away_is_left_to_few", a_store_that_is_away_is_left_to_few},
