Routes are told apart by all bits of their hash

The lowest bit was set in each, so that names that end in neighbouring letters fell together, and a version that is bad on one of two such routes was judged by both.

--- a/src/fleet/ro_choose.c
+++ b/src/fleet/ro_choose.c
@@ -30,20 +30,20 @@
 void ro_choose_canaries(const struct ro *o)
 {
 	const GPtrArray *list = be_of(o->service);
-	GPtrArray *new = g_ptr_array_new();
+	GPtrArray *of_new = g_ptr_array_new();
 	uint32_t i, most;
 
 	for (i = 0; list && i < list->len; i++) {
 		struct be *b = g_ptr_array_index(list, i);
 
 		b->ro_part = ro_part_of(b);
-		if (b->ro_part == RO_NEW && !be_leaves(b)) g_ptr_array_add(new, b);
+		if (b->ro_part == RO_NEW && !be_leaves(b)) g_ptr_array_add(of_new, b);
 	}
-	qsort(new->pdata, new->len, sizeof *new->pdata, by_hash);
-	most = MAX((uint32_t)ceil(new->len * ro_cfg->exposure_share), CANARIES_MIN);
-	for (i = 0; i < new->len &&i < most; i++)
-		((struct be *)g_ptr_array_index(new, i))->ro_part = RO_CANARY;
-	g_ptr_array_free(new, TRUE);
+	qsort(of_new->pdata, of_new->len, sizeof *of_new->pdata, by_hash);
+	most = MAX((uint32_t)ceil(of_new->len * ro_cfg->exposure_share), CANARIES_MIN);
+	for (i = 0; i < of_new->len && i < most; i++)
+		((struct be *)g_ptr_array_index(of_new, i))->ro_part = RO_CANARY;
+	g_ptr_array_free(of_new, TRUE);
 }
 
 static int has_old(const struct ro *o)
--- a/src/relay/rq_rollout.c
+++ b/src/relay/rq_rollout.c
@@ -19,5 +19,5 @@
 
 void leg_tell_version(const struct leg *l, enum ro_end how)
 {
-	ro_ended(l->be, g_str_hash(l->rq->route->name) | 1, how, took_us(l));
+	ro_ended(l->be, g_str_hash(l->rq->route->name), how, took_us(l));
 }
