Plain calls under way are in whole messages of loads again

Cause: since whole messages list servers in use, a server counted as such when a load was told; plain calls are told when they end, so that those under way were in no message, and other instances sent to servers whose places were all taken.

Change: a server is in use from the moment that a request is sent there.

Test: twelve calls hang at one server; another instance goes to the other one.

--- a/src/relay/rq_load.c
+++ b/src/relay/rq_load.c
@@ -80,6 +80,7 @@
 void leg_count_in(struct leg *l)
 {
 	l->be->own.runs++;
+	be_note_use(l->be);
 	if (l->reading) l->be->own.unread += l->rq->job.prompt;
 	leg_recount(l);
 }
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -303,7 +303,33 @@
 	pw_end();
 }
 
+#define UNDER_WAY 12 /* twice the places of a server */
+
+/* Another instance's calls that have not ended are known from its whole messages. */
+static void calls_under_way_elsewhere_are_counted(void)
+{
+	struct pw_server *busy, *slow;
+	struct pw_entry *e[2];
+	int i;
+
+	pw_init();
+	busy = pw_server_add("app", 0);
+	busy->mode = PW_HANG;
+	for (i = 0; i < 2; i++) e[i] = pw_entry_ready();
+	pw_run(800);
+	for (i = 0; i < UNDER_WAY; i++) pw_ask(e[0], "POST", "/unsafe/", 9000);
+	pw_run(100);
+	slow = pw_server_add("app", 0);
+	slow->work_ms = 60;
+	pw_run(3000);
+	busy->arrivals = 0;
+	for (i = 0; i < 8; i++) CU_ASSERT_EQUAL(pw_status_of_key(e[1], "k1"), 200);
+	CU_ASSERT_EQUAL(busy->arrivals, 0);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"calls_under_way_elsewhere_are_counted", calls_under_way_elsewhere_are_counted},
 	{"what_others_saw_of_a_server_counts", what_others_saw_of_a_server_counts},
 	{"the_directory_names_who_takes_callers", the_directory_names_who_takes_callers},
 	{"a_dead_instance_leaves_the_directory", a_dead_instance_leaves_the_directory},
