--- a/include/saddlehead/roles.h
+++ b/include/saddlehead/roles.h
@@ -54,15 +54,6 @@
 /* Whether the store answers some hub, as far as is known. */
 int roles_store_answers(const struct roles_peer *p, int n);
 
-/* So many hubs tell one instance of all others when a link to it comes up: two may have just
- * died. The rest of them name hubs alone. */
-#define ROLES_TELLERS 3
-/* Whether self is among these for the instance to; all by the hashes of their addresses. hubs:
- * the n others. */
-int roles_tells_all(uint32_t self, uint32_t to, const uint32_t *hubs, int n);
-/* Whether self is the first in that order. */
-int roles_is_first(uint32_t self, uint32_t to, const uint32_t *hubs, int n);
-
 /* An instance whose configuration grows too old. */
 struct roles_old {
 	int hub;
--- a/src/core/roles.c
+++ b/src/core/roles.c
@@ -80,34 +80,6 @@
 	return 0;
 }
 
-/* Another order for each instance. */
-static uint32_t order_for(uint32_t hub, uint32_t to)
-{
-	uint32_t x = (hub ^ to) * 2654435761u;
-
-	return (x ^ x >> 15) * 2246822519u;
-}
-
-/* So many hubs come before self. */
-static int rank_for(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
-{
-	uint32_t mine = order_for(self, to);
-	int i, before = 0;
-
-	for (i = 0; i < n; i++) before += order_for(hubs[i], to) < mine;
-	return before;
-}
-
-int roles_tells_all(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
-{
-	return rank_for(self, to, hubs, n) < ROLES_TELLERS;
-}
-
-int roles_is_first(uint32_t self, uint32_t to, const uint32_t *hubs, int n)
-{
-	return !rank_for(self, to, hubs, n);
-}
-
 int roles_may_ask(const struct roles_old *o, int64_t now_us)
 {
 	if (o->asks || (o->hub && o->store_up)) return 1;
--- a/src/fleet/board.c
+++ b/src/fleet/board.c
@@ -5,6 +5,7 @@
 #include "dialect.h"
 #include "jlog.h"
 #include "met.h"
+#include <saddlehead/spread.h>
 #include <string.h>
 
 /* After its return entries that had lapsed come back within some two seconds. */
@@ -81,6 +82,11 @@
 	revs.backends = MAX(revs.backends, revision);
 }
 
+int board_take_news(uint64_t after, uint64_t upto)
+{
+	return spread_take(&revs.backends, after, upto);
+}
+
 void board_confirm(uint64_t revision, int64_t at_us)
 {
 	if (!conf || revision != conf->revision || at_us <= confirmed_us) return;
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -87,10 +87,10 @@
 
 static int take_items(struct mesh_in *in, const msgpack_object_array *a)
 {
-	struct board_revs after, upto, mine = board_revs();
+	struct board_revs after, upto;
 
 	if (mesh_read_revs(a, &after) || apply_items(in, a, &upto)) return -EBADMSG;
-	if (mine.backends >= after.backends) board_complete(upto.backends);
+	board_take_news(after.backends, upto.backends); /* or other ones have to come first */
 	watch_told(DL_CONF, after.conf, upto.conf);
 	if (in->from->said.from && after.backends >= in->from->said.from)
 		watch_told(DL_BACKEND, after.backends, upto.backends);
--- a/src/fleet/mesh_tree.c
+++ b/src/fleet/mesh_tree.c
@@ -2,16 +2,12 @@
  * that stand by: so each has them once, from its own data centre where a hub is there. */
 #include "mesh_impl.h"
 #include <saddlehead/roles.h>
+#include <saddlehead/spread.h>
 
 #define HUBS_MAX (ROLES_ACTIVE + ROLES_SPARE)
 
-static int is_near(const struct member *m, uint32_t dc)
-{
-	return m->said.dc && m->said.dc == dc;
-}
-
-/* Hashes of the other hubs that live, those of the data centre alone (0: of any). */
-static int collect_hubs(const struct member *but, uint32_t dc, uint32_t *hubs)
+/* The other hubs that live. */
+static int collect_hubs(const struct member *but, struct spread_hub *hubs)
 {
 	uint32_t i;
 	int n = 0;
@@ -19,32 +15,32 @@
 	for (i = 0; i < mesh_members()->len && n < HUBS_MAX; i++) {
 		const struct member *h = g_ptr_array_index(mesh_members(), i);
 
-		if (!h->hub || !h->alive || h == but || (dc && !is_near(h, dc))) continue;
-		hubs[n++] = g_str_hash(h->ip);
+		if (!h->hub || !h->alive || h == but) continue;
+		hubs[n++] = (struct spread_hub){g_str_hash(h->ip), h->said.dc};
 	}
 	return n;
 }
 
+static struct spread_hub self(void)
+{
+	return (struct spread_hub){g_str_hash(mesh_cfg()->ip), mesh_self_dc()};
+}
+
 int mesh_tells(const struct member *m)
 {
-	uint32_t hubs[HUBS_MAX];
-	int n;
+	struct spread_hub hubs[HUBS_MAX], me = self();
 
 	if (!mesh_self_hub()) return 0;
-	n = collect_hubs(m, 0, hubs);
-	return roles_tells_all(g_str_hash(mesh_cfg()->ip), g_str_hash(m->ip), hubs, n);
+	return spread_tells(&me, hubs, collect_hubs(m, hubs), g_str_hash(m->ip));
 }
 
 /* Whether this hub is the one that passes news on to m, which stands by. */
 static int is_mine(const struct member *m)
 {
-	uint32_t hubs[HUBS_MAX], self = g_str_hash(mesh_cfg()->ip);
-	uint32_t dc = m->said.dc;
-	int near = dc && dc == mesh_self_dc(), n = dc ? collect_hubs(m, dc, hubs) : 0;
+	struct spread_hub hubs[HUBS_MAX], me = self();
+	int n = collect_hubs(m, hubs);
 
-	if (n && !near) return 0;
-	if (!near) n = collect_hubs(m, 0, hubs);
-	return roles_is_first(self, g_str_hash(m->ip), hubs, n);
+	return spread_passes_on(&me, hubs, n, g_str_hash(m->ip), m->said.dc);
 }
 
 /* Those that pass them on, or need them at once, and those that have them from here alone. */
--- a/src/internal/board.h
+++ b/src/internal/board.h
@@ -31,6 +31,9 @@
  * not tell so: a listing takes several calls, and what changes meanwhile is on none of its
  * pages. */
 void board_complete(uint64_t revision);
+/* The same of news that tell all changes after one revision up to another. 0: some before them
+ * are not known here. */
+int board_take_news(uint64_t after, uint64_t upto);
 /* Calls f for each item newer than the revisions of its kind, gone ones too; orders apart. Of
  * backend servers those up to where their changes are complete. */
 void board_each_newer(struct board_revs after, void (*f)(const struct st_item *i, void *arg),
--- a/test/test_canary.c
+++ b/test/test_canary.c
@@ -232,6 +232,33 @@
 	end();
 }
 
+/* It gets nothing more although nobody can write so; whoever is left writes it later. */
+static void a_version_is_rolled_back_while_the_store_is_away(void)
+{
+	struct pw_entry *e[2];
+	int i;
+
+	begin(e, 2);
+	bring_in(PW_OK, 0);
+	load(e, 2, 700);
+	CU_ASSERT(state_is("app", "running"));
+	pw_store.mode = PW_STORE_DOWN;
+	for (i = 0; i < 3; i++) new[i]->mode = PW_ERROR;
+	load(e, 2, 2500);
+	CU_ASSERT(arrivals(new) > 0);
+	CU_ASSERT(arrivals(new) <= bound());
+	new[0]->arrivals = new[1]->arrivals = new[2]->arrivals = 0;
+	load(e, 2, 500);
+	CU_ASSERT_EQUAL(arrivals(new), 0);
+	pw_entry_kill(e[0], SIGKILL); /* between verdict and write */
+	pw_entry_wait(e[0], 500);
+	pw_store.mode = PW_STORE_OK;
+	load(&e[1], 1, 3000);
+	CU_ASSERT(state_is("app", "rolled_back"));
+	CU_ASSERT_EQUAL(arrivals(new), 0);
+	end();
+}
+
 static void orders_that_cannot_be_read_change_nothing(void)
 {
 	struct pw_entry *e[1];
@@ -362,6 +389,8 @@
 	{"the_writer_may_be_killed", the_writer_may_be_killed},
 	{"what_was_rolled_back_stays_so", what_was_rolled_back_stays_so},
 	{"a_store_that_is_away_holds_it_up", a_store_that_is_away_holds_it_up},
+	{"a_version_is_rolled_back_while_the_store_is_away",
+	 a_version_is_rolled_back_while_the_store_is_away},
 	{"orders_that_cannot_be_read_change_nothing",
 	 orders_that_cannot_be_read_change_nothing},
 	{"a_version_without_servers_is_not_completed",
--- a/test/test_roles.c
+++ b/test/test_roles.c
@@ -211,38 +211,7 @@
 			  80); /* 2 x 16 s / 0.8 s, 19 first ones */
 }
 
-#define HUBS 19
-#define MEMBERS 985
-
-/* How many of the hubs tell to of all; those from first on are there. */
-static int tellers(uint32_t to, int first)
-{
-	uint32_t hubs[HUBS], others[HUBS];
-	int i, k, n, sum = 0;
-
-	for (i = 0; i < HUBS; i++) hubs[i] = (uint32_t)(i + 1) * 40503u;
-	for (i = first; i < HUBS; i++) {
-		for (k = first, n = 0; k < HUBS; k++)
-			if (k != i) others[n++] = hubs[k];
-		sum += roles_tells_all(hubs[i], to, others, n);
-	}
-	return sum;
-}
-
-/* What hubs send when links come up does not grow with their number, and nobody is left out. */
-static void a_few_hubs_tell_each_instance_of_all(void)
-{
-	uint32_t i;
-
-	for (i = 0; i < MEMBERS; i++) {
-		CU_ASSERT_EQUAL(tellers(i * 7919, 0), ROLES_TELLERS);
-		CU_ASSERT_EQUAL(tellers(i * 7919, 5), ROLES_TELLERS);
-		CU_ASSERT_EQUAL(tellers(i * 7919, HUBS - 2), 2);
-	}
-}
-
 static const struct check list[] = {
-	{"a_few_hubs_tell_each_instance_of_all", a_few_hubs_tell_each_instance_of_all},
 	{"the_widest_links_take_callers", the_widest_links_take_callers},
 	{"narrow_links_take_callers_only_where_wide_ones_are_few",
 	 narrow_links_take_callers_only_where_wide_ones_are_few},
--- a/test/test_rollout.c
+++ b/test/test_rollout.c
@@ -42,20 +42,40 @@
 	double slow;  /* share of its answers that take slow_x as long */
 	double slow_x;
 	int64_t from_us; /* only after it */
-	int route;       /* only there; -1: on all */
-	double noise;    /* share of all answers, of both versions, that fail */
+	int route;       /* only there, counted from 1; 0: on all */
+	double load;  /* share of the time in which its servers have enough to do to show it; 0:
+			 all */
+	int shifted;  /* only once all requests go there */
+	double noise; /* share of all answers, of both versions, that fail */
 };
 
 static const struct version versions[] = {
-	{"good", 0, 0, 0, 1, 0, -1, .004},
-	{"good, beside failing servers", 0, 0, 0, 1, 0, -1, .08},
-	{"good, and a little slower", 0, 0, .5, 1.3, 0, -1, .004},
-	{"fails at once", 1, .5, 0, 1, 0, -1, .004},
-	{"fails now and then", 1, .3, 0, 1, 0, -1, .004},
-	{"fails later", 1, .6, 0, 1, 4000000, -1, .004},
-	{"fails on one route", 1, .6, 0, 1, 0, 1, .004},
-	{"is slow", 1, 0, .6, 5, 0, -1, .004},
-	{"is slow on one route", 1, 0, .8, 6, 0, 0, .004},
+	{.name = "good", .noise = .004},
+	{.name = "good, beside failing servers", .noise = .08},
+	{.name = "good, and a little slower", .slow = .5, .slow_x = 1.3, .noise = .004},
+	{.name = "fails at once", .bad = 1, .fails = .5, .noise = .004},
+	{.name = "fails now and then", .bad = 1, .fails = .3, .noise = .004},
+	{.name = "fails later", .bad = 1, .fails = .6, .from_us = 4000000, .noise = .004},
+	{.name = "fails on one route", .bad = 1, .fails = .6, .route = 2, .noise = .004},
+	{.name = "fails under load", .bad = 1, .fails = .6, .load = .5, .noise = .004},
+	{.name = "fails once all goes there",
+	 .bad = 1,
+	 .fails = .5,
+	 .shifted = 1,
+	 .noise = .004},
+	{.name = "is slow", .bad = 1, .slow = .6, .slow_x = 5, .noise = .004},
+	{.name = "is slow under load",
+	 .bad = 1,
+	 .slow = .8,
+	 .slow_x = 5,
+	 .load = .6,
+	 .noise = .004},
+	{.name = "is slow on one route",
+	 .bad = 1,
+	 .slow = .8,
+	 .slow_x = 6,
+	 .route = 1,
+	 .noise = .004},
 };
 
 struct play {
@@ -69,6 +89,16 @@
 	int64_t judged_us;
 };
 
+/* Whether what is wrong with it shows now. */
+static int shows(const struct play *p, int route, int64_t now)
+{
+	const struct version *v = p->v;
+
+	if (now < v->from_us || (v->route && v->route != route + 1)) return 0;
+	if (v->shifted && p->stage != ROLLOUT_SHIFT) return 0;
+	return !v->load || drawn() < v->load;
+}
+
 static void answer(struct play *p, enum rollout_side side, int64_t now)
 {
 	static const double mean_us[ROUTES] = {400000, 250000};
@@ -76,8 +106,7 @@
 	int64_t took = time_of(mean_us[route], .4);
 	int bad = drawn() < p->v->noise;
 
-	if (side == ROLLOUT_NEW && now >= p->v->from_us &&
-	    (p->v->route < 0 || p->v->route == route)) {
+	if (side == ROLLOUT_NEW && shows(p, route, now)) {
 		bad |= drawn() < p->v->fails;
 		if (drawn() < p->v->slow) took = (int64_t)(took * p->v->slow_x);
 	}
