Two hundred readers that stop, on an instance of 88 MB

Left: an answer of a plain call is held whole until it is there, up to 4 MB each, and not counted in this bound.

--- a/test/pw.h
+++ b/test/pw.h
@@ -152,6 +152,7 @@
 	enum pw_mode mode;
 	int engine;
 	int work_ms, event_ms, events, break_after;
+	int event_bytes; /* of padding in each event */
 	int move_status,
 		copy_status; /* what orders and copies are answered; 0: as they should */
 	int copy_refusals;   /* so many copies are turned away first */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -89,6 +89,20 @@
 	reset(r);
 }
 
+static void padded_event(struct pw_run *r)
+{
+	GString *g = g_string_new(NULL);
+	gsize head;
+
+	g_string_printf(g, "id: %d\ndata: %s-%d ", r->events, r->id, r->events);
+	head = g->len;
+	g_string_set_size(g, head + r->server->event_bytes);
+	memset(g->str + head, '.', r->server->event_bytes);
+	g_string_append(g, "\n\n");
+	chunk(r->h, g->str, g->len);
+	g_string_free(g, TRUE);
+}
+
 static void next_event(struct pw_run *r)
 {
 	struct pw_server *s = r->server;
@@ -105,7 +119,10 @@
 		     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
 	r->events++;
 	g_snprintf(text, sizeof text, "id: %d\ndata: %s-%d\n\n", r->events, r->id, r->events);
-	chunk(h, text, strlen(text));
+	if (s->event_bytes)
+		padded_event(r);
+	else
+		chunk(h, text, strlen(text));
 	if (r->events < s->events) {
 		ev_in(&r->timer, s->event_ms * 1000);
 		return;
--- a/test/test_hold.c
+++ b/test/test_hold.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "hs_hold.h"
 #include "pw.h"
+#include <stdio.h>
 #include <string.h>
 
 #define MOST (8u << 20) /* bytes for all */
@@ -182,7 +183,68 @@
 	end(r, 4 * READERS);
 }
 
+#define MEMORY_MB 88 /* of the smallest instance */
+#define MANY 200
+#define ENGINES 60
+#define PAGE_KB 4
+
+static long rss_mb(const struct pw_entry *e)
+{
+	char path[64], *text = NULL;
+	long pages = 0;
+
+	g_snprintf(path, sizeof path, "/proc/%d/statm", (int)e->pid);
+	if (g_file_get_contents(path, &text, NULL, NULL)) sscanf(text, "%*d %ld", &pages);
+	g_free(text);
+	return pages * PAGE_KB / 1024;
+}
+
+/* Streams of 6 MB each, of which the system's buffers take a part. One caller reads on. */
+static void hundreds_of_readers_that_stop_do_not_end_a_small_instance(void)
+{
+	struct pw_call *c[MANY];
+	struct pw_entry *e;
+	long most = 0;
+	int i, begun = 0;
+
+	pw_init();
+	pw_settings("limits.memoryMb=88\n");
+	pw_conf.tokens = 100000000; /* nobody waits for an engine */
+	pw_conf.timeout_ms = 30000;
+	pw_conf_write();
+	for (i = 0; i < ENGINES; i++) {
+		struct pw_server *s = pw_server_add("llm", 1);
+
+		s->events = 60;
+		s->event_ms = 50;
+		s->event_bytes = 100000;
+	}
+	e = pw_entry_ready();
+	for (i = 0; i < MANY; i++) {
+		c[i] = pw_ask(e, "POST", "/sum/", 20000);
+		pw_run(5);
+		if (i && c[i]->x) cn_pause(&c[i]->x->cn, 1);
+	}
+	pw_run(100);
+	for (i = 0; i < MANY; i++) begun += pw_runs_of(c[i]->id) > 0;
+	CU_ASSERT(begun > MANY / 2);
+	for (i = 0; i < 50; i++) {
+		pw_run(100);
+		most = MAX(most, rss_mb(e));
+	}
+	CU_ASSERT(!pw_entry_ended(e, &i));
+	CU_ASSERT(most < MEMORY_MB);
+	CU_ASSERT(pw_call_wait(c[0], 8000));
+	CU_ASSERT_EQUAL(c[0]->status, 200);
+	fprintf(stderr, "at most %ld of %d MB\n", most, MEMORY_MB);
+	for (i = 1; i < MANY; i++)
+		if (c[i]->x) pw_call_leave(c[i]);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"hundreds_of_readers_that_stop_do_not_end_a_small_instance",
+	 hundreds_of_readers_that_stop_do_not_end_a_small_instance},
 	{"readers_that_stop_hold_up_nobody", readers_that_stop_hold_up_nobody},
 	{"a_reader_that_returns_has_all_of_it", a_reader_that_returns_has_all_of_it},
 	{"memory_that_is_short_ends_those_that_take_nothing",
