Orders are checked where lists are; bounds that cut something off say so

Test: 64 and 65 data centres. lists, drain, canary as before.

Left: of more than 256 servers in use at one instance, whole messages of loads name 256.

--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -7,10 +7,11 @@
 
 #define DEAD_US 1500000 /* three beats missed and some way */
 #define QUIET_DEAD_US (MESH_QUIET_BEATS * DEAD_US)
-#define SILENT_US 1000000  /* two beats missed and some way */
-#define GONE_US 3000000    /* a cut that lasts longer is waited for no more */
-#define FORGET_US 30000000 /* an instance not heard of for so long is not tried any more */
-#define MEMBERS_MAX 4096   /* instances: no fleet is so large */
+#define SILENT_US 1000000    /* two beats missed and some way */
+#define GONE_US 3000000      /* a cut that lasts longer is waited for no more */
+#define FORGET_US 30000000   /* an instance not heard of for so long is not tried any more */
+#define MEMBERS_MAX 4096     /* instances: no fleet is so large */
+#define FULL_LOG_US 10000000 /* between two lines that there are more */
 
 static GPtrArray *members;
 static GHashTable *by_ip; /* the same, by address */
@@ -44,13 +45,30 @@
 	return m;
 }
 
+/* More instances than are supported: those beyond are neither heard nor named to callers. */
+static void log_full(void)
+{
+	static int64_t logged_us;
+	int64_t now = clock_us();
+	GString *g;
+
+	if (logged_us && now - logged_us < FULL_LOG_US) return;
+	logged_us = now;
+	g = jlog_begin("fleet", "members_full");
+	jlog_int(g, "most", MEMBERS_MAX);
+	jlog_end(g);
+}
+
 struct member *mesh_learnt(const char *ip, int link_mbps)
 {
 	struct in_addr a;
 	struct member *m;
 
 	if (!strcmp(ip, mesh_cfg()->ip) || inet_pton(AF_INET, ip, &a) != 1) return NULL;
-	if (members->len >= MEMBERS_MAX && !g_hash_table_contains(by_ip, ip)) return NULL;
+	if (members->len >= MEMBERS_MAX && !g_hash_table_contains(by_ip, ip)) {
+		log_full();
+		return NULL;
+	}
 	m = mesh_member_at(ip);
 	m->learnt_us = clock_us();
 	if (!m->link_mbps && link_mbps) {
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -43,14 +43,11 @@
 	GHashTable *listed;     /* keys that the pages so far had */
 	struct board_revs base; /* what was known before the listing */
 	int begun;              /* a listing was asked for: what is known may be a part of it */
-	int once;               /* lists, and does not go on to watch */
 };
 
 #define WATCHERS_MAX 4 /* lists that the platform may have */
 
 static struct watcher watchers[WATCHERS_MAX];
-/* List orders alone: what else stands beside them may be a megabyte. */
-static struct watcher order_checkers[2];
 static int nwatchers;
 static int64_t started_us; /* monotonic */
 static int first_start;    /* of the whole fleet */
@@ -132,7 +129,7 @@
 
 static int may_leave_rest(const struct watcher *w)
 {
-	if (w->once || w->left_us || w->list.of != DL_BACKEND || w->base.backends) return 0;
+	if (w->left_us || w->list.of != DL_BACKEND || w->base.backends) return 0;
 	return mesh_known() > 1 && others_have_or_list();
 }
 
@@ -145,7 +142,7 @@
 	watch_note_reply(r);
 	if (r->rc) {
 		g_hash_table_remove_all(w->listed);
-		if (!w->once) try_later(w);
+		try_later(w);
 		return;
 	}
 	w->wait_us = 0;
@@ -170,10 +167,6 @@
 	if (w->list.of == DL_BACKEND) board_complete(w->at);
 	g_hash_table_remove_all(w->listed);
 	log_list(w, "list_read");
-	if (w->once) {
-		mesh_pass_on(w->base);
-		return;
-	}
 	w->phase = WATCHING;
 	w->from = w->at;
 	w->covered = 0;
@@ -376,17 +369,6 @@
 	}
 }
 
-void watch_check_orders(void)
-{
-	uint32_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(order_checkers); i++) {
-		struct watcher *w = &order_checkers[i];
-
-		if (!w->call) w->call = st_range(w->list.prefix, NULL, on_listed, w);
-	}
-}
-
 /* Others watch for this instance by now: its own call would stay for as long as nothing
  * changes. */
 static void leave_to_others(struct watcher *w)
@@ -417,9 +399,6 @@
 
 	first_start = first;
 	started_us = clock_us();
-	init_watcher(&order_checkers[0], (struct dl_list){dl_drains, DL_DRAIN});
-	init_watcher(&order_checkers[1], (struct dl_list){dl_rollouts, DL_ROLLOUT});
-	order_checkers[0].once = order_checkers[1].once = 1;
 	for (i = 0; i < WATCHERS_MAX && dl_lists[i].prefix; i++) {
 		init_watcher(&watchers[i], dl_lists[i]);
 		watch_check_add(dl_lists[i]);
--- a/src/fleet/watch_check.c
+++ b/src/fleet/watch_check.c
@@ -17,8 +17,17 @@
 };
 
 static struct checker checkers[CHECKERS_MAX];
+/* List orders alone: what else stands beside them may be a megabyte. */
+static struct checker of_drains = {.list = {"", DL_DRAIN}},
+		      of_rollouts = {.list = {"", DL_ROLLOUT}};
 static int ncheckers;
 
+/* Orders are few, and told by whoever applies them. */
+static int lists_orders(const struct checker *c)
+{
+	return c->list.of == DL_DRAIN || c->list.of == DL_ROLLOUT;
+}
+
 static void on_page(const struct st_reply *r, void *user);
 
 static void ask(struct checker *c)
@@ -69,10 +78,11 @@
 	size_t i;
 
 	for (i = 0; i < r->n; i++)
-		if (board_apply(&r->items[i], board_platform)) mesh_tell_items(&r->items[i], 1);
+		if (board_apply(&r->items[i], board_platform) && !lists_orders(c))
+			mesh_tell_items(&r->items[i], 1);
 	if (is_in_order(c, r)) {
 		missing = board_apply_missing_of(&page, listed, r->at);
-		tell_missing(missing, r->at);
+		if (!lists_orders(c)) tell_missing(missing, r->at);
 		g_ptr_array_unref(missing);
 	}
 	g_hash_table_destroy(listed);
@@ -87,7 +97,7 @@
 	watch_note_reply(r);
 	if (r->rc) return;
 	take_page(c, r);
-	if (c->after[0] && --c->pages > 0) ask(c);
+	if (c->after[0] && (lists_orders(c) || --c->pages > 0)) ask(c);
 }
 
 void watch_check_lists(void)
@@ -108,3 +118,15 @@
 {
 	if (ncheckers < CHECKERS_MAX) checkers[ncheckers++] = (struct checker){.list = list};
 }
+
+static void check_orders(struct checker *c, const char *prefix)
+{
+	c->list.prefix = prefix;
+	if (!c->call) ask(c);
+}
+
+void watch_check_orders(void)
+{
+	check_orders(&of_drains, dl_drains);
+	check_orders(&of_rollouts, dl_rollouts);
+}
--- a/src/internal/entry_cfg.h
+++ b/src/internal/entry_cfg.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #define ENTRY_SEEDS_MAX 8  /* more are not read */
-#define ENTRY_DCS_MAX 64   /* data centres: more are not read */
+#define ENTRY_DCS_MAX 64   /* data centres: settings with more are refused */
 #define ENTRY_TEXT_MAX 127 /* characters of a name or address */
 
 struct entry_dc {
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -16,6 +16,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* ---- routes ---- */
 
@@ -313,7 +314,40 @@
 	CU_ASSERT_EQUAL(hostport_parse("host:80", &a), -EINVAL);
 }
 
+/* The settings of an instance, with so many data centres; what dl_read_settings says. */
+static int settings_of(int data_centres, struct entry_cfg *c, struct err *e)
+{
+	GString *g = g_string_new("nodeName=n\nzone=z0\nregion=r\nipAddress=10.0.0.1\n"
+				  "listenAddresses.front=10.0.0.1:1\n"
+				  "listenAddresses.ready=10.0.0.1:2\n"
+				  "platform.address=10.0.0.2:3\ninternalPortRange=4,5\n");
+	char path[] = "/tmp/settings-XXXXXX";
+	int i, rc, fd = mkstemp(path);
+
+	for (i = 0; i < data_centres; i++) g_string_append_printf(g, "zones.z%d=r\n", i);
+	CU_ASSERT_EQUAL(write(fd, g->str, g->len), (ssize_t)g->len);
+	close(fd);
+	rc = dl_read_settings(path, c, e);
+	unlink(path);
+	g_string_free(g, TRUE);
+	return rc;
+}
+
+/* One left out without a word would have no region, and what is bound to one no server. */
+static void more_data_centres_than_are_supported_are_refused(void)
+{
+	struct entry_cfg c;
+	struct err e;
+
+	CU_ASSERT_EQUAL(settings_of(ENTRY_DCS_MAX, &c, &e), 0);
+	CU_ASSERT_EQUAL(c.ndcs, ENTRY_DCS_MAX);
+	CU_ASSERT_EQUAL(settings_of(ENTRY_DCS_MAX + 1, &c, &e), -EINVAL);
+	CU_ASSERT(strstr(e.text, "zones.") != NULL);
+}
+
 static const struct check list[] = {
+	{"more_data_centres_than_are_supported_are_refused",
+	 more_data_centres_than_are_supported_are_refused},
 	{"route_and_workspace_both_bind_to_regions", route_and_workspace_both_bind_to_regions},
 	{"the_longest_prefix_of_the_host_decides", the_longest_prefix_of_the_host_decides},
 	{"a_split_is_drawn_by_weight", a_split_is_drawn_by_weight},
