Links between instances that fall silent are broken off and opened anew

Cause: a link was opened anew only when its connection broke. Where bytes are taken and passed on to nobody, the writer's kernel has all of them acknowledged and sees no fault. After "silent for good" each of four instances went by its own ends of servers alone, and shares of limits, lists and loads with them.

Ruled out: word that is late (there is none for 10 s), a wrong decision with all word in hand.

Change: heartbeats carry the stamp of the last one that came back; a link without an answer for three heartbeats and an answer's age is broken off and opened anew by the end that writes on it, at once where the other end is found dead. So a link that is silent one way is found, too. Accepted connections on which nothing came for 30 s are closed. Played peers of the tests answer heartbeats as instances do.

Left: what was sent in the time in which the link was silent is lost where it is told once; next.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -47,6 +47,8 @@
 	"engine_probes",
 	"peer_fetches",
 	"peer_fetches_refused",
+	"peer_links_renewed",
+	"peer_connections_idle",
 	"repeats",
 	"repeats_held_back",
 	"backends_ended",
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -5,7 +5,6 @@
 #include "poison.h"
 #include "watch.h"
 
-#define BEAT_US 400000 /* of those that callers come to, and of hubs */
 /* Whoever hears nobody for so long after it stood still goes on alone: three beats. */
 #define ALONE_US 1500000
 #define WHOLE_EVERY 5 /* beats between whole load messages: heals what was missed */
@@ -15,6 +14,7 @@
 static int self_ready, self_draining, self_store_up = 1, self_store_late;
 static unsigned beats;
 static int64_t woke_us; /* it stood still until then, and has heard nothing since; 0: it has */
+static int64_t stood_still_us;
 
 const struct entry_cfg *mesh_cfg(void)
 {
@@ -168,15 +168,23 @@
 		mesh_connect(m);
 		return;
 	}
-	if (is_due(m)) send_beat(m, beats % WHOLE_EVERY == 0);
+	if (mesh_link_is_silent(m, MAX(beats_every(m), m->said.every), now))
+		mesh_renew_link(m, "heartbeats on it are not answered");
+	else if (is_due(m))
+		send_beat(m, beats % WHOLE_EVERY == 0);
 }
 
 void mesh_woke(void)
 {
-	woke_us = clock_us();
+	woke_us = stood_still_us = clock_us();
 	mesh_beat_now();
 }
 
+int64_t mesh_stood_still_us(void)
+{
+	return stood_still_us;
+}
+
 void mesh_heard_echo(int64_t sent_us)
 {
 	if (sent_us >= woke_us) woke_us = 0;
@@ -219,9 +227,10 @@
 	int64_t now = clock_us();
 	uint32_t i;
 
-	ev_in(t, BEAT_US);
+	ev_in(t, MESH_BEAT_US);
 	beats++;
 	mesh_check_members(now);
+	if (mesh_is_awake()) mesh_close_idle(now);
 	mesh_choose_roles();
 	for (i = 0; i < all->len; i++) beat_to(g_ptr_array_index(all, i), now);
 	tell_somebody_of_all();
--- a/src/fleet/mesh_accept.c
+++ b/src/fleet/mesh_accept.c
@@ -1,4 +1,5 @@
 /* Links from other instances are accepted, and what comes on them is cut into frames. */
+#include "clock.h"
 #include "ev.h"
 #include "jlog.h"
 #include "mesh_impl.h"
@@ -9,6 +10,9 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+/* Whoever lives has sent a heartbeat by then, or has forgotten this instance. */
+#define IDLE_US 30000000
+
 static struct ev_fd listener;
 static GPtrArray *accepted; /* of struct mesh_in */
 
@@ -62,6 +66,7 @@
 	struct mesh_in *in = (struct mesh_in *)c;
 	int rc = mesh_cut_frames(in, p, n);
 
+	in->heard_us = clock_us();
 	if (!rc) return;
 	if (rc == -EBADMSG) log_malformed(in);
 	mesh_drop_in(in);
@@ -78,6 +83,19 @@
 	}
 }
 
+void mesh_close_idle(int64_t now)
+{
+	uint32_t i;
+
+	for (i = accepted->len; i-- > 0;) {
+		struct mesh_in *in = g_ptr_array_index(accepted, i);
+
+		if (in->serving || now - in->heard_us < IDLE_US) continue;
+		met_add(MET_PEER_IDLE, 1);
+		mesh_drop_in(in);
+	}
+}
+
 static void on_acceptable(struct ev_fd *f, uint32_t events)
 {
 	struct sockaddr_in from;
@@ -89,6 +107,7 @@
 	if (fd < 0) return;
 	in = g_new0(struct mesh_in, 1);
 	in->buf = g_string_new(NULL);
+	in->heard_us = clock_us();
 	in->cn.on_data = on_in_data;
 	in->cn.on_end = on_in_end;
 	g_ptr_array_add(accepted, in);
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -1,5 +1,6 @@
 /* Links to the other instances: made anew when they break, and only written to. */
 #include "clock.h"
+#include "jlog.h"
 #include "mesh_impl.h"
 #include "met.h"
 #include <arpa/inet.h>
@@ -30,6 +31,7 @@
 	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
 	GString *out = g_string_new(NULL);
 
+	m->link_up_us = clock_us();
 	mesh_write_own_beat(out, m);
 	mesh_write_peers(out, !mesh_tells(m));
 	mesh_write_absent(out);
@@ -54,6 +56,36 @@
 	cn_connect(&m->link, &to);
 }
 
+/* An answer is up to a heartbeat older than its sender's last word. */
+int mesh_link_is_silent(const struct member *m, int every, int64_t now)
+{
+	int64_t since_us = MAX(MAX(m->link_up_us, m->echoed_us), mesh_stood_still_us());
+
+	return now - since_us >= every * (MESH_DEAD_US + MESH_BEAT_US);
+}
+
+static void log_renewed(const struct member *m, const char *why)
+{
+	int64_t now = clock_us();
+	GString *g = jlog_begin("fleet", "link_renewed");
+
+	jlog_str(g, "member", m->said.name);
+	jlog_str(g, "ip", m->ip);
+	jlog_str(g, "why", why);
+	jlog_int(g, "heard_ms", (now - m->heard_us) / 1000);
+	jlog_int(g, "answered_ms", (now - m->echoed_us) / 1000);
+	jlog_end(g);
+}
+
+void mesh_renew_link(struct member *m, const char *why)
+{
+	met_add(MET_PEER_RENEWED, 1);
+	/* Once for each time that it worked: a dead one is tried again and again. */
+	if (m->echoed_us >= m->link_up_us) log_renewed(m, why);
+	cn_reset(&m->link);
+	mesh_connect(m);
+}
+
 void mesh_send(struct member *m, const GString *frame)
 {
 	if (!cn_open(&m->link) || m->link.connecting) return;
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -5,8 +5,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-#define DEAD_US 1500000 /* three beats missed and some way */
-#define QUIET_DEAD_US (MESH_QUIET_BEATS * DEAD_US)
+#define QUIET_DEAD_US (MESH_QUIET_BEATS * MESH_DEAD_US)
 #define SILENT_US 1000000    /* two beats missed and some way */
 #define GONE_US 3000000      /* a cut that lasts longer is waited for no more */
 #define FORGET_US 30000000   /* an instance not heard of for so long is not tried any more */
@@ -130,6 +129,8 @@
 	m->said = *b;
 	m->link_mbps = b->link_mbps;
 	m->heard_us = clock_us();
+	/* Of another boot of this machine are stamps that are yet to come. */
+	if (b->echo_us <= m->heard_us) m->echoed_us = MAX(m->echoed_us, b->echo_us);
 	mesh_part_heard(m);
 	if (!m->alive) {
 		m->alive = 1;
@@ -155,11 +156,13 @@
 
 static void check_alive(struct member *m, int64_t now)
 {
-	int64_t dead_us = m->said.serves || m->hub ? DEAD_US : QUIET_DEAD_US;
+	int64_t dead_us = m->said.serves || m->hub ? MESH_DEAD_US : QUIET_DEAD_US;
 
-	dead_us = MAX(dead_us, m->said.every * DEAD_US);
+	dead_us = MAX(dead_us, m->said.every * MESH_DEAD_US);
 	if (!m->alive || now - m->heard_us < dead_us) return;
 	set_dead(m);
+	/* It hears nothing either, where all links fell silent. */
+	if (cn_open(&m->link) && !m->link.connecting) mesh_renew_link(m, "nothing is heard");
 	mesh_tell_death(m);
 }
 
@@ -167,7 +170,7 @@
 {
 	int64_t mine_us = clock_us() - m->heard_us;
 
-	if (m->alive && silent_us >= DEAD_US && mine_us >= DEAD_US) set_dead(m);
+	if (m->alive && silent_us >= MESH_DEAD_US && mine_us >= MESH_DEAD_US) set_dead(m);
 }
 
 static int forgotten(struct member *m, int64_t now)
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -47,6 +47,8 @@
 	int64_t tried_us; /* since when this instance has waited to hear it; 0: it has not */
 	struct cn link;   /* to it: only this instance writes there */
 	int64_t next_connect_us;
+	int64_t link_up_us;     /* since when the link is up, or was when it was up last */
+	int64_t echoed_us;      /* newest of this instance's stamps that it has said to have */
 	int64_t fetch_after_us; /* it refused a copy: not asked again before */
 	struct board_revs held; /* what another instance said that it has */
 	GHashTable *loads;      /* id -> struct told_load */
@@ -96,6 +98,7 @@
 	GString *buf;
 	struct member *from;         /* after its first beat */
 	struct ev_timer serve_timer; /* ends a copy that takes too long */
+	int64_t heard_us;            /* when bytes came last, or it was accepted */
 	int serving;                 /* a copy is handed on here */
 	int turned_away;             /* asked for a copy here, and was told who else has it */
 	int ours;                    /* opened from here: nothing is asked for on it */
@@ -122,6 +125,9 @@
 void mesh_drop_in(struct mesh_in *in);
 /* m is about to be freed: what still comes from it is not read. */
 void mesh_in_forget(const struct member *m);
+/* Closes connections on which nothing has come for long: the other end may have left them
+ * without a word that got through. */
+void mesh_close_idle(int64_t now);
 
 /* Nobody is sent to an instance that serves none: that it died may be known later, for a third
  * of the messages of most of a large fleet. Those that stand by hear a few hubs as often as
@@ -129,8 +135,15 @@
 #define MESH_QUIET_BEATS 3
 
 /* mesh.c */
+/* Between heartbeats of those that callers come to, and of hubs. */
+#define MESH_BEAT_US 400000
+/* Three heartbeats missed and some way: the peer, or the link, is dead. */
+#define MESH_DEAD_US 1500000
+
 /* A beat came that answers one of this instance's that it sent then. */
 void mesh_heard_echo(int64_t sent_us);
+/* When this instance last stood still; 0: it has not. */
+int64_t mesh_stood_still_us(void);
 const struct entry_cfg *mesh_cfg(void);
 int mesh_self_takes_callers(void);
 int mesh_self_draining(void);
@@ -187,6 +200,12 @@
 
 /* mesh_link.c */
 void mesh_connect(struct member *m);
+/* Whether heartbeats on the link to m, which come so many times as late as the fastest either
+ * way, have not arrived there for long. */
+int mesh_link_is_silent(const struct member *m, int every, int64_t now);
+/* Breaks the link off and makes it anew: its kernel may see no fault in one that carries
+ * nothing any more. */
+void mesh_renew_link(struct member *m, const char *why);
 /* Nothing is sent where no link is up; one that is full is broken off. */
 void mesh_send(struct member *m, const GString *frame);
 
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -30,6 +30,8 @@
 	MET_PROBES,
 	MET_PEER_FETCHES,       /* lists asked for at other instances */
 	MET_PEER_BUSY,          /* the same that this one turned away */
+	MET_PEER_RENEWED,       /* links that were broken off as nothing was answered */
+	MET_PEER_IDLE,          /* connections of others on which nothing came any more */
 	MET_REPEATS,            /* that reached a server */
 	MET_REPEATS_HELD,       /* requests that the fleet's allowance kept from a repeat */
 	MET_BACKENDS_ENDED,     /* untold, while requests of this instance ran there */
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -78,8 +78,8 @@
 	msgpack_pack_uint64(p, 0);
 	msgpack_pack_int(p, -1); /* sure of nothing */
 	msgpack_pack_int64(p, clock_us());
-	msgpack_pack_int(p, 0); /* has heard nobody */
-	msgpack_pack_int(p, 0);
+	msgpack_pack_int64(p, me->heard_stamp_us);
+	msgpack_pack_int64(p, me->heard_stamp_us ? clock_us() - me->beat_us : 0);
 	msgpack_pack_int(p, me->store_up);
 	msgpack_pack_int(p, 0);
 	msgpack_pack_int(p, me->link_mbps);
@@ -249,10 +249,27 @@
 	ev_in(&on->pace, 0);
 }
 
-static void heard_beat(struct pw_peer *me)
+#define BEAT_STAMP 9 /* where its sender's clock stands in a heartbeat */
+
+static int64_t read_stamp(const char *p, uint32_t len)
+{
+	msgpack_unpacked u;
+	size_t off = 0;
+	int64_t us = 0;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, p, len, &off) == MSGPACK_UNPACK_SUCCESS)
+		us = u.data.via.array.ptr[BEAT_STAMP].via.i64;
+	msgpack_unpacked_destroy(&u);
+	return us;
+}
+
+static void heard_beat(struct pw_peer *me, const char *p, uint32_t len)
 {
 	int64_t now = clock_us();
 
+	me->heard_stamp_us = read_stamp(p, len);
+
 	if (me->beat_us) me->gap_us = MAX(me->gap_us, now - me->beat_us);
 	me->beat_us = now;
 }
@@ -299,7 +316,7 @@
 static void take_small(struct pw_peer_cn *c, const char *p, uint32_t len)
 {
 	switch (frame_type(p)) {
-	case MESH_BEAT: heard_beat(c->peer); return;
+	case MESH_BEAT: heard_beat(c->peer, p, len); return;
 	case MESH_WANT: answer(c->peer, c->peer->link); return;
 	case FETCH: answer(c->peer, c); return;
 	case MESH_VERDICTS: c->peer->verdicts += len >= VERDICT_MIN; return;
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -21,6 +21,7 @@
 	int verdicts;      /* frames that name blamed requests */
 	int64_t beat_us;   /* when the last heartbeat came */
 	int64_t gap_us;    /* longest time between two so far */
+	int64_t heard_stamp_us; /* the entry's clock as its last heartbeat tells it; 0: none */
 	struct pw_peer_cn *link, *asking; /* to the entry; the second for one question */
 	GPtrArray *in;                    /* of struct pw_peer_cn, from the entry */
 	struct ev_fd listener;
--- /dev/null
+++ b/test/test_links.c
@@ -0,0 +1,96 @@
+/* Links between instances that break, fall silent or hold bytes up: behind a relay each. */
+#include "check.h"
+#include "pw.h"
+#include "soak_proxy.h"
+
+#define ENTRIES 3
+#define PEER_PROXY 120 /* hosts: the ways of the others to each entry */
+#define HEAR_MS 900    /* links are up, and heartbeats have crossed */
+#define RENEW_MS 3500  /* silence is noticed, and the link is up again */
+
+struct fleet {
+	struct pw_entry *e[ENTRIES];
+	struct proxy *way[ENTRIES]; /* of the others to it */
+};
+
+static struct proxy *relay_to(int host, const char *ip)
+{
+	struct sockaddr_in at, to;
+
+	pw_address_of(pw_ip(host), PW_PEER, &at);
+	pw_address_of(ip, PW_PEER, &to);
+	return proxy_new(&at, &to);
+}
+
+static void start(struct fleet *f, int i)
+{
+	GString *more = g_string_new(NULL);
+
+	g_string_append_printf(more, "ipAddress=%s\n", pw_ip(PEER_PROXY + i));
+	g_string_append_printf(more, "seedNodes=%s:1\n", pw_ip(PEER_PROXY));
+	pw_settings(more->str);
+	f->e[i] = pw_entry_start();
+	f->way[i] = relay_to(PEER_PROXY + i, f->e[i]->ip);
+	g_string_free(more, TRUE);
+}
+
+static void fleet_begin(struct fleet *f)
+{
+	int i;
+
+	for (i = 0; i < ENTRIES; i++) start(f, i);
+	for (i = 0; i < ENTRIES; i++) CU_ASSERT(pw_entry_until_ready(f->e[i]));
+	pw_run(HEAR_MS);
+}
+
+static void fleet_end(struct fleet *f)
+{
+	int i;
+
+	for (i = 0; i < ENTRIES; i++) proxy_free(f->way[i]);
+	pw_end();
+}
+
+static int hears(struct pw_entry *e)
+{
+	return (int)pw_metric(e, "saddlehead_members");
+}
+
+/* All links fell silent without a reset: each instance wrote on into its own for good, and went
+ * by its own knowledge alone. */
+static void links_that_fall_silent_are_made_anew(void)
+{
+	struct fleet f;
+	int i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	fleet_begin(&f);
+	for (i = 0; i < ENTRIES; i++) CU_ASSERT_EQUAL(hears(f.e[i]), ENTRIES);
+	for (i = 0; i < ENTRIES; i++) proxy_silence(f.way[i]);
+	pw_run(RENEW_MS);
+	for (i = 0; i < ENTRIES; i++) CU_ASSERT_EQUAL(hears(f.e[i]), ENTRIES);
+	fleet_end(&f);
+}
+
+/* Whoever wrote on the silent link went on hearing the other, and noticed nothing. */
+static void a_link_that_falls_silent_one_way_is_made_anew(void)
+{
+	struct fleet f;
+	int i;
+
+	pw_init();
+	pw_server_add("app", 0);
+	fleet_begin(&f);
+	proxy_silence(f.way[1]);
+	pw_run(RENEW_MS);
+	for (i = 0; i < ENTRIES; i++) CU_ASSERT_EQUAL(hears(f.e[i]), ENTRIES);
+	fleet_end(&f);
+}
+
+static const struct check list[] = {
+	{"links_that_fall_silent_are_made_anew", links_that_fall_silent_are_made_anew},
+	{"a_link_that_falls_silent_one_way_is_made_anew",
+	 a_link_that_falls_silent_one_way_is_made_anew},
+};
+CHECK_MAIN(list)
