Ends of servers, and what is known of suspects, are told again on links that come up

Cause: an end, with what ran on the server, was written on the links that were open at that moment. What was lost with a link, or was sent while one was being opened, nobody told again: verdicts, loads, orders and lists are, ends, runs that came through and runs under way were not. Whoever missed them knew of an end by its own requests alone, among which the guilty one was not.

Evidence: a test with a relay, in which a server ends while the link to an instance carries nothing: on the code before it never hears of the end, though the link is opened anew 1.5 s later. The log named only the first to tell of an end; backend_end_told names the others, and how late they were.

Change: each keeps the ends that it saw itself for 30 s (64 at most) and tells them when a link to one that serves comes up, with what came through of suspects and their runs under way. All of it may come twice: an end is known by server and life, the rest are the newest figures.

Ruled out as ways: a digest of ends in heartbeats (each heartbeat would grow for what a link that stays up has had already).

test_links, an_end_is_told_again_when_the_link_is_back: failed before.

--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -3,6 +3,7 @@
 #include "jlog.h"
 #include "mesh_impl.h"
 #include "met.h"
+#include "poison.h"
 #include <arpa/inet.h>
 #include <stddef.h>
 
@@ -39,7 +40,10 @@
 	mesh_write_orders(out);
 	mesh_write_topics(out);
 	mesh_write_verdicts(out);
-	if (!m->heard_us || m->said.serves) mesh_write_all_loads(out);
+	if (!m->heard_us || m->said.serves) {
+		poison_write_told(out);
+		mesh_write_all_loads(out);
+	}
 	cn_write(c, out->str, out->len);
 	g_string_free(out, TRUE);
 }
--- a/src/fleet/mesh_poison.c
+++ b/src/fleet/mesh_poison.c
@@ -39,27 +39,36 @@
 
 /* ---- ends ---- */
 
-void mesh_tell_end(const struct be *b, const struct poison_run *run, int n, int64_t ago_us)
+void mesh_write_end(GString *out, const struct poison_told_end *e, const struct poison_run *run)
 {
-	GString *out = g_string_new(NULL);
+	int i, n = MIN(e->n, RUNS_MOST);
 	struct mesh_frame f;
-	msgpack_packer *p;
-	int i;
+	msgpack_packer *p = mesh_frame_begin(&f, MESH_ENDED, 4 + 2 * n);
 
-	n = MIN(n, RUNS_MOST);
-	p = mesh_frame_begin(&f, MESH_ENDED, 4 + 2 * n);
-	mesh_pack_text(p, b->id);
-	msgpack_pack_int64(p, b->born_ms);
-	msgpack_pack_int64(p, ago_us / 1000);
+	mesh_pack_text(p, e->server);
+	msgpack_pack_int64(p, e->life);
+	msgpack_pack_int64(p, e->ago_us / 1000);
 	for (i = 0; i < n; i++) {
 		pack_fp(p, &run[i].fp);
 		msgpack_pack_int64(p, run[i].ran_us / 1000);
 	}
 	mesh_frame_end(&f, out);
+}
+
+static void send_serving(GString *out)
+{
 	mesh_send_serving(out);
 	g_string_free(out, TRUE);
 }
 
+void mesh_tell_end(const struct poison_told_end *e, const struct poison_run *run)
+{
+	GString *out = g_string_new(NULL);
+
+	mesh_write_end(out, e, run);
+	send_serving(out);
+}
+
 static int read_runs(const msgpack_object_array *a, struct poison_run *run, int n)
 {
 	int i;
@@ -90,27 +99,40 @@
 
 /* ---- runs that came through, or are under way ---- */
 
-static void tell_serving(enum mesh_type type, const struct fp *fp, int64_t value)
+static void write_run(GString *out, enum mesh_type type, const struct fp *fp, int64_t value)
 {
-	GString *out = g_string_new(NULL);
 	struct mesh_frame f;
 	msgpack_packer *p = mesh_frame_begin(&f, type, 3);
 
 	pack_fp(p, fp);
 	msgpack_pack_int64(p, value);
 	mesh_frame_end(&f, out);
-	mesh_send_serving(out);
-	g_string_free(out, TRUE);
+}
+
+void mesh_write_through(GString *out, const struct fp *fp, int64_t ago_us)
+{
+	write_run(out, MESH_THROUGH, fp, ago_us / 1000);
+}
+
+void mesh_write_under_way(GString *out, const struct fp *fp, uint32_t n)
+{
+	write_run(out, MESH_UNDER_WAY, fp, n);
 }
 
 void mesh_tell_through(const struct fp *fp, int64_t ago_us)
 {
-	tell_serving(MESH_THROUGH, fp, ago_us / 1000);
+	GString *out = g_string_new(NULL);
+
+	mesh_write_through(out, fp, ago_us);
+	send_serving(out);
 }
 
 void mesh_tell_under_way(const struct fp *fp, uint32_t n)
 {
-	tell_serving(MESH_UNDER_WAY, fp, n);
+	GString *out = g_string_new(NULL);
+
+	mesh_write_under_way(out, fp, n);
+	send_serving(out);
 }
 
 static int take_run(const struct member *m, const msgpack_object_array *a)
--- a/src/fleet/poison.c
+++ b/src/fleet/poison.c
@@ -115,18 +115,25 @@
 		     const struct poison_run *run, int n)
 {
 	uint32_t before = table->nends, end = quar_ended(table, server, life, seen_by, at_us);
-	int i, news = table->nends != before;
+	int i, news = table->nends != before, more = 0;
 
 	if (news) poison_log_end(server, seen_by, n);
-	for (i = 0; i < n; i++) news |= quar_ran(table, &run[i].fp, end, run[i].ran_us);
+	for (i = 0; i < n; i++) more += quar_ran(table, &run[i].fp, end, run[i].ran_us);
+	if (more && !news) poison_log_end_told(server, seen_by, more, at_us);
+	news |= more;
 	for (i = 0; i < n; i++) take_remembered(&run[i].fp);
 	if (news) judge_soon();
 }
 
 void poison_ended(const struct be *b, const struct poison_run *run, int n, int64_t at_us)
 {
+	int64_t now = clock_us();
+	struct poison_told_end e = {.life = b->born_ms, .ago_us = now - at_us, .n = n};
+
 	met_add(MET_BACKENDS_ENDED, 1);
-	mesh_tell_end(b, run, n, clock_us() - at_us);
+	g_strlcpy(e.server, b->id, sizeof e.server);
+	mesh_tell_end(&e, run);
+	recent_note(b, run, n, at_us, now);
 	take_end(b->id, b->born_ms, mesh_self_name(), at_us, run, n);
 }
 
@@ -240,6 +247,32 @@
 	way_hear(from, fp, n);
 }
 
+/* ---- told again ---- */
+
+struct write {
+	GString *out;
+	int64_t now;
+};
+
+static void write_through(const struct quar_suspect *s, void *arg)
+{
+	const struct write *w = arg;
+	int64_t ago_us = w->now - s->sound_us;
+
+	if (s->sound_us && ago_us <= THROUGH_KEEP_US)
+		mesh_write_through(w->out, &s->fp, ago_us);
+}
+
+void poison_write_told(GString *out)
+{
+	struct write w = {out, clock_us()};
+
+	if (!table) return;
+	recent_write(out, w.now);
+	quar_each(table, write_through, &w);
+	way_write(out);
+}
+
 /* ---- a start ---- */
 
 void poison_heard_all(int knows)
--- /dev/null
+++ b/src/fleet/poison_recent.c
@@ -0,0 +1,66 @@
+/* Ends of backend servers that this instance saw lately: told again to whoever may have missed
+ * the first word of them. */
+#include "mesh_poison.h"
+#include "poison_impl.h"
+#include <string.h>
+
+/* As long as ends tell how often servers end without the one that is judged. */
+#define RECENT_US 30000000
+#define RECENT_MAX 64 /* ends: the oldest go first */
+
+struct recent {
+	char server[QUAR_NAME];
+	int64_t life, at_us;
+	GArray *run; /* of struct poison_run */
+};
+
+static GPtrArray *recent; /* of struct recent, the oldest first */
+
+static void recent_free(gpointer p)
+{
+	struct recent *r = p;
+
+	g_array_free(r->run, TRUE);
+	g_free(r);
+}
+
+static void drop_old(int64_t now)
+{
+	const struct recent *first;
+
+	while (recent->len) {
+		first = g_ptr_array_index(recent, 0);
+		if (recent->len < RECENT_MAX && now - first->at_us <= RECENT_US) return;
+		g_ptr_array_remove_index(recent, 0);
+	}
+}
+
+void recent_note(const struct be *b, const struct poison_run *run, int n, int64_t at_us,
+		 int64_t now)
+{
+	struct recent *r = g_new0(struct recent, 1);
+
+	if (!recent) recent = g_ptr_array_new_with_free_func(recent_free);
+	drop_old(now);
+	g_strlcpy(r->server, b->id, sizeof r->server);
+	r->life = b->born_ms;
+	r->at_us = at_us;
+	r->run = g_array_sized_new(FALSE, FALSE, sizeof *run, (guint)n);
+	g_array_append_vals(r->run, run, (guint)n);
+	g_ptr_array_add(recent, r);
+}
+
+void recent_write(GString *out, int64_t now)
+{
+	uint32_t i;
+
+	for (i = 0; recent && i < recent->len; i++) {
+		const struct recent *r = g_ptr_array_index(recent, i);
+		struct poison_told_end e = {
+			.life = r->life, .ago_us = now - r->at_us, .n = (int)r->run->len};
+
+		if (e.ago_us > RECENT_US) continue;
+		g_strlcpy(e.server, r->server, sizeof e.server);
+		mesh_write_end(out, &e, (const struct poison_run *)(void *)r->run->data);
+	}
+}
--- a/src/fleet/poison_way.c
+++ b/src/fleet/poison_way.c
@@ -84,3 +84,14 @@
 	else
 		g_hash_table_remove(told, fp);
 }
+
+void way_write(GString *out)
+{
+	GHashTableIter it;
+	gpointer fp, n;
+
+	if (!told) return;
+	g_hash_table_iter_init(&it, told);
+	while (g_hash_table_iter_next(&it, &fp, &n))
+		mesh_write_under_way(out, fp, GPOINTER_TO_UINT(n));
+}
--- a/src/fleet/poison_write.c
+++ b/src/fleet/poison_write.c
@@ -45,6 +45,17 @@
 	jlog_end(g);
 }
 
+void poison_log_end_told(const char *server, const char *said_by, int runs, int64_t at_us)
+{
+	GString *g = jlog_begin("fleet", "backend_end_told");
+
+	jlog_str(g, "backend", server);
+	jlog_str(g, "said_by", said_by);
+	jlog_int(g, "runs", runs);
+	jlog_int(g, "ago_ms", (clock_us() - at_us) / 1000);
+	jlog_end(g);
+}
+
 struct list { /* that is being written */
 	GString *out;
 	const struct quar *q;
--- a/src/internal/poison.h
+++ b/src/internal/poison.h
@@ -57,6 +57,9 @@
 void poison_hear_under_way(const char *from, const struct fp *fp, uint32_t n);
 /* A peer has told all its verdicts; knows: it has heard those of others itself. */
 void poison_heard_all(int knows);
+/* Appends what others were told once, of ends and of suspects, as far as it still counts: a
+ * link may have lost it, or the receiver was not told as nobody came to it. */
+void poison_write_told(GString *out);
 uint64_t poison_digest(void);
 void poison_each_verdict(void (*f)(const struct quar_suspect *s, void *arg), void *arg);
 #endif
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -88,9 +88,56 @@
 	fleet_end(&f);
 }
 
+/* ---- what is told once ---- */
+
+#define GUILTY "the prompt that ends them"
+#define CRASH_MS 100 /* from when a server begins to run it until it ends */
+#define NOTICE_MS 60 /* then instances have found out */
+
+static struct pw_call *ask(struct pw_entry *e, const char *body)
+{
+	return pw_call(e, "POST", "/unsafe/",
+		       "X-Request-Id: r\r\nX-Credential: k1\r\nX-Deadline-Ms: 4000\r\n", body);
+}
+
+/* The server, which is listed alone, ends under one request and beside another. */
+static void end_one(struct fleet *f)
+{
+	struct pw_server *s = pw_server_add("app", 0);
+
+	s->work_ms = 1000;
+	pw_run(150);
+	ask(f->e[1], "what everybody sends");
+	pw_run(20);
+	ask(f->e[0], GUILTY);
+	pw_run(CRASH_MS + NOTICE_MS);
+	pw_server_unlist(s);
+}
+
+/* Word of an end was sent on a link that carried nothing, or was being opened anew: whoever
+ * missed it judged by the rest for good. */
+static void an_end_is_told_again_when_the_link_is_back(void)
+{
+	struct fleet f;
+
+	pw_init();
+	pw_crash = (struct pw_crash){.body = GUILTY, .after_ms = CRASH_MS};
+	pw_server_add("llm", 1);
+	fleet_begin(&f);
+	proxy_silence(f.way[2]);
+	end_one(&f);
+	pw_run(RENEW_MS);
+	CU_ASSERT_EQUAL(pw_crash.ends, 1);
+	CU_ASSERT(pw_log_has(f.e[1], "backend_ended"));
+	CU_ASSERT(pw_log_has(f.e[2], "backend_ended"));
+	fleet_end(&f);
+}
+
 static const struct check list[] = {
 	{"links_that_fall_silent_are_made_anew", links_that_fall_silent_are_made_anew},
 	{"a_link_that_falls_silent_one_way_is_made_anew",
 	 a_link_that_falls_silent_one_way_is_made_anew},
+	{"an_end_is_told_again_when_the_link_is_back",
+	 an_end_is_told_again_when_the_link_is_back},
 };
 CHECK_MAIN(list)
