An instance that begins to serve is told who leaves, what is limited, and which servers ended

What callers saw, had they come: a request sent to a server that had said it leaves, by an instance to which they came after that word. Seen by a test, not on a deployment.

Cause: servers that leave by their own word, limits and ends are told to those that callers come to at that moment, and all of it again when a link comes up. An instance whose link is up, and to which callers come later, was told its peers' loads alone.

Change: with its first heartbeat that says it serves it is told all that serving instances are told.

test_links, an_instance_that_begins_to_serve_is_told_who_leaves: failed before.

--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "jlog.h"
 #include "mesh_impl.h"
+#include "poison.h"
 #include <arpa/inet.h>
 #include <string.h>
 
@@ -104,11 +105,13 @@
 	jlog_end(g);
 }
 
-/* It has heard nothing of them while nobody came to it. */
-static void tell_loads(struct member *m)
+/* What only those are told that callers come to: it has heard nothing of it so far. */
+static void tell_what_serving_know(struct member *m)
 {
 	GString *out = g_string_new(NULL);
 
+	mesh_write_topics(out);
+	poison_write_told(out);
 	mesh_write_all_loads(out);
 	mesh_send(m, out);
 	g_string_free(out, TRUE);
@@ -142,7 +145,7 @@
 	mesh_heard_echo(b->echo_us);
 	mesh_heal_orders(m);
 	mesh_heal_verdicts(m);
-	if (begins_to_serve) tell_loads(m);
+	if (begins_to_serve) tell_what_serving_know(m);
 	mesh_learn_from(m);
 }
 
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -319,6 +319,7 @@
 	case MESH_BEAT: heard_beat(c->peer, p, len); return;
 	case MESH_WANT: answer(c->peer, c->peer->link); return;
 	case FETCH: answer(c->peer, c); return;
+	case MESH_LEAVING: c->peer->leavings++; return;
 	case MESH_VERDICTS: c->peer->verdicts += len >= VERDICT_MIN; return;
 	}
 }
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -19,6 +19,7 @@
 	int asks;          /* came from the entry */
 	int copies;        /* came whole */
 	int verdicts;      /* frames that name blamed requests */
+	int leavings;      /* frames that name a server that leaves */
 	int64_t beat_us;   /* when the last heartbeat came */
 	int64_t gap_us;    /* longest time between two so far */
 	int64_t heard_stamp_us; /* the entry's clock as its last heartbeat tells it; 0: none */
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -1,6 +1,7 @@
 /* Links between instances that break, fall silent or hold bytes up: behind a relay each. */
 #include "check.h"
 #include "pw.h"
+#include "pw_peer.h"
 #include "soak_proxy.h"
 
 #define ENTRIES 3
@@ -133,11 +134,34 @@
 	fleet_end(&f);
 }
 
+/* What a server says of itself was told to those that callers came to then: one that callers
+ * came to later went on sending to servers that leave. */
+static void an_instance_that_begins_to_serve_is_told_who_leaves(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e = pw_init_with(s, 2);
+	struct pw_peer *p = pw_peer_new(e, 0);
+	int i;
+
+	pw_run(600);
+	s[0]->says = "Server-Leaving: 1\r\n";
+	for (i = 0; i < 20 && !s[0]->arrivals; i++) pw_status_of_key(e, "k1");
+	pw_run(600);
+	CU_ASSERT_EQUAL(p->leavings, 0);
+	p->takes_callers = 1;
+	pw_run(600);
+	CU_ASSERT(p->leavings >= 1);
+	pw_peers_end();
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"links_that_fall_silent_are_made_anew", links_that_fall_silent_are_made_anew},
 	{"a_link_that_falls_silent_one_way_is_made_anew",
 	 a_link_that_falls_silent_one_way_is_made_anew},
 	{"an_end_is_told_again_when_the_link_is_back",
 	 an_end_is_told_again_when_the_link_is_back},
+	{"an_instance_that_begins_to_serve_is_told_who_leaves",
+	 an_instance_that_begins_to_serve_is_told_who_leaves},
 };
 CHECK_MAIN(list)
