Nobody is blamed before all that serve have answered what they know of ends

Cause: a verdict came 0.2 s after an end whether the others' word of it had come or not. Only silence of over a second held it back, so that word that was held up for half a second was judged without.

Evidence: a test with a relay: three servers end under one request and beside another, and word of the third end is 0.5 s late at the instance of the other; on the code before that one is blamed 0.2 s after its last end and its next try answered 502.

Change: before it judges an instance asks all that serve, with a frame that is answered by a heartbeat at once. Frames of one link come in order, and a link that comes up tells recent ends before it answers anything: with the answer all that was told before has come. Ends up to 0.2 s before the question are judged. Who has not been heard for 3 s, or takes no connection, is not waited for.

test_links, a_verdict_waits_for_word_that_is_under_way: failed before.

--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -98,7 +98,7 @@
 	return m->hub || m->said.serves || mesh_tells(m) ? 1 : MESH_QUIET_BEATS;
 }
 
-void mesh_write_own_beat(GString *out, const struct member *to)
+void mesh_write_own_beat(GString *out, const struct member *to, int answers)
 {
 	struct mesh_beat b = {.ready = self_ready,
 			      .draining = self_draining,
@@ -120,7 +120,7 @@
 	b.revs = board_revs();
 	b.confirmed_ago_us = confirmed == BOARD_NEVER ? -1 : now - confirmed;
 	b.stamp_us = now;
-	if (to->heard_us) {
+	if (answers && to->heard_us) {
 		b.echo_us = to->said.stamp_us;
 		b.echo_held_us = now - to->heard_us;
 	}
@@ -133,12 +133,17 @@
 
 	if (!cn_open(&m->link) || m->link.connecting) return;
 	out = g_string_new(NULL);
-	mesh_write_own_beat(out, m);
+	mesh_write_own_beat(out, m, 1);
 	if (with_loads && m->said.serves) mesh_write_all_loads(out);
 	mesh_send(m, out);
 	g_string_free(out, TRUE);
 }
 
+void mesh_answer(struct member *m)
+{
+	send_beat(m, 0);
+}
+
 /* The slow ones are spread over the beats, by the receiver. */
 static int is_due(const struct member *m)
 {
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -5,6 +5,7 @@
 #include "met.h"
 #include "poison.h"
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stddef.h>
 
 /* Between two tries to connect: one a heartbeat, as an opening packet to an instance that
@@ -16,7 +17,9 @@
 
 static void on_link_end(struct cn *c, int err)
 {
-	(void)err;
+	struct member *m = (struct member *)((char *)c - offsetof(struct member, link));
+
+	m->refused = err == -ECONNREFUSED;
 	cn_close(c);
 }
 
@@ -33,7 +36,8 @@
 	GString *out = g_string_new(NULL);
 
 	m->link_up_us = clock_us();
-	mesh_write_own_beat(out, m);
+	/* It answers nothing before all that may have been lost has been told again. */
+	mesh_write_own_beat(out, m, 0);
 	mesh_write_peers(out, !mesh_tells(m));
 	mesh_write_absent(out);
 	/* Before the verdicts: with them one that starts has all that it waits for. */
@@ -44,6 +48,7 @@
 		poison_write_told(out);
 		mesh_write_all_loads(out);
 	}
+	mesh_write_own_beat(out, m, 1);
 	cn_write(c, out->str, out->len);
 	g_string_free(out, TRUE);
 }
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #define QUIET_DEAD_US (MESH_QUIET_BEATS * MESH_DEAD_US)
-#define SILENT_US 1000000    /* two beats missed and some way */
 #define GONE_US 3000000      /* a cut that lasts longer is waited for no more */
 #define FORGET_US 30000000   /* an instance not heard of for so long is not tried any more */
 #define MEMBERS_MAX 4096     /* instances: no fleet is so large */
@@ -132,6 +131,7 @@
 	m->said = *b;
 	m->link_mbps = b->link_mbps;
 	m->heard_us = clock_us();
+	m->refused = 0;
 	/* Of another boot of this machine are stamps that are yet to come. */
 	if (b->echo_us <= m->heard_us) m->echoed_us = MAX(m->echoed_us, b->echo_us);
 	mesh_part_heard(m);
@@ -217,21 +217,43 @@
 	return m && m->heard_us;
 }
 
-int mesh_hears_all(void)
+static int is_waited_for(const struct member *m, int64_t now)
+{
+	if (!m->heard_us || !m->said.serves || m->said.draining) return 0;
+	return !m->refused && now - m->heard_us < GONE_US;
+}
+
+int mesh_have_answered(int64_t since_us)
 {
 	int64_t now = clock_us();
 	uint32_t i;
 
 	for (i = 0; i < members->len; i++) {
 		const struct member *m = g_ptr_array_index(members, i);
-		int64_t silent_us = now - m->heard_us;
 
-		if (!m->heard_us || !m->said.serves || m->said.draining) continue;
-		if (silent_us > SILENT_US && silent_us < GONE_US) return 0;
+		if (is_waited_for(m, now) && m->echoed_us < since_us) return 0;
 	}
 	return 1;
 }
 
+void mesh_ask_serving(void)
+{
+	GString *out = g_string_new(NULL);
+	struct mesh_frame f;
+	uint32_t i;
+
+	mesh_frame_begin(&f, MESH_ASK, 1);
+	mesh_frame_end(&f, out);
+	for (i = 0; i < members->len; i++) {
+		struct member *m = g_ptr_array_index(members, i);
+
+		if (!m->said.serves) continue;
+		mesh_answer(m);
+		mesh_send(m, out);
+	}
+	g_string_free(out, TRUE);
+}
+
 int mesh_is_informed(void)
 {
 	uint32_t i;
--- a/src/fleet/poison.c
+++ b/src/fleet/poison.c
@@ -8,9 +8,10 @@
 #include "poison_impl.h"
 #include <errno.h>
 
-/* Word of an end comes from each instance that had a run there, and from others that the same
- * came through: nobody is blamed before both had time to arrive. */
+/* Each instance that had a run on a server finds out by itself that it ended, some sooner than
+ * others: nobody is blamed before. */
 #define JUDGE_US 200000
+#define ANSWER_LOOK_US 5000 /* how often it is looked whether others have answered */
 /* An instance that starts is told within some ms of its first links, by those that know. */
 #define ASK_US 100000
 #define ASK_MOST_US 1000000 /* nobody is reached: it serves on its own */
@@ -24,6 +25,7 @@
 static struct ev_timer judge_timer, look_timer;
 static int known;
 static int64_t news_us;                 /* of the last end */
+static int64_t asked_us;                /* others what they know of ends; 0: not since */
 static int64_t started_us, ignorant_us; /* when the first peer told that it knows nothing */
 
 /* ---- verdicts ---- */
@@ -53,18 +55,35 @@
 	verdict_changed(s, "its ends");
 }
 
+static void judge(int64_t now)
+{
+	int64_t settled_us = asked_us - JUDGE_US;
+
+	quar_judge(table, be_all()->len, settled_us, now, on_blamed, NULL);
+	if (news_us > settled_us)
+		ev_in(&judge_timer, MAX(JUDGE_US - (now - news_us), ANSWER_LOOK_US));
+	asked_us = 0;
+}
+
+/* That another one ended these servers, or that this one came through, may be known to others
+ * and under way from them, or not read yet, if this instance stood still. */
 static void on_judge(struct ev_timer *t)
 {
 	int64_t now = clock_us();
 
-	/* Word that another one ended these servers, or that this one came through, may be
-	 * under way from an instance that was cut off, or to this one, if it stood still. */
-	if (!mesh_is_awake() || !mesh_hears_all()) {
+	if (!mesh_is_awake()) {
+		asked_us = 0;
 		ev_in(t, JUDGE_US);
 		return;
 	}
-	quar_judge(table, be_all()->len, now - JUDGE_US, now, on_blamed, NULL);
-	if (now - news_us < JUDGE_US) ev_in(t, JUDGE_US - (now - news_us));
+	if (!asked_us) {
+		asked_us = now;
+		mesh_ask_serving();
+	}
+	if (mesh_have_answered(asked_us))
+		judge(now);
+	else
+		ev_in(t, ANSWER_LOOK_US);
 }
 
 static void judge_soon(void)
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -34,8 +34,12 @@
 void mesh_tell_items(const struct st_item *items, size_t n);
 /* A heartbeat to all, out of turn: something that they should know. */
 void mesh_beat_now(void);
-/* Whether all that callers come to were heard a moment ago; who was not for long is gone. */
-int mesh_hears_all(void);
+/* Asks all that callers come to for a heartbeat at once. */
+void mesh_ask_serving(void);
+/* Whether all of them have said something since then (monotonic) in the knowledge of what this
+ * instance said at that moment: all that they told before has come. Those that are gone are not
+ * waited for. */
+int mesh_have_answered(int64_t since_us);
 /* This instance stood still: what it believes may be old. */
 void mesh_woke(void);
 /* Whether it has heard anew from somebody since then, or nobody answers. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -48,6 +48,7 @@
 	struct cn link;   /* to it: only this instance writes there */
 	int64_t next_connect_us;
 	int64_t link_up_us;     /* since when the link is up, or was when it was up last */
+	int refused;            /* nothing listens there, since it was heard last */
 	int64_t echoed_us;      /* newest of this instance's stamps that it has said to have */
 	int64_t fetch_after_us; /* it refused a copy: not asked again before */
 	struct board_revs held; /* what another instance said that it has */
@@ -153,8 +154,10 @@
 /* Hashes of this instance's data centre and region, as its beats tell them; never 0. */
 uint32_t mesh_self_dc(void);
 uint32_t mesh_self_region(void);
-/* What this instance tells of itself to m. */
-void mesh_write_own_beat(GString *out, const struct member *m);
+/* What this instance tells of itself to m; answers: and that it has heard m. */
+void mesh_write_own_beat(GString *out, const struct member *m, int answers);
+/* The same, if a link to m is up. */
+void mesh_answer(struct member *m);
 
 /* mesh_members.c */
 const GPtrArray *mesh_members(void);
--- a/src/internal/mesh_topic.h
+++ b/src/internal/mesh_topic.h
@@ -23,10 +23,11 @@
 	MESH_UNDER_WAY, /* so many runs of it have not answered yet */
 	MESH_VERDICTS,  /* what is blamed for ends of servers, or is not any longer */
 	MESH_ORDERS,    /* of the operators: drained data centres, versions to bring in */
-	MESH_ABSENT, /* instances that were known and are not heard: their parts stay theirs */
-	MESH_LIMITS, /* what backend servers said of the requests that they take */
-	MESH_ROLLOUT /* how far a version is that is brought in, and how exchanges with it went
-		      */
+	MESH_ABSENT,  /* instances that were known and are not heard: their parts stay theirs */
+	MESH_LIMITS,  /* what backend servers said of the requests that they take */
+	MESH_ROLLOUT, /* how far a version is that is brought in, and how exchanges with it
+			 went */
+	MESH_ASK      /* asks for a heartbeat at once */
 };
 
 /* What one module tells the same module of other instances. */
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -309,6 +309,8 @@
 	return (unsigned char)((unsigned char)p[0] == ARRAY_OF_16_BITS ? p[3] : p[1]);
 }
 
+static void send_on_link(struct pw_peer *me);
+
 #define VERDICT_MIN                                                               \
 	16 /* bytes of a frame that names one, and more than of one that does not \
 	    */
@@ -317,6 +319,9 @@
 {
 	switch (frame_type(p)) {
 	case MESH_BEAT: heard_beat(c->peer, p, len); return;
+	case MESH_ASK:
+		if (c->peer->link && !c->peer->link->cn.connecting) send_on_link(c->peer);
+		return;
 	case MESH_WANT: answer(c->peer, c->peer->link); return;
 	case FETCH: answer(c->peer, c); return;
 	case MESH_LEAVING: c->peer->leavings++; return;
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -3,6 +3,7 @@
 #include "pw.h"
 #include "pw_peer.h"
 #include "soak_proxy.h"
+#include <string.h>
 
 #define ENTRIES 3
 #define PEER_PROXY 120 /* hosts: the ways of the others to each entry */
@@ -134,6 +135,38 @@
 	fleet_end(&f);
 }
 
+/* Three servers ended under one request and beside another, and word of the last end was half a
+ * second late at the instance of the other: it blamed that one, 0.2 s after its own last end.
+ */
+static void a_verdict_waits_for_word_that_is_under_way(void)
+{
+	struct pw_call *c;
+	struct fleet f;
+	int i;
+
+	pw_init();
+	pw_crash = (struct pw_crash){.body = GUILTY, .after_ms = CRASH_MS};
+	pw_server_add("llm", 1);
+	fleet_begin(&f);
+	for (i = 0; i < 2; i++) {
+		end_one(&f);
+		pw_run(100);
+	}
+	proxy_set(f.way[1], PROXY_CUT_TO);
+	end_one(&f);
+	pw_run(350);
+	pw_server_add("app", 0);
+	pw_run(150);
+	proxy_set(f.way[1], PROXY_OK);
+	pw_run(300);
+	CU_ASSERT_EQUAL(pw_crash.ends, 3);
+	c = ask(f.e[1], "what everybody sends");
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	CU_ASSERT(!pw_log_has(f.e[1], "request_blocked"));
+	fleet_end(&f);
+}
+
 /* What a server says of itself was told to those that callers came to then: one that callers
  * came to later went on sending to servers that leave. */
 static void an_instance_that_begins_to_serve_is_told_who_leaves(void)
@@ -161,6 +194,8 @@
 	 a_link_that_falls_silent_one_way_is_made_anew},
 	{"an_end_is_told_again_when_the_link_is_back",
 	 an_end_is_told_again_when_the_link_is_back},
+	{"a_verdict_waits_for_word_that_is_under_way",
+	 a_verdict_waits_for_word_that_is_under_way},
 	{"an_instance_that_begins_to_serve_is_told_who_leaves",
 	 an_instance_that_begins_to_serve_is_told_who_leaves},
 };
