A program that is asked to stop while it starts stops in order

Cause: signals were caught after options and settings had been read.

Evidence: a test that holds the program at its settings, a pipe, and asks it to stop: both programs end by the signal's default action on the code before.

Change: signals are caught first of all, and what is being read is read on. An entry that was asked to stop by then says so and ends with status 0 before it listens. The harness waits for exec. Left: the default action holds between exec and main, some 0.3 ms.

test_start: both tests failed before.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -28,9 +28,10 @@
 	asked_to_drain = 1;
 }
 
+/* What is being read is read on: settings, too. */
 static void catch_signals(void)
 {
-	struct sigaction sa = {.sa_handler = on_signal};
+	struct sigaction sa = {.sa_handler = on_signal, .sa_flags = SA_RESTART};
 
 	sigaction(SIGTERM, &sa, NULL);
 	sigaction(SIGINT, &sa, NULL);
@@ -116,7 +117,6 @@
 {
 	struct err e;
 
-	catch_signals();
 	if (node_start(cfg, &e)) {
 		fprintf(stderr, "saddleheadd: %s\n", e.text);
 		return 1;
@@ -158,6 +158,7 @@
 	struct options o = {0};
 	int rc = 0;
 
+	catch_signals();
 	if (parse(argc, argv, &o)) {
 		rc = 2;
 	} else if (o.version) {
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -35,9 +35,11 @@
 	asked_to_reload = 1;
 }
 
+/* What is being read is read on: settings, too. */
 static void catch_signals(void)
 {
-	struct sigaction term = {.sa_handler = on_term}, hup = {.sa_handler = on_hup};
+	struct sigaction term = {.sa_handler = on_term, .sa_flags = SA_RESTART};
+	struct sigaction hup = {.sa_handler = on_hup, .sa_flags = SA_RESTART};
 
 	sigaction(SIGTERM, &term, NULL);
 	sigaction(SIGINT, &term, NULL);
@@ -90,16 +92,28 @@
 	return rc < -1 ? -1 : 0;
 }
 
+static void log_stopped(const char *detail)
+{
+	GString *g = jlog_begin("main", "stopped");
+
+	jlog_str(g, "detail", detail);
+	jlog_end(g);
+	jlog_stop();
+}
+
 static int run(void)
 {
 	struct err e;
 	GString *g;
 
-	catch_signals();
 	if (jlog_start(cfg.instance) || ev_init()) {
 		fprintf(stderr, "saddlehead-entry: no thread or event loop can be had\n");
 		return 1;
 	}
+	if (asked_to_drain) {
+		log_stopped("asked to while it read its settings");
+		return 0;
+	}
 	if (entry_start(&cfg, &e)) {
 		fprintf(stderr, "saddlehead-entry: %s\n", e.text);
 		return 1;
@@ -112,8 +126,7 @@
 	ev_in(&signal_timer, SIGNAL_LOOK_US);
 	ev_run(&stopped);
 	entry_stop();
-	jlog_end(jlog_begin("main", "stopped"));
-	jlog_stop();
+	log_stopped(NULL);
 	return 0;
 }
 
@@ -122,6 +135,7 @@
 	struct options o = {0};
 	struct err e;
 
+	catch_signals();
 	if (parse(argc, argv, &o)) return 2;
 	settings_path = o.settings ? o.settings : dl_settings_path();
 	if (dl_read_settings(settings_path, &cfg, &e)) {
--- a/test/pw_entry.c
+++ b/test/pw_entry.c
@@ -66,7 +66,7 @@
 	fclose(f);
 }
 
-/* last: closed after all others that it inherited. */
+/* last: closed by exec, after all others that it inherited. */
 static void become(const struct pw_entry *e, int last)
 {
 	const char *build = getenv("B");
@@ -78,7 +78,6 @@
 	dup2(fd, STDERR_FILENO);
 	close_range(STDERR_FILENO + 1, last - 1, 0);
 	close_range(last + 1, ~0U, 0);
-	close(last);
 	g_snprintf(program, sizeof program, "%s/%s", build ? build : "build", pw_entry_program);
 	g_snprintf(port, sizeof port, "%d", PW_METRICS);
 	execl(program, program, "--settings", e->settings, "--metrics-port", port, NULL);
@@ -95,8 +94,8 @@
 	fclose(f);
 }
 
-/* Waits until the new process has closed what it inherited: a descriptor that this one closes
- * while the other still has it would go on being told of by epoll. */
+/* Waits until the new process runs its program and has closed what it inherited: a descriptor
+ * that this one closes while the other still has it would go on being told of by epoll. */
 static void launch(struct pw_entry *e)
 {
 	int ends[2];
