Memory of streams is not copied or moved to where nothing listens

Cause: a refused connection ejects an engine within the cap of half of a service. Beyond it a dead engine stays a candidate, looks emptiest, and got the copies of new streams; when its entry went these were without one for good.

Change: where nothing listened last, and no exchange went well since, no copy is ordered and no memory moved. As a place for new work it stays what it was: work finds out that it is back.

test_leave, a_copy_is_not_ordered_where_nothing_listens: failed before, 3 of 3.

--- a/src/fleet/be_sound.c
+++ b/src/fleet/be_sound.c
@@ -76,6 +76,7 @@
 {
 	b->ends.good++;
 	b->bad_row = 0;
+	b->refused = 0;
 	b->failing *= 1 - FAILING_STEP;
 	if (b->failing < FAILING_STEP) b->eject_us = 0;
 	b->ejected_until_us = 0;
@@ -104,6 +105,7 @@
 {
 	static const char why[] = "takes no connections";
 
+	b->refused = 1;
 	be_failed(b, why);
 	eject(b, why);
 }
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -68,6 +68,7 @@
 	/* From this instance's own exchanges: */
 	int64_t busy_until_us;    /* it turned a request away */
 	int64_t full_until_us;    /* it had no room for memory that was to be moved there */
+	int refused;              /* a connection, and no exchange went well since */
 	double failing;           /* part of its exchanges that failed, newest first */
 	int64_t ejected_until_us; /* gets no work before; 0: sound */
 	int64_t eject_us;         /* how long the last time */
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -196,7 +196,7 @@
  * stream went from one to the next after each event, 80 times in 0.4 s. */
 static int can_be_moved_to(const struct be *b)
 {
-	return !be_leaves(b) && b->full_until_us <= clock_us();
+	return !be_leaves(b) && !b->refused && b->full_until_us <= clock_us();
 }
 
 struct be *rq_pick_target(struct rq *r, const struct be *source)
@@ -212,14 +212,18 @@
 	return chosen(c, place_move(c->s, c->n, &now, g_random_int()));
 }
 
+/* Some that refuse connections are not ejected, as too many are: those look emptiest. */
 struct be *rq_pick_backup(struct leg *l)
 {
 	struct rq *r = l->rq;
 	struct place_job now = {.prompt = rq_held(r)};
-	const struct choice *c;
+	struct choice *c;
+	int i;
 
 	if (r->route->resumable || r->route->kind != CONF_STREAM) return NULL;
 	r->parts = ro_parts(r->service->name, 0);
 	c = collect(r, &now, l->be->zone, l->be);
+	for (i = 0; i < c->n; i++)
+		if (c->at[i]->refused) c->s[i].usable = 0;
 	return chosen(c, place_backup(c->s, c->n, -1, &now, BACKUP_PERCENT, g_random_int()));
 }
--- a/test/test_leave.c
+++ b/test/test_leave.c
@@ -4,7 +4,7 @@
 #include <signal.h>
 #include <string.h>
 
-static struct pw_server *engines[4];
+static struct pw_server *engines[5];
 
 static struct pw_entry *with_engines(int n, int events)
 {
@@ -394,6 +394,29 @@
 	pw_end();
 }
 
+/* Of five engines three refuse connections, and two of them at most are ejected. The third
+ * looked emptiest and was to keep the copies of all streams: none had one. */
+static void a_copy_is_not_ordered_where_nothing_listens(void)
+{
+	struct pw_entry *e = with_engines(5, 60);
+	struct pw_call *c[6];
+	uint32_t k;
+	int i;
+
+	for (i = 0; i < 3; i++) pw_server_die(engines[i]);
+	for (i = 0; i < 6; i++) CU_ASSERT(pw_call_wait(pw_ask(e, "POST", "/sum/", 9000), 3000));
+	for (i = 0; i < 6; i++) c[i] = pw_ask(e, "POST", "/chat/", 9000);
+	for (i = 0; i < 6; i++) CU_ASSERT(pw_call_wait(c[i], 3000));
+	for (k = 0; k < pw_runs->len; k++) {
+		const struct pw_run *r = g_ptr_array_index(pw_runs, k);
+
+		if (strcmp(r->target, "/chat/") != 0) continue;
+		CU_ASSERT(!strcmp(r->backup, engines[3]->address) ||
+			  !strcmp(r->backup, engines[4]->address));
+	}
+	pw_end();
+}
+
 /* The target turns the copy away for good, the source, which still has it, for a moment. */
 static void a_stopped_source_is_asked_as_often_as_the_target(void)
 {
@@ -487,6 +510,8 @@
 	 a_source_is_let_go_in_time_when_its_successor_answers_late},
 	{"a_source_is_let_go_in_time_by_a_loop_that_was_held_up",
 	 a_source_is_let_go_in_time_by_a_loop_that_was_held_up},
+	{"a_copy_is_not_ordered_where_nothing_listens",
+	 a_copy_is_not_ordered_where_nothing_listens},
 	{"a_silent_successor_is_asked_again", a_silent_successor_is_asked_again},
 	{"a_silent_engine_whose_backup_refuses_kills_nothing",
 	 a_silent_engine_whose_backup_refuses_kills_nothing},
