A stream that pauses asks its engine how far it is, and leaves a silent connection in time

Cause: a second of silence was borne before a stream's memory was asked for, seen at the next look a quarter of a second apart. The engine wrote on to the silent connection, which took it all, and ended the run; the move was then answered 404 until the deadline.

Ruled out: a run put off for lack of memory, or lost.

Change: after two of the route's pauses (0.2 s at least) without an event, and unless the engine reads prompts or is short of memory, its report is asked for. A run that had made more events than came is on a silent connection and is moved at once, without waiting for turns of other instances, whose streams there need not move. Looks come when they are due. The stand-in engine reports its runs as the platform's do, 0.2 s late.

test_silent, a_stream_leaves_a_silent_connection_before_its_run_is_over: failed before (no answer in 3 s). Left: a run with less than some 0.4 s to go, and one without an event yet.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -61,6 +61,7 @@
 	"notices_unread",
 	"canary_requests",
 	"rollbacks",
+	"silent_connections",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -204,6 +204,7 @@
 	ro_start(c);
 	be_on_leaving = rq_on_leaving;
 	be_on_ended = rq_on_ended;
+	probe_on_report = rq_on_report;
 	be_is_instance = mesh_is_instance;
 	ev_on_wake = on_wake;
 	init_listeners();
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -31,6 +31,8 @@
 #define HEARD_US 1000000  /* an answer so young tells as much as a report */
 #define REPORT_MAX 65536  /* bytes: a row for each of some hundred runs */
 
+void (*probe_on_report)(struct be *b, const struct dl_report *r);
+
 struct probe { /* one answer that was asked for */
 	struct be *be;
 	GString *body; /* of a report; NULL: a health check */
@@ -76,6 +78,9 @@
 		be_end_life(b, "its own report");
 	else if (r.leaving)
 		leave_said(b, "its own report");
+	else
+		probe_on_report(b, &r);
+	dl_free_report(&r);
 }
 
 static void take_answer(const struct probe *pr, const struct hp_head *head)
@@ -138,6 +143,13 @@
 	if (bx_start(x, b, out, CONNECT_US)) probe_free(pr);
 }
 
+void probe_ask_report(struct be *b)
+{
+	const struct conf_service *s = conf_service(board_conf(), b->service);
+
+	if (!b->probed && !pace_wait_us(b, s, clock_us())) ask(b, NULL);
+}
+
 /* Requests to a server that names a limit are few, and any answer tells whether it leaves. */
 static int is_heard(const struct be *b)
 {
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -82,10 +82,14 @@
 void dl_write_report(GString *out, const struct be *at);
 struct dl_report {
 	int leaving;
-	int64_t born_ms; /* of the life that answers; 0: not told */
+	int64_t born_ms;  /* of the life that answers; 0: not told */
+	GHashTable *made; /* id of a request that runs there -> events; NULL: none is told */
 };
-/* What is no report says nothing. */
+/* What is no report says nothing. It is some hundred milliseconds old. */
 void dl_read_report(const char *body, size_t n, struct dl_report *r);
+/* 1 where it names the run: events that it had made. */
+int dl_report_made(const struct dl_report *r, const char *id, uint32_t *made);
+void dl_free_report(struct dl_report *r);
 /* Its health check says at once what its report says half a second later, but may be wrong. */
 enum dl_health { DL_SOUND, DL_FAILING, DL_STRANGER, DL_UNKNOWN };
 void dl_write_check(GString *out, const struct be *at, const char *path);
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -44,6 +44,7 @@
 	MET_NOTICES_UNREAD,     /* answers whose word on the server can't be used */
 	MET_CANARIES,           /* requests sent to versions that are being brought in */
 	MET_ROLLBACKS,          /* versions found bad */
+	MET_SILENT_CONNECTIONS, /* of streams whose engines had made more than came */
 	MET_COUNT_MAX
 };
 
--- a/src/internal/rq.h
+++ b/src/internal/rq.h
@@ -2,6 +2,7 @@
 #ifndef SH_RQ_H
 #define SH_RQ_H
 #include "be.h"
+#include "dialect.h"
 #include "entry_cfg.h"
 #include "hs.h"
 
@@ -18,6 +19,8 @@
 void rq_on_leaving(struct be *b);
 /* A backend server's life is over: what ran there goes on elsewhere at once where it can. */
 void rq_on_ended(struct be *b);
+/* A backend server's report came: its streams here may have fallen behind it. */
+void rq_on_report(struct be *b, const struct dl_report *r);
 uint32_t rq_open(void);
 /* From now on what can't be finished before until_us is sent elsewhere. */
 void rq_drain(int64_t until_us);
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -65,6 +65,7 @@
 	struct ev_timer timer;
 	char handle[DL_HANDLE_MAX + 1]; /* of what was copied */
 	int stopped;                    /* the source has; the copy is all there is */
+	int silent; /* its connection carries nothing, and its engine stays */
 	int tries;
 	int refusals;       /* of the copy that is to be gone on with */
 	int64_t ordered_us; /* when the order under way was given */
@@ -143,7 +144,20 @@
  * for. */
 const struct fp *rq_fp(struct rq *r);
 
+/* rq_silent.c: of one that can't run again */
+/* Looks whether nothing comes any more, and what its engine says of it. */
+void silent_look(struct rq *r);
+int64_t silent_next_look_us(const struct rq *r);
+
 /* rq_time.c */
+/* Microseconds since the last event, or since this instance stood still. */
+int64_t rq_silence_us(const struct rq *r);
+/* Silence that is an engine's death. */
+int64_t rq_stall_us(const struct rq *r);
+/* What its engine has still to read comes first, or in between. */
+int64_t rq_reading_us(const struct rq *r);
+/* Whether its engine may be silent as it is at work for others. */
+int rq_is_at_work(const struct rq *r);
 /* Its route is known: from now on it ends in time, and silence is looked at. */
 void rq_set_times(struct rq *r);
 
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -53,7 +53,7 @@
 	if (m->hx) hx_cancel(m->hx);
 	m->hx = NULL;
 	move_drop_copy(m);
-	m->stopped = 0;
+	m->stopped = m->silent = 0;
 	if (m->body) g_string_free(m->body, TRUE);
 	m->body = NULL;
 	move_forget_ends(m);
@@ -105,7 +105,7 @@
 		return;
 	}
 	if (!r->service->moves) return;
-	if (its_turn(r))
+	if (m->silent || its_turn(r))
 		move_copy_begin(r);
 	else
 		move_later(r, TURN_LOOK_US);
@@ -149,6 +149,7 @@
 	r->move.state = MOVE_SETTLE;
 	r->move.tries = 0;
 	r->move.turn_us = 0;
+	r->move.silent = 0;
 	move_go_on(r);
 }
 
@@ -156,6 +157,7 @@
 {
 	if (!r->service->moves || !r->leg->hx) return;
 	r->move.tries = 0;
+	r->move.silent = 1; /* others that have work there may not move it */
 	move_copy_begin(r);
 }
 
--- /dev/null
+++ b/src/relay/rq_silent.c
@@ -0,0 +1,94 @@
+/* Streams that can't run again and from which nothing comes. A connection may carry nothing any
+ * more while its engine writes on to it: what the engine made is in its report, on a connection
+ * of its own, and tells the two apart before the run is over. */
+#include "clock.h"
+#include "jlog.h"
+#include "probe.h"
+#include "rq_impl.h"
+
+#define ASK_GAPS 2 /* silence of so many of the route's pauses: its engine is asked */
+/* Never sooner: a lost packet is sent again after as long. */
+#define ASK_MIN_US 200000
+#define ASK_AGAIN_US 100000 /* reports are some hundred ms old */
+#define LOOK_US 250000      /* at most, between two looks at a stream */
+#define LOOK_MIN_US 1000    /* timers fire a millisecond early */
+
+static int64_t ask_us(const struct rq *r)
+{
+	return MAX(r->route->gap_us * ASK_GAPS, ASK_MIN_US) + rq_reading_us(r);
+}
+
+/* One whose caller has not taken what came is not read from. */
+static int may_be_silent(const struct rq *r)
+{
+	return r->event_us && r->move.state == MOVE_NONE && !cn_pending(&r->h->cn);
+}
+
+/* It goes on from its running copy. Without one its memory is asked for. */
+static void leave(struct rq *r)
+{
+	r->event_us = clock_us();
+	if (move_to_backup(r)) move_from_silent(r);
+}
+
+void silent_look(struct rq *r)
+{
+	int64_t silent_us = rq_silence_us(r);
+
+	if (!may_be_silent(r) || silent_us < ask_us(r)) return;
+	if (silent_us < rq_stall_us(r)) {
+		if (!rq_is_at_work(r)) probe_ask_report(r->leg->be);
+		return;
+	}
+	if (!rq_is_at_work(r)) be_failed(r->leg->be, "silent");
+	leave(r);
+}
+
+int64_t silent_next_look_us(const struct rq *r)
+{
+	int64_t silent_us, left_us;
+
+	if (!may_be_silent(r)) return LOOK_US;
+	silent_us = rq_silence_us(r);
+	left_us = ask_us(r) - silent_us;
+	if (left_us > 0) return MIN(left_us, LOOK_US);
+	left_us = MAX(rq_stall_us(r) - silent_us, LOOK_MIN_US);
+	return MIN(left_us, ASK_AGAIN_US);
+}
+
+static void log_silent(const struct rq *r, uint32_t made)
+{
+	GString *g = jlog_begin("relay", "connection_silent");
+
+	jlog_str(g, "request", r->in.id);
+	jlog_str(g, "backend", r->leg->be->id);
+	jlog_int(g, "silent_ms", rq_silence_us(r) / 1000);
+	jlog_int(g, "events", r->seen.count);
+	jlog_int(g, "made", made);
+	jlog_end(g);
+}
+
+/* What it made by then has not come since. */
+static int is_behind(const struct rq *r, const struct be *b, const struct dl_report *p,
+		     uint32_t *made)
+{
+	if (!r->leg || r->leg->be != b || !r->leg->hx || rq_repeatable(r)) return 0;
+	if (!may_be_silent(r) || rq_silence_us(r) < ask_us(r)) return 0;
+	return dl_report_made(p, r->in.id, made) && *made > r->seen.count;
+}
+
+void rq_on_report(struct be *b, const struct dl_report *p)
+{
+	uint32_t i, made;
+
+	for (i = rq_all->len; i-- > 0;) {
+		struct rq *r;
+
+		if (i >= rq_all->len) continue; /* some ended meanwhile */
+		r = g_ptr_array_index(rq_all, i);
+		if (!is_behind(r, b, p, &made)) continue;
+		log_silent(r, made);
+		met_add(MET_SILENT_CONNECTIONS, 1);
+		leave(r);
+	}
+}
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -43,7 +43,7 @@
 #define PRESSED_PERCENT 85
 
 /* What an engine has still to read comes first, or in between. */
-static int64_t reading_us(const struct rq *r)
+int64_t rq_reading_us(const struct rq *r)
 {
 	if (!r->service->engine || !r->leg) return 0;
 	return place_reading_us(rq_load_of(r->leg->be).unread);
@@ -51,7 +51,7 @@
 
 /* Silence of an engine that is at work says nothing of how sound it is: those that were
  * ejected for it left their work to others, which fell silent for it, too. */
-static int may_be_at_work(const struct rq *r)
+int rq_is_at_work(const struct rq *r)
 {
 	struct be_load all = rq_load_of(r->leg->be);
 	uint64_t taken = (uint64_t)all.used + all.inbound;
@@ -64,13 +64,18 @@
 /* How long a server that may be left for another one is waited for. */
 static int64_t patience_us(const struct rq *r)
 {
-	if (r->route->kind == CONF_STREAM) return r->route->aim_us + reading_us(r);
+	if (r->route->kind == CONF_STREAM) return r->route->aim_us + rq_reading_us(r);
 	return MAX(r->route->aim_us * PATIENCE_PART / 10, PATIENCE_MIN_US);
 }
 
-static int64_t stall_us(const struct rq *r)
+int64_t rq_stall_us(const struct rq *r)
 {
-	return MAX(r->route->gap_us * STALL_GAPS, STALL_MIN_US) + reading_us(r);
+	return MAX(r->route->gap_us * STALL_GAPS, STALL_MIN_US) + rq_reading_us(r);
+}
+
+int64_t rq_silence_us(const struct rq *r)
+{
+	return clock_us() - MAX(r->event_us, woke_us);
 }
 
 /* Nothing came for longer than its server is waited for. A stream that had begun stayed on a
@@ -82,7 +87,7 @@
 
 	if (!l->answered) return now - MAX(l->sent_us, woke_us) >= patience_us(r);
 	if (!l->first_us || cn_pending(&r->h->cn)) return 0;
-	return now - MAX(r->event_us, woke_us) >= stall_us(r);
+	return rq_silence_us(r) >= rq_stall_us(r);
 }
 
 /* Nothing comes of a request that may run again: another server may be quicker. */
@@ -92,7 +97,7 @@
 
 	if (!l || !l->hx || r->runs + 1 >= r->route->attempts) return;
 	if (!is_silent(r) || !rq_may_repeat(r)) return;
-	if (!may_be_at_work(r)) {
+	if (!rq_is_at_work(r)) {
 		leg_tell_version(l, RO_BADLY);
 		be_failed(l->be, "silent");
 	}
@@ -109,28 +114,23 @@
 {
 	int64_t most_us, left_us;
 
-	if (!r->leg || r->leg->answered || !rq_repeatable(r)) return STALL_LOOK_US;
+	if (!r->leg || r->leg->answered) return STALL_LOOK_US;
 	most_us = patience_us(r);
 	left_us = MAX(r->leg->sent_us, woke_us) + most_us - clock_us();
 	return MIN(left_us > 0 ? left_us : most_us, STALL_LOOK_US);
 }
 
-/* A stream whose engine fell silent goes on from its running copy. Without one its memory is
- * asked for: the connection alone may be dead, and the engine still answers on another. */
 static void on_stall_look(struct ev_timer *t)
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, stall_timer));
 
-	ev_in(t, next_look_us(r));
 	if (rq_repeatable(r)) {
+		ev_in(t, next_look_us(r));
 		look_at_silence(r); /* r may be gone then */
 		return;
 	}
-	if (!r->event_us || r->move.state != MOVE_NONE || cn_pending(&r->h->cn)) return;
-	if (clock_us() - MAX(r->event_us, woke_us) < stall_us(r)) return;
-	r->event_us = clock_us();
-	if (!may_be_at_work(r)) be_failed(r->leg->be, "silent");
-	if (move_to_backup(r)) move_from_silent(r);
+	ev_in(t, silent_next_look_us(r));
+	silent_look(r);
 }
 
 void rq_set_times(struct rq *r)
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -101,13 +101,35 @@
 	ev_in(&m->timer, s->move_ms * 1000);
 }
 
+#define REPORT_OLD_MS 200 /* a report tells of what was so long ago */
+
+/* Its runs as they were then: id, tokens, events, priority. */
+static void write_runs(const struct pw_server *s, GString *out)
+{
+	int late = REPORT_OLD_MS / s->event_ms;
+	uint32_t i;
+
+	for (i = 0; pw_runs && i < pw_runs->len; i++) {
+		const struct pw_run *r = g_ptr_array_index(pw_runs, i);
+
+		if (r->server != s || !r->h || r->events < late) continue;
+		g_string_append_printf(out, "%s[\"%s\",1000,%d,5]",
+				       out->str[out->len - 1] == '[' ? "" : ",", r->id,
+				       r->events - late);
+	}
+}
+
 static void report(struct pw_server *s, struct hs *h)
 {
-	const char *body = s->leaves ? "{\"state\":\"draining\",\"leaves_ms\":1500}"
-				     : "{\"state\":\"ready\"}";
+	GString *body = g_string_new(s->leaves ? "{\"state\":\"draining\",\"leaves_ms\":1500,"
+					       : "{\"state\":\"ready\",");
 
 	s->reports++;
-	pw_server_answer(s, h, 200, NULL, body);
+	g_string_append(body, "\"runs\":[");
+	write_runs(s, body);
+	g_string_append(body, "]}");
+	pw_server_answer(s, h, 200, NULL, body->str);
+	g_string_free(body, TRUE);
 }
 
 static void check(struct pw_server *s, struct hs *h)
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -129,6 +129,7 @@
 	struct dl_report r;
 
 	dl_read_report(input, input_len, &r);
+	dl_free_report(&r);
 }
 
 static void read_moved(void)
--- /dev/null
+++ b/test/test_silent.c
@@ -0,0 +1,113 @@
+/* Streams whose connection carries nothing any more while the engine writes on to it. */
+#include "check.h"
+#include "pw.h"
+#include "soak_proxy.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define ENGINES 2
+#define ENGINE_PROXY 150 /* host: the ways to engines, each at a port of its own */
+#define EVENTS 80
+#define EVENT_MS 15 /* a run lasts 1.2 s */
+/* Memory of an engine: two streams of some 1,100 tokens leave no room for running copies. */
+#define TOKENS 3000
+
+static struct pw_server *engine[ENGINES];
+static struct proxy *way[ENGINES];
+
+static void add_engine(int i)
+{
+	struct sockaddr_in at, to;
+	struct pw_server *s = pw_server_new("llm", 1);
+
+	s->events = EVENTS;
+	s->event_ms = EVENT_MS;
+	pw_address_of(pw_server_ip(), atoi(strchr(s->address, ':') + 1), &to);
+	pw_address_of(pw_ip(ENGINE_PROXY), PW_SERVER + i, &at);
+	way[i] = proxy_new(&at, &to);
+	g_snprintf(s->address, sizeof s->address, "%s:%d", pw_ip(ENGINE_PROXY), PW_SERVER + i);
+	pw_server_list(s, "ready");
+	engine[i] = s;
+}
+
+static struct pw_entry *begin(void)
+{
+	int i;
+
+	pw_init();
+	pw_conf.tokens = TOKENS;
+	pw_conf.version++;
+	pw_conf_write();
+	for (i = 0; i < ENGINES; i++) add_engine(i);
+	return pw_entry_ready();
+}
+
+static void end(void)
+{
+	int i;
+
+	for (i = 0; i < ENGINES; i++) proxy_free(way[i]);
+	pw_end();
+}
+
+static void fall_silent(void)
+{
+	int i;
+
+	for (i = 0; i < ENGINES; i++) proxy_silence(way[i]);
+}
+
+/* A second of silence was borne before its memory was asked for: by then the run was over, its
+ * end written to the silent connection, and the stream was cut at its deadline. */
+static void a_stream_leaves_a_silent_connection_before_its_run_is_over(void)
+{
+	struct pw_entry *e = begin();
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 4000);
+
+	pw_run(500);
+	CU_ASSERT_STRING_EQUAL(pw_run_of(c->id, 0)->backup, "");
+	fall_silent();
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, EVENTS));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	end();
+}
+
+/* An engine that holds a stream up says that it has made no more than came: nothing is moved.
+ */
+static void a_stream_that_its_engine_holds_up_stays(void)
+{
+	struct pw_entry *e = begin();
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 4000);
+	struct pw_server *s;
+
+	pw_run(500);
+	s = pw_run_of(c->id, 0)->server;
+	s->event_ms = 800;
+	pw_run(700);
+	s->event_ms = EVENT_MS;
+	CU_ASSERT(s->reports > 0);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, EVENTS));
+	CU_ASSERT_EQUAL(engine[0]->moves + engine[1]->moves, 0);
+	end();
+}
+
+/* Streams that flow ask for nothing: reports are paid for. */
+static void a_stream_that_flows_asks_for_no_report(void)
+{
+	struct pw_entry *e = begin();
+	struct pw_call *c = pw_ask(e, "POST", "/chat/", 4000);
+
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT_EQUAL(engine[0]->reports + engine[1]->reports, 0);
+	end();
+}
+
+static const struct check list[] = {
+	{"a_stream_leaves_a_silent_connection_before_its_run_is_over",
+	 a_stream_leaves_a_silent_connection_before_its_run_is_over},
+	{"a_stream_that_its_engine_holds_up_stays", a_stream_that_its_engine_holds_up_stays},
+	{"a_stream_that_flows_asks_for_no_report", a_stream_that_flows_asks_for_no_report},
+};
+CHECK_MAIN(list)
