A stream without an event leaves a silent connection, too

Cause: silence was looked at from the first event on. Before it a stream that may not run again was waited for until its time was over, though its engine ran it and would hand its memory on.

Change: one that has had no event for as long as another server's answer is waited for (the route's aim, and what its engine has to read) asks its engine for its report; a run that has made events there is moved. It is asked again after as long.

test_silent, a_stream_without_an_event_leaves_a_silent_connection: failed before (no answer in 3 s).

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -65,7 +65,7 @@
 	struct ev_timer timer;
 	char handle[DL_HANDLE_MAX + 1]; /* of what was copied */
 	int stopped;                    /* the source has; the copy is all there is */
-	int silent; /* its connection carries nothing, and its engine stays */
+	int silent; /* its connection carries nothing, and its engine runs on */
 	int tries;
 	int refusals;       /* of the copy that is to be gone on with */
 	int64_t ordered_us; /* when the order under way was given */
@@ -150,8 +150,10 @@
 int64_t silent_next_look_us(const struct rq *r);
 
 /* rq_time.c */
-/* Microseconds since the last event, or since this instance stood still. */
+/* Microseconds since the last event, or since it was sent, or this instance stood still. */
 int64_t rq_silence_us(const struct rq *r);
+/* How long a server is waited for that has not answered. */
+int64_t rq_patience_us(const struct rq *r);
 /* Silence that is an engine's death. */
 int64_t rq_stall_us(const struct rq *r);
 /* What its engine has still to read comes first, or in between. */
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -94,8 +94,9 @@
 	struct move *m = &r->move;
 	int64_t whole_us;
 
-	if (m->state != MOVE_SETTLE || m->timer.armed || !r->seen.count) return;
-	if (!r->leg || !r->leg->hx || !r->leg->first_us) return;
+	if (m->state != MOVE_SETTLE || m->timer.armed) return;
+	if (!r->leg || !r->leg->hx) return;
+	if (!m->silent && (!r->seen.count || !r->leg->first_us)) return;
 	if (move_has_backup(r)) {
 		whole_us = r->leg->first_us + SETTLE_US;
 		if (clock_us() >= whole_us)
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -15,28 +15,31 @@
 
 static int64_t ask_us(const struct rq *r)
 {
+	if (!r->event_us) return rq_patience_us(r);
 	return MAX(r->route->gap_us * ASK_GAPS, ASK_MIN_US) + rq_reading_us(r);
 }
 
 /* One whose caller has not taken what came is not read from. */
 static int may_be_silent(const struct rq *r)
 {
-	return r->event_us && r->move.state == MOVE_NONE && !cn_pending(&r->h->cn);
+	return r->leg && r->leg->hx && r->move.state == MOVE_NONE && !cn_pending(&r->h->cn);
 }
 
 /* It goes on from its running copy. Without one its memory is asked for. */
 static void leave(struct rq *r)
 {
-	r->event_us = clock_us();
+	if (r->event_us) r->event_us = clock_us();
 	if (move_to_backup(r)) move_from_silent(r);
 }
 
 void silent_look(struct rq *r)
 {
-	int64_t silent_us = rq_silence_us(r);
+	int64_t silent_us;
 
-	if (!may_be_silent(r) || silent_us < ask_us(r)) return;
-	if (silent_us < rq_stall_us(r)) {
+	if (!may_be_silent(r)) return;
+	silent_us = rq_silence_us(r);
+	if (silent_us < ask_us(r)) return;
+	if (!r->event_us || silent_us < rq_stall_us(r)) {
 		if (!rq_is_at_work(r)) probe_ask_report(r->leg->be);
 		return;
 	}
@@ -52,6 +55,7 @@
 	silent_us = rq_silence_us(r);
 	left_us = ask_us(r) - silent_us;
 	if (left_us > 0) return MIN(left_us, LOOK_US);
+	if (!r->event_us) return MAX(r->route->aim_us, ASK_AGAIN_US);
 	left_us = MAX(rq_stall_us(r) - silent_us, LOOK_MIN_US);
 	return MIN(left_us, ASK_AGAIN_US);
 }
@@ -72,7 +76,8 @@
 static int is_behind(const struct rq *r, const struct be *b, const struct dl_report *p,
 		     uint32_t *made)
 {
-	if (!r->leg || r->leg->be != b || !r->leg->hx || rq_repeatable(r)) return 0;
+	if (!r->route || r->route->kind != CONF_STREAM || rq_repeatable(r)) return 0;
+	if (!r->leg || r->leg->be != b) return 0;
 	if (!may_be_silent(r) || rq_silence_us(r) < ask_us(r)) return 0;
 	return dl_report_made(p, r->in.id, made) && *made > r->seen.count;
 }
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -62,7 +62,7 @@
 }
 
 /* How long a server that may be left for another one is waited for. */
-static int64_t patience_us(const struct rq *r)
+int64_t rq_patience_us(const struct rq *r)
 {
 	if (r->route->kind == CONF_STREAM) return r->route->aim_us + rq_reading_us(r);
 	return MAX(r->route->aim_us * PATIENCE_PART / 10, PATIENCE_MIN_US);
@@ -75,7 +75,9 @@
 
 int64_t rq_silence_us(const struct rq *r)
 {
-	return clock_us() - MAX(r->event_us, woke_us);
+	int64_t from_us = r->event_us ? r->event_us : r->leg->sent_us;
+
+	return clock_us() - MAX(from_us, woke_us);
 }
 
 /* Nothing came for longer than its server is waited for. A stream that had begun stayed on a
@@ -85,7 +87,7 @@
 	const struct leg *l = r->leg;
 	int64_t now = clock_us();
 
-	if (!l->answered) return now - MAX(l->sent_us, woke_us) >= patience_us(r);
+	if (!l->answered) return now - MAX(l->sent_us, woke_us) >= rq_patience_us(r);
 	if (!l->first_us || cn_pending(&r->h->cn)) return 0;
 	return rq_silence_us(r) >= rq_stall_us(r);
 }
@@ -115,7 +117,7 @@
 	int64_t most_us, left_us;
 
 	if (!r->leg || r->leg->answered) return STALL_LOOK_US;
-	most_us = patience_us(r);
+	most_us = rq_patience_us(r);
 	left_us = MAX(r->leg->sent_us, woke_us) + most_us - clock_us();
 	return MIN(left_us > 0 ? left_us : most_us, STALL_LOOK_US);
 }
@@ -145,7 +147,7 @@
 	if (r->route->kind == CONF_STREAM)
 		ev_in(&r->stall_timer, STALL_LOOK_US);
 	else if (rq_repeatable(r))
-		ev_in(&r->stall_timer, patience_us(r));
+		ev_in(&r->stall_timer, rq_patience_us(r));
 }
 
 /* What came for them meanwhile is not read yet, but whose time is over has it now. */
--- a/test/test_silent.c
+++ b/test/test_silent.c
@@ -73,6 +73,24 @@
 	end();
 }
 
+/* The same before its first event came: it was waited for until the deadline. */
+static void a_stream_without_an_event_leaves_a_silent_connection(void)
+{
+	struct pw_entry *e = begin();
+	struct pw_call *c;
+	int i;
+
+	for (i = 0; i < ENGINES; i++) engine[i]->work_ms = 50;
+	c = pw_ask(e, "POST", "/chat/", 4000);
+	pw_run(30);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	fall_silent();
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, EVENTS));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	end();
+}
+
 /* An engine that holds a stream up says that it has made no more than came: nothing is moved.
  */
 static void a_stream_that_its_engine_holds_up_stays(void)
@@ -107,6 +125,8 @@
 static const struct check list[] = {
 	{"a_stream_leaves_a_silent_connection_before_its_run_is_over",
 	 a_stream_leaves_a_silent_connection_before_its_run_is_over},
+	{"a_stream_without_an_event_leaves_a_silent_connection",
+	 a_stream_without_an_event_leaves_a_silent_connection},
 	{"a_stream_that_its_engine_holds_up_stays", a_stream_that_its_engine_holds_up_stays},
 	{"a_stream_that_flows_asks_for_no_report", a_stream_that_flows_asks_for_no_report},
 };
