Retold ends come with all that speaks against blame; nobody is waited for beyond 3 s

Ends of the last 30 s are told again, but of what came through since only the last 4 s. An instance that started heard of ends without the sign that covers them, blamed what everybody sends, and told all others so. Now signs are told for as long as ends are.

One that is heard and does not hear (a link that is cut one way) never answers, and was waited for as long as that lasted: nobody was blamed meanwhile, and the guilty request went on to end servers. Now nobody is waited for longer than 3 s. Its own word comes by the way that works.

--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -158,12 +158,6 @@
 	return 0;
 }
 
-static int take_ask(struct mesh_in *in)
-{
-	mesh_answer(in->from);
-	return 0;
-}
-
 static int take(struct mesh_in *in, const msgpack_object_array *a)
 {
 	int64_t type = mesh_int(&a->ptr[0]);
@@ -179,7 +173,7 @@
 	case MESH_PEERS: return take_peers(a);
 	case MESH_HOLDERS: return take_holders(in, a);
 	case MESH_WANT: return take_want(in, a);
-	case MESH_ASK: return take_ask(in);
+	case MESH_ASK: mesh_answer(in->from); return 0;
 	case MESH_ENDED:
 	case MESH_THROUGH:
 	case MESH_UNDER_WAY:
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -223,11 +223,13 @@
 	return !m->refused && now - m->heard_us < GONE_US;
 }
 
+/* One that is heard may not hear this instance: its answer never comes, its word does. */
 int mesh_have_answered(int64_t since_us)
 {
 	int64_t now = clock_us();
 	uint32_t i;
 
+	if (now - since_us >= GONE_US) return 1;
 	for (i = 0; i < members->len; i++) {
 		const struct member *m = g_ptr_array_index(members, i);
 
--- a/src/fleet/poison.c
+++ b/src/fleet/poison.c
@@ -273,13 +273,13 @@
 	int64_t now;
 };
 
+/* Of all that ends are told of, or what came through since would be blamed for them. */
 static void write_through(const struct quar_suspect *s, void *arg)
 {
 	const struct write *w = arg;
 	int64_t ago_us = w->now - s->sound_us;
 
-	if (s->sound_us && ago_us <= THROUGH_KEEP_US)
-		mesh_write_through(w->out, &s->fp, ago_us);
+	if (s->sound_us && ago_us <= RECENT_US) mesh_write_through(w->out, &s->fp, ago_us);
 }
 
 void poison_write_told(GString *out)
--- a/src/fleet/poison_recent.c
+++ b/src/fleet/poison_recent.c
@@ -4,8 +4,6 @@
 #include "poison_impl.h"
 #include <string.h>
 
-/* As long as ends tell how often servers end without the one that is judged. */
-#define RECENT_US 30000000
 #define RECENT_MAX 64 /* ends: the oldest go first */
 
 struct recent {
--- a/src/fleet/poison_through.c
+++ b/src/fleet/poison_through.c
@@ -1,6 +1,8 @@
 /* Requests that came through here lately: word against blame that others may look for. */
 #include "poison_impl.h"
 
+/* Twice as long as it counts. */
+#define THROUGH_US (2 * QUAR_SOUND_US)
 #define THROUGH_MOST 4096 /* requests: a thousand a second */
 
 static GHashTable *through; /* struct fp -> int64_t, when a run came through last */
@@ -8,7 +10,7 @@
 static int is_old(gpointer fp, gpointer at_us, gpointer now)
 {
 	(void)fp;
-	return *(int64_t *)now - *(int64_t *)at_us > THROUGH_KEEP_US;
+	return *(int64_t *)now - *(int64_t *)at_us > THROUGH_US;
 }
 
 void through_note(const struct fp *fp, int64_t now)
--- a/src/internal/poison_impl.h
+++ b/src/internal/poison_impl.h
@@ -4,14 +4,15 @@
 #include "poison.h"
 
 /* poison_through.c */
-/* That a run came through is remembered for twice as long as it counts. */
-#define THROUGH_KEEP_US (2 * QUAR_SOUND_US)
 /* A run of it came through now. */
 void through_note(const struct fp *fp, int64_t now);
 /* When one did last, as far as it is remembered; 0: not lately. */
 int64_t through_last_us(const struct fp *fp);
 
 /* poison_recent.c */
+/* Ends are told again for as long as they tell how often servers end without the one that is
+ * judged. */
+#define RECENT_US 30000000
 /* b ended while these ran there. */
 void recent_note(const struct be *b, const struct poison_run *run, int n, int64_t at_us,
 		 int64_t now);
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -3,6 +3,7 @@
 #include "pw.h"
 #include "pw_peer.h"
 #include "soak_proxy.h"
+#include <signal.h>
 #include <string.h>
 
 #define ENTRIES 3
@@ -93,8 +94,10 @@
 /* ---- what is told once ---- */
 
 #define GUILTY "the prompt that ends them"
-#define CRASH_MS 100 /* from when a server begins to run it until it ends */
-#define NOTICE_MS 60 /* then instances have found out */
+#define CRASH_MS 100   /* from when a server begins to run it until it ends */
+#define NOTICE_MS 60   /* then instances have found out */
+#define ANSWER_MS 4500 /* who does not answer is waited for no more, and some way */
+#define OLD_MS 5000    /* a run that came through so long ago is remembered no more */
 
 static struct pw_call *ask(struct pw_entry *e, const char *body)
 {
@@ -167,6 +170,81 @@
 	fleet_end(&f);
 }
 
+static int blocked(void *e)
+{
+	return pw_metric(e, "saddlehead_blocked") > 0;
+}
+
+/* One that is heard and hears nothing was waited for as long as that lasted, while the request
+ * went on to end servers. */
+static void a_verdict_waits_for_no_answer_that_does_not_come(void)
+{
+	struct fleet f;
+	int i;
+
+	pw_init();
+	pw_crash = (struct pw_crash){.body = GUILTY, .after_ms = CRASH_MS};
+	pw_server_add("llm", 1);
+	fleet_begin(&f);
+	proxy_set(f.way[1], PROXY_CUT_TO);
+	for (i = 0; i < 3; i++) {
+		end_one(&f);
+		pw_run(50);
+	}
+	CU_ASSERT_EQUAL(pw_crash.ends, 3);
+	CU_ASSERT(pw_until(blocked, f.e[0], ANSWER_MS));
+	fleet_end(&f);
+}
+
+/* The server, which is listed alone, ends for another cause under what everybody sends. */
+static void end_one_by_itself(struct fleet *f)
+{
+	struct pw_server *s = pw_server_add("app", 0);
+
+	s->work_ms = 1000;
+	pw_run(150);
+	ask(f->e[1], "what everybody sends");
+	pw_run(CRASH_MS);
+	pw_server_die(s);
+	pw_run(NOTICE_MS);
+	pw_server_unlist(s);
+}
+
+/* Ends of the last half minute are told to one that starts. What ran there came through since,
+ * which it was not told: it blamed what everybody sends. */
+static void one_that_starts_hears_what_came_through_since(void)
+{
+	struct pw_server *s;
+	struct pw_call *c;
+	struct fleet f;
+
+	pw_init();
+	pw_server_add("llm", 1);
+	fleet_begin(&f);
+	end_one_by_itself(&f);
+	end_one_by_itself(&f);
+	s = pw_server_add("app", 0);
+	pw_run(150);
+	c = ask(f.e[1], "what everybody sends");
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	pw_server_unlist(s);
+	end_one_by_itself(&f);
+	pw_run(OLD_MS);
+	pw_entry_kill(f.e[2], SIGKILL);
+	CU_ASSERT(pw_entry_wait(f.e[2], 1000) >= 0);
+	pw_entry_again(f.e[2]);
+	CU_ASSERT(pw_entry_until_ready(f.e[2]));
+	pw_server_add("app", 0);
+	pw_run(HEAR_MS);
+	c = ask(f.e[2], "what everybody sends");
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	CU_ASSERT(!pw_log_has(f.e[2], "request_blocked"));
+	CU_ASSERT(pw_log_has(f.e[2], "backend_end"));
+	fleet_end(&f);
+}
+
 /* What a server says of itself was told to those that callers came to then: one that callers
  * came to later went on sending to servers that leave. */
 static void an_instance_that_begins_to_serve_is_told_who_leaves(void)
@@ -196,6 +274,10 @@
 	 an_end_is_told_again_when_the_link_is_back},
 	{"a_verdict_waits_for_word_that_is_under_way",
 	 a_verdict_waits_for_word_that_is_under_way},
+	{"a_verdict_waits_for_no_answer_that_does_not_come",
+	 a_verdict_waits_for_no_answer_that_does_not_come},
+	{"one_that_starts_hears_what_came_through_since",
+	 one_that_starts_hears_what_came_through_since},
 	{"an_instance_that_begins_to_serve_is_told_who_leaves",
 	 an_instance_that_begins_to_serve_is_told_who_leaves},
 };
