--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -59,6 +59,20 @@
 	CU_ASSERT_EQUAL(soak_run(440, 8, SOAK_LATER_KINDS), 0);
 }
 
+/* All links between instances fell silent for good and were not opened anew: each blamed what
+ * everybody sends by the ends of servers that it had seen alone. */
+static void soak_seed_738(void)
+{
+	CU_ASSERT_EQUAL(soak_run(738, 22, SOAK_ALL_KINDS), 0);
+}
+
+/* Word of an end was lost with a link that was disturbed for 0.6 s, and told by nobody again.
+ */
+static void soak_seed_724(void)
+{
+	CU_ASSERT_EQUAL(soak_run(724, 22, SOAK_ALL_KINDS), 0);
+}
+
 /* With servers that name limits, leave by their answers, and ask for rest. */
 static void soak_seed_501(void)
 {
@@ -70,6 +84,7 @@
 	{"soak_seed_12", soak_seed_12},   {"soak_seed_1002", soak_seed_1002},
 	{"soak_seed_80", soak_seed_80},   {"soak_seed_301", soak_seed_301},
 	{"soak_seed_431", soak_seed_431}, {"soak_seed_440", soak_seed_440},
+	{"soak_seed_738", soak_seed_738}, {"soak_seed_724", soak_seed_724},
 	{"soak_seed_501", soak_seed_501},
 };
 CHECK_MAIN(list)
