An engine that has put a run off is asked for its memory less and less often

Looks at a silent stream came a quarter of a second late; since they come when they are due a stream whose engine has put it off asks each second instead of each 1.25 s, and for its report each tenth of a second in between, for as long as its time lasts.

Change: each silence after which an engine was asked makes the next one that is borne a second longer (a stall's time longer), and reports in between are asked for once in that time. An event ends the count. A stream on a silent connection is found as before, in its first silence.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -90,6 +90,7 @@
 	int64_t began_us, end_us;   /* came whole; must have its final answer */
 	int64_t gap_us, gap_at_us;  /* longest pause between events so far, and when it ended */
 	int64_t first_us, event_us; /* first byte to the caller; last event */
+	int stalls; /* silences since then after which its engine was asked for its memory */
 	struct ev_timer end_timer, stall_timer;
 	struct leg *leg, *next; /* the one that answers; the one that will */
 	struct move move;
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -112,6 +112,7 @@
 		r->gap_at_us = now;
 	}
 	r->event_us = now;
+	r->stalls = 0;
 }
 
 static int on_events(struct leg *l, struct hx *x, const char *p, size_t n)
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -19,6 +19,19 @@
 	return MAX(r->route->gap_us * ASK_GAPS, ASK_MIN_US) + rq_reading_us(r);
 }
 
+/* An engine that has put a run off for lack of memory has nothing to hand on for some seconds:
+ * it is asked less and less often. */
+static int64_t stall_us(const struct rq *r)
+{
+	return rq_stall_us(r) * (1 + r->stalls);
+}
+
+static int64_t ask_again_us(const struct rq *r)
+{
+	if (!r->event_us) return MAX(r->route->aim_us, ASK_AGAIN_US);
+	return r->stalls ? rq_stall_us(r) : ASK_AGAIN_US;
+}
+
 /* One whose caller has not taken what came is not read from. */
 static int may_be_silent(const struct rq *r)
 {
@@ -29,6 +42,7 @@
 static void leave(struct rq *r)
 {
 	if (r->event_us) r->event_us = clock_us();
+	r->stalls++;
 	if (move_to_backup(r)) move_from_silent(r);
 }
 
@@ -39,7 +53,7 @@
 	if (!may_be_silent(r)) return;
 	silent_us = rq_silence_us(r);
 	if (silent_us < ask_us(r)) return;
-	if (!r->event_us || silent_us < rq_stall_us(r)) {
+	if (!r->event_us || silent_us < stall_us(r)) {
 		if (!rq_is_at_work(r)) probe_ask_report(r->leg->be);
 		return;
 	}
@@ -55,9 +69,8 @@
 	silent_us = rq_silence_us(r);
 	left_us = ask_us(r) - silent_us;
 	if (left_us > 0) return MIN(left_us, LOOK_US);
-	if (!r->event_us) return MAX(r->route->aim_us, ASK_AGAIN_US);
-	left_us = MAX(rq_stall_us(r) - silent_us, LOOK_MIN_US);
-	return MIN(left_us, ASK_AGAIN_US);
+	left_us = r->event_us ? MAX(stall_us(r) - silent_us, LOOK_MIN_US) : INT64_MAX;
+	return MIN(left_us, ask_again_us(r));
 }
 
 static void log_silent(const struct rq *r, uint32_t made)
