A resumable stream whose repeat is held back leaves a silent connection by a move

Cause: such a stream is sent anew after a second of silence, within the fleet's allowance of repeats. An instance has no part of that in the first ten seconds and more of its life, and there was no other way.

Evidence: repeat_held_back with part_permille 0 stands in the log of each such stream, of an instance that had started again 2 to 9 s before.

Change: these streams, too, ask their engine for its report when they pause. On a silent connection they leave at once, by a repeat where one may be sent; where none may their memory is moved, which is the same run.

test_silent, a_stream_whose_repeat_is_held_back_leaves_a_silent_connection: failed before.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -145,12 +145,19 @@
  * for. */
 const struct fp *rq_fp(struct rq *r);
 
-/* rq_silent.c: of one that can't run again */
-/* Looks whether nothing comes any more, and what its engine says of it. */
+/* rq_silent.c */
+/* Asks the engine of a stream that pauses how far it is. */
+void silent_ask(struct rq *r);
+/* The same, and leaves its connection when nothing has come for long; of one that can't run
+ * again. */
 void silent_look(struct rq *r);
 int64_t silent_next_look_us(const struct rq *r);
+/* Goes on from the memory that the engine of a silent connection has. */
+void silent_leave(struct rq *r);
 
 /* rq_time.c */
+/* 1 when it was sent to another server, and may be gone; 0: it may not be repeated now. */
+int rq_repeat_elsewhere(struct rq *r, int blame);
 /* Microseconds since the last event, or since it was sent, or this instance stood still. */
 int64_t rq_silence_us(const struct rq *r);
 /* How long a server is waited for that has not answered. */
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -1,4 +1,4 @@
-/* Streams that can't run again and from which nothing comes. A connection may carry nothing any
+/* Streams from which nothing comes. A connection may carry nothing any
  * more while its engine writes on to it: what the engine made is in its report, on a connection
  * of its own, and tells the two apart before the run is over. */
 #include "clock.h"
@@ -39,26 +39,28 @@
 }
 
 /* It goes on from its running copy. Without one its memory is asked for. */
-static void leave(struct rq *r)
+void silent_leave(struct rq *r)
 {
 	if (r->event_us) r->event_us = clock_us();
 	r->stalls++;
 	if (move_to_backup(r)) move_from_silent(r);
 }
 
-void silent_look(struct rq *r)
+void silent_ask(struct rq *r)
 {
-	int64_t silent_us;
+	if (!may_be_silent(r) || rq_is_at_work(r)) return;
+	if (rq_silence_us(r) >= ask_us(r)) probe_ask_report(r->leg->be);
+}
 
+void silent_look(struct rq *r)
+{
 	if (!may_be_silent(r)) return;
-	silent_us = rq_silence_us(r);
-	if (silent_us < ask_us(r)) return;
-	if (!r->event_us || silent_us < stall_us(r)) {
-		if (!rq_is_at_work(r)) probe_ask_report(r->leg->be);
+	if (!r->event_us || rq_silence_us(r) < stall_us(r)) {
+		silent_ask(r);
 		return;
 	}
 	if (!rq_is_at_work(r)) be_failed(r->leg->be, "silent");
-	leave(r);
+	silent_leave(r);
 }
 
 int64_t silent_next_look_us(const struct rq *r)
@@ -89,7 +91,8 @@
 static int is_behind(const struct rq *r, const struct be *b, const struct dl_report *p,
 		     uint32_t *made)
 {
-	if (!r->route || r->route->kind != CONF_STREAM || rq_repeatable(r)) return 0;
+	if (!r->route || r->route->kind != CONF_STREAM) return 0;
+	if (rq_repeatable(r) && !r->event_us) return 0; /* a new run is no loss */
 	if (!r->leg || r->leg->be != b) return 0;
 	if (!may_be_silent(r) || rq_silence_us(r) < ask_us(r)) return 0;
 	return dl_report_made(p, r->in.id, made) && *made > r->seen.count;
@@ -107,6 +110,6 @@
 		if (!is_behind(r, b, p, &made)) continue;
 		log_silent(r, made);
 		met_add(MET_SILENT_CONNECTIONS, 1);
-		leave(r);
+		if (!rq_repeatable(r) || !rq_repeat_elsewhere(r, 0)) silent_leave(r);
 	}
 }
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -92,14 +92,12 @@
 	return rq_silence_us(r) >= rq_stall_us(r);
 }
 
-/* Nothing comes of a request that may run again: another server may be quicker. */
-static void look_at_silence(struct rq *r)
+int rq_repeat_elsewhere(struct rq *r, int blame)
 {
 	struct leg *l = r->leg;
 
-	if (!l || !l->hx || r->runs + 1 >= r->route->attempts) return;
-	if (!is_silent(r) || !rq_may_repeat(r)) return;
-	if (!rq_is_at_work(r)) {
+	if (r->runs + 1 >= r->route->attempts || !rq_may_repeat(r)) return 0;
+	if (blame) {
 		leg_tell_version(l, RO_BADLY);
 		be_failed(l->be, "silent");
 	}
@@ -109,6 +107,16 @@
 	else
 		r->unreached++;
 	rq_place(r);
+	return 1;
+}
+
+/* Nothing comes of a request that may run again: another server may be quicker. A stream whose
+ * repeat the fleet's allowance holds back goes on from its engine's memory. */
+static void look_at_silence(struct rq *r)
+{
+	if (!r->leg || !r->leg->hx || r->move.state != MOVE_NONE || !is_silent(r)) return;
+	if (rq_repeat_elsewhere(r, !rq_is_at_work(r))) return;
+	if (r->event_us) silent_leave(r);
 }
 
 /* Sooner than usual where an answer is not waited for so long. */
@@ -126,11 +134,17 @@
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, stall_timer));
 
-	if (rq_repeatable(r)) {
+	if (rq_repeatable(r) && !r->event_us) {
 		ev_in(t, next_look_us(r));
 		look_at_silence(r); /* r may be gone then */
 		return;
 	}
+	if (rq_repeatable(r)) {
+		ev_in(t, silent_next_look_us(r));
+		silent_ask(r);
+		look_at_silence(r);
+		return;
+	}
 	ev_in(t, silent_next_look_us(r));
 	silent_look(r);
 }
--- a/test/test_silent.c
+++ b/test/test_silent.c
@@ -30,11 +30,12 @@
 	engine[i] = s;
 }
 
-static struct pw_entry *begin(void)
+static struct pw_entry *begin_with(const char *settings)
 {
 	int i;
 
 	pw_init();
+	pw_settings(settings);
 	pw_conf.tokens = TOKENS;
 	pw_conf.version++;
 	pw_conf_write();
@@ -42,6 +43,11 @@
 	return pw_entry_ready();
 }
 
+static struct pw_entry *begin(void)
+{
+	return begin_with(NULL);
+}
+
 static void end(void)
 {
 	int i;
@@ -91,6 +97,21 @@
 	end();
 }
 
+/* It could have been resumed by a new run, but a life of a few seconds has no part of the
+ * fleet's allowance of repeats: it was cut at its deadline. */
+static void a_stream_whose_repeat_is_held_back_leaves_a_silent_connection(void)
+{
+	struct pw_entry *e = begin_with("bounds.retryBudgetRatio=0\nbounds.budgetSlack=0\n");
+	struct pw_call *c = pw_ask(e, "POST", "/sum/", 4000);
+
+	pw_run(500);
+	fall_silent();
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_whole(c, EVENTS));
+	CU_ASSERT_EQUAL(pw_repeats(), 0);
+	end();
+}
+
 /* An engine that holds a stream up says that it has made no more than came: nothing is moved.
  */
 static void a_stream_that_its_engine_holds_up_stays(void)
@@ -127,6 +148,8 @@
 	 a_stream_leaves_a_silent_connection_before_its_run_is_over},
 	{"a_stream_without_an_event_leaves_a_silent_connection",
 	 a_stream_without_an_event_leaves_a_silent_connection},
+	{"a_stream_whose_repeat_is_held_back_leaves_a_silent_connection",
+	 a_stream_whose_repeat_is_held_back_leaves_a_silent_connection},
 	{"a_stream_that_its_engine_holds_up_stays", a_stream_that_its_engine_holds_up_stays},
 	{"a_stream_that_flows_asks_for_no_report", a_stream_that_flows_asks_for_no_report},
 };
