Test of copies at dead engines: waits until each has refused a connection

It took for granted that six streams find out that all three dead engines refuse connections; the third may not have been chosen by then, and is known as dead to nobody. Now streams are sent until each of the three has been refused, and the same is asked as before.

--- a/test/test_leave.c
+++ b/test/test_leave.c
@@ -394,6 +394,17 @@
 	pw_end();
 }
 
+#define TRIES_MAX 40 /* by then each engine has been chosen */
+
+/* Whether a connection to it was refused. */
+static int was_refused(struct pw_entry *e, const struct pw_server *s)
+{
+	char line[128];
+
+	g_snprintf(line, sizeof line, "\"backend\":\"%s\",\"why\":\"not_reached\"", s->id);
+	return pw_log_has(e, line);
+}
+
 /* Of five engines three refuse connections, and two of them at most are ejected. The third
  * looked emptiest and was to keep the copies of all streams: none had one. */
 static void a_copy_is_not_ordered_where_nothing_listens(void)
@@ -401,10 +412,13 @@
 	struct pw_entry *e = with_engines(5, 60);
 	struct pw_call *c[6];
 	uint32_t k;
-	int i;
+	int i, tries = 0;
 
 	for (i = 0; i < 3; i++) pw_server_die(engines[i]);
-	for (i = 0; i < 6; i++) CU_ASSERT(pw_call_wait(pw_ask(e, "POST", "/sum/", 9000), 3000));
+	for (i = 0; i < 3; i++) {
+		while (!was_refused(e, engines[i]) && tries++ < TRIES_MAX)
+			CU_ASSERT(pw_call_wait(pw_ask(e, "POST", "/sum/", 9000), 3000));
+	}
 	for (i = 0; i < 6; i++) c[i] = pw_ask(e, "POST", "/chat/", 9000);
 	for (i = 0; i < 6; i++) CU_ASSERT(pw_call_wait(c[i], 3000));
 	for (k = 0; k < pw_runs->len; k++) {
