A stream that waits for another engine is not moved, too

Found by reading: a resumable stream that is sent anew and finds no room waits with its old, silent connection still open. The next look at it would have begun a move of its memory as well, and when room came it would have gone on by a new run and by the moved one.

Change: what waits is looked at for silence no more; nothing is repeated a second time while it waits either.

--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -32,9 +32,11 @@
 	return r->stalls ? rq_stall_us(r) : ASK_AGAIN_US;
 }
 
-/* One whose caller has not taken what came is not read from. */
+/* One whose caller has not taken what came is not read from; one that waits for another engine
+ * is leaving already. */
 static int may_be_silent(const struct rq *r)
 {
+	if (r->waiting != RQ_WAITS_NOT) return 0;
 	return r->leg && r->leg->hx && r->move.state == MOVE_NONE && !cn_pending(&r->h->cn);
 }
 
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -114,7 +114,8 @@
  * repeat the fleet's allowance holds back goes on from its engine's memory. */
 static void look_at_silence(struct rq *r)
 {
-	if (!r->leg || !r->leg->hx || r->move.state != MOVE_NONE || !is_silent(r)) return;
+	if (!r->leg || !r->leg->hx || !is_silent(r)) return;
+	if (r->move.state != MOVE_NONE || r->waiting != RQ_WAITS_NOT) return;
 	if (rq_repeat_elsewhere(r, !rq_is_at_work(r))) return;
 	if (r->event_us) silent_leave(r);
 }
