Silence of a stream counts from when it was sent to its engine

Found by reading: a stream that had gone on at another engine counted the silence of the one before, so that the new engine was asked for its report at once and each tenth of a second until its first event. Reports are paid for; no stream was lost by it. The looks at streams are in one place now. test_silent, all 5, passes.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -158,7 +158,8 @@
 /* rq_time.c */
 /* 1 when it was sent to another server, and may be gone; 0: it may not be repeated now. */
 int rq_repeat_elsewhere(struct rq *r, int blame);
-/* Microseconds since the last event, or since it was sent, or this instance stood still. */
+/* Microseconds since the last event, or since it was sent where it is, or this instance stood
+ * still; it has been sent. */
 int64_t rq_silence_us(const struct rq *r);
 /* How long a server is waited for that has not answered. */
 int64_t rq_patience_us(const struct rq *r);
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -1,6 +1,6 @@
-/* Streams from which nothing comes. A connection may carry nothing any
- * more while its engine writes on to it: what the engine made is in its report, on a connection
- * of its own, and tells the two apart before the run is over. */
+/* Streams from which nothing comes. A connection may carry nothing any more while its engine
+ * writes on to it: what the engine made is in its report, on a connection of its own, and tells
+ * the two apart before the run is over. */
 #include "clock.h"
 #include "jlog.h"
 #include "probe.h"
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -75,7 +75,7 @@
 
 int64_t rq_silence_us(const struct rq *r)
 {
-	int64_t from_us = r->event_us ? r->event_us : r->leg->sent_us;
+	int64_t from_us = MAX(r->event_us, r->leg->sent_us);
 
 	return clock_us() - MAX(from_us, woke_us);
 }
@@ -135,19 +135,15 @@
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, stall_timer));
 
-	if (rq_repeatable(r) && !r->event_us) {
-		ev_in(t, next_look_us(r));
-		look_at_silence(r); /* r may be gone then */
-		return;
-	}
-	if (rq_repeatable(r)) {
-		ev_in(t, silent_next_look_us(r));
-		silent_ask(r);
-		look_at_silence(r);
+	int repeatable = rq_repeatable(r);
+
+	ev_in(t, repeatable && !r->event_us ? next_look_us(r) : silent_next_look_us(r));
+	if (!repeatable) {
+		silent_look(r);
 		return;
 	}
-	ev_in(t, silent_next_look_us(r));
-	silent_look(r);
+	if (r->event_us) silent_ask(r);
+	look_at_silence(r); /* r may be gone then */
 }
 
 void rq_set_times(struct rq *r)
