--- a/test/test_links.c
+++ b/test/test_links.c
@@ -1,94 +1,41 @@
 /* Links between instances that break, fall silent or hold bytes up: behind a relay each. */
 #include "check.h"
-#include "pw.h"
 #include "pw_peer.h"
-#include "soak_proxy.h"
+#include "relayed.h"
 #include <signal.h>
 #include <string.h>
 
-#define ENTRIES 3
-#define PEER_PROXY 120 /* hosts: the ways of the others to each entry */
-#define HEAR_MS 900    /* links are up, and heartbeats have crossed */
-#define RENEW_MS 3500  /* silence is noticed, and the link is up again */
-
-struct fleet {
-	struct pw_entry *e[ENTRIES];
-	struct proxy *way[ENTRIES]; /* of the others to it */
-};
-
-static struct proxy *relay_to(int host, const char *ip)
-{
-	struct sockaddr_in at, to;
-
-	pw_address_of(pw_ip(host), PW_PEER, &at);
-	pw_address_of(ip, PW_PEER, &to);
-	return proxy_new(&at, &to);
-}
-
-static void start(struct fleet *f, int i)
-{
-	GString *more = g_string_new(NULL);
-
-	g_string_append_printf(more, "ipAddress=%s\n", pw_ip(PEER_PROXY + i));
-	g_string_append_printf(more, "seedNodes=%s:1\n", pw_ip(PEER_PROXY));
-	pw_settings(more->str);
-	f->e[i] = pw_entry_start();
-	f->way[i] = relay_to(PEER_PROXY + i, f->e[i]->ip);
-	g_string_free(more, TRUE);
-}
-
-static void fleet_begin(struct fleet *f)
-{
-	int i;
-
-	for (i = 0; i < ENTRIES; i++) start(f, i);
-	for (i = 0; i < ENTRIES; i++) CU_ASSERT(pw_entry_until_ready(f->e[i]));
-	pw_run(HEAR_MS);
-}
-
-static void fleet_end(struct fleet *f)
-{
-	int i;
-
-	for (i = 0; i < ENTRIES; i++) proxy_free(f->way[i]);
-	pw_end();
-}
-
-static int hears(struct pw_entry *e)
-{
-	return (int)pw_metric(e, "saddlehead_members");
-}
+#define RENEW_MS 3500 /* silence is noticed, and the link is up again */
 
 /* All links fell silent without a reset: each instance wrote on into its own for good, and went
  * by its own knowledge alone. */
 static void links_that_fall_silent_are_made_anew(void)
 {
-	struct fleet f;
+	struct relayed f;
 	int i;
 
 	pw_init();
 	pw_server_add("app", 0);
-	fleet_begin(&f);
-	for (i = 0; i < ENTRIES; i++) CU_ASSERT_EQUAL(hears(f.e[i]), ENTRIES);
-	for (i = 0; i < ENTRIES; i++) proxy_silence(f.way[i]);
+	relayed_begin(&f);
+	CU_ASSERT(relayed_hear_all(&f));
+	for (i = 0; i < RELAYED; i++) proxy_silence(f.way[i]);
 	pw_run(RENEW_MS);
-	for (i = 0; i < ENTRIES; i++) CU_ASSERT_EQUAL(hears(f.e[i]), ENTRIES);
-	fleet_end(&f);
+	CU_ASSERT(relayed_hear_all(&f));
+	relayed_end(&f);
 }
 
 /* Whoever wrote on the silent link went on hearing the other, and noticed nothing. */
 static void a_link_that_falls_silent_one_way_is_made_anew(void)
 {
-	struct fleet f;
-	int i;
+	struct relayed f;
 
 	pw_init();
 	pw_server_add("app", 0);
-	fleet_begin(&f);
+	relayed_begin(&f);
 	proxy_silence(f.way[1]);
 	pw_run(RENEW_MS);
-	for (i = 0; i < ENTRIES; i++) CU_ASSERT_EQUAL(hears(f.e[i]), ENTRIES);
-	fleet_end(&f);
+	CU_ASSERT(relayed_hear_all(&f));
+	relayed_end(&f);
 }
 
 /* ---- what is told once ---- */
@@ -97,6 +44,7 @@
 #define CRASH_MS 100   /* from when a server begins to run it until it ends */
 #define NOTICE_MS 60   /* then instances have found out */
 #define ANSWER_MS 4500 /* who does not answer is waited for no more, and some way */
+#define AGAIN_MS 2500  /* after a disturbance: a link is found silent, and opened anew */
 #define OLD_MS 5000    /* a run that came through so long ago is remembered no more */
 
 static struct pw_call *ask(struct pw_entry *e, const char *body)
@@ -114,7 +62,7 @@
 	return s;
 }
 
-static void end_under(struct fleet *f, struct pw_server *s)
+static void end_under(struct relayed *f, struct pw_server *s)
 {
 	ask(f->e[0], GUILTY);
 	pw_run(CRASH_MS + NOTICE_MS);
@@ -122,7 +70,7 @@
 }
 
 /* The server, which is listed alone, ends under one request and beside another. */
-static void end_one(struct fleet *f)
+static void end_one(struct relayed *f)
 {
 	struct pw_server *s = list_alone();
 
@@ -135,19 +83,63 @@
  * missed it judged by the rest for good. */
 static void an_end_is_told_again_when_the_link_is_back(void)
 {
-	struct fleet f;
+	struct relayed f;
 
 	pw_init();
 	pw_crash = (struct pw_crash){.body = GUILTY, .after_ms = CRASH_MS};
 	pw_server_add("llm", 1);
-	fleet_begin(&f);
+	relayed_begin(&f);
 	proxy_silence(f.way[2]);
 	end_one(&f);
 	pw_run(RENEW_MS);
 	CU_ASSERT_EQUAL(pw_crash.ends, 1);
 	CU_ASSERT(pw_log_has(f.e[1], "backend_ended"));
 	CU_ASSERT(pw_log_has(f.e[2], "backend_ended"));
-	fleet_end(&f);
+	relayed_end(&f);
+}
+
+/* Whether e knows that s ended. */
+static int knows_end(struct pw_entry *e, const struct pw_server *s)
+{
+	char line[96];
+
+	g_snprintf(line, sizeof line, "\"backend_ended\",\"backend\":\"%s\"", s->id);
+	return pw_log_has(e, line);
+}
+
+/* Whatever becomes of a link for a while, and whether what is sent on it meanwhile comes late
+ * or never: both ends hear each other again, and know what ended. */
+static void what_is_said_on_a_disturbed_link_arrives(void)
+{
+	static const struct {
+		enum proxy_mode mode;
+		int ms;
+	} of[] = {{PROXY_SILENT, 800},    {PROXY_SILENT, 2500}, {PROXY_CUT_TO, 2500},
+		  {PROXY_CUT_FROM, 2500}, {PROXY_RESET, 1500},  {PROXY_DELAY, 1500}};
+	struct pw_server *s;
+	struct relayed f;
+	char body[32];
+	uint32_t i;
+	int k;
+
+	pw_init();
+	pw_crash = (struct pw_crash){.body = body, .after_ms = CRASH_MS};
+	pw_server_add("llm", 1);
+	relayed_begin(&f);
+	for (i = 0; i < G_N_ELEMENTS(of); i++) {
+		/* One request may end three, and is not blamed for one. */
+		g_snprintf(body, sizeof body, "prompt %u", i);
+		s = list_alone();
+		proxy_set(f.way[1], of[i].mode);
+		ask(f.e[0], body);
+		pw_run(of[i].ms);
+		proxy_set(f.way[1], PROXY_OK);
+		pw_server_unlist(s);
+		pw_run(AGAIN_MS);
+		CU_ASSERT(relayed_hear_all(&f));
+		for (k = 0; k < RELAYED; k++) CU_ASSERT(knows_end(f.e[k], s));
+	}
+	relayed_end(&f);
 }
 
 /* Three servers ended under one request and beside another, and word of the last end was half a
@@ -156,13 +148,13 @@
 static void a_verdict_waits_for_word_that_is_under_way(void)
 {
 	struct pw_call *c;
-	struct fleet f;
+	struct relayed f;
 	int i;
 
 	pw_init();
 	pw_crash = (struct pw_crash){.body = GUILTY, .after_ms = CRASH_MS};
 	pw_server_add("llm", 1);
-	fleet_begin(&f);
+	relayed_begin(&f);
 	for (i = 0; i < 2; i++) {
 		end_one(&f);
 		pw_run(100);
@@ -179,30 +171,30 @@
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 200);
 	CU_ASSERT(!pw_log_has(f.e[1], "request_blocked"));
-	fleet_end(&f);
+	relayed_end(&f);
 }
 
 /* One that is heard and hears nothing was waited for as long as that lasted, while the request
  * went on to end servers. */
 static void a_verdict_waits_for_no_answer_that_does_not_come(void)
 {
-	struct fleet f;
+	struct relayed f;
 	int i;
 
 	pw_init();
 	pw_crash = (struct pw_crash){.body = GUILTY, .after_ms = CRASH_MS};
 	pw_server_add("llm", 1);
-	fleet_begin(&f);
+	relayed_begin(&f);
 	proxy_set(f.way[1], PROXY_CUT_TO);
 	for (i = 0; i < 3; i++) end_under(&f, list_alone());
 	CU_ASSERT_EQUAL(pw_crash.ends, 3);
 	pw_run(ANSWER_MS);
 	CU_ASSERT_EQUAL(pw_metric(f.e[0], "saddlehead_blocked"), 1);
-	fleet_end(&f);
+	relayed_end(&f);
 }
 
 /* The server, which is listed alone, ends for another cause under what everybody sends. */
-static void end_one_by_itself(struct fleet *f)
+static void end_one_by_itself(struct relayed *f)
 {
 	struct pw_server *s = list_alone();
 
@@ -219,11 +211,11 @@
 {
 	struct pw_server *s;
 	struct pw_call *c;
-	struct fleet f;
+	struct relayed f;
 
 	pw_init();
 	pw_server_add("llm", 1);
-	fleet_begin(&f);
+	relayed_begin(&f);
 	end_one_by_itself(&f);
 	end_one_by_itself(&f);
 	s = pw_server_add("app", 0);
@@ -239,13 +231,13 @@
 	pw_entry_again(f.e[2]);
 	CU_ASSERT(pw_entry_until_ready(f.e[2]));
 	pw_server_add("app", 0);
-	pw_run(HEAR_MS);
+	pw_run(RELAYED_HEAR_MS);
 	c = ask(f.e[2], "what everybody sends");
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 200);
 	CU_ASSERT(!pw_log_has(f.e[2], "request_blocked"));
 	CU_ASSERT(pw_log_has(f.e[2], "backend_end"));
-	fleet_end(&f);
+	relayed_end(&f);
 }
 
 /* What a server says of itself was told to those that callers came to then: one that callers
@@ -275,6 +267,7 @@
 	 a_link_that_falls_silent_one_way_is_made_anew},
 	{"an_end_is_told_again_when_the_link_is_back",
 	 an_end_is_told_again_when_the_link_is_back},
+	{"what_is_said_on_a_disturbed_link_arrives", what_is_said_on_a_disturbed_link_arrives},
 	{"a_verdict_waits_for_word_that_is_under_way",
 	 a_verdict_waits_for_word_that_is_under_way},
 	{"a_verdict_waits_for_no_answer_that_does_not_come",
