--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -23,6 +23,7 @@
 	struct pw_peer *peer;
 	GString *buf;
 	int receiving;              /* a copy has begun to come */
+	int silent;                 /* what comes is taken, and arrives nowhere */
 	struct ev_timer rest, pace; /* reads on; sends the next part */
 	size_t sent;                /* of the copy */
 };
@@ -334,6 +335,7 @@
 	struct pw_peer_cn *c = (struct pw_peer_cn *)cn;
 	uint32_t len;
 
+	if (c->silent) return;
 	g_string_append_len(c->buf, p, n);
 	while (c->buf->len > sizeof len + 3) {
 		memcpy(&len, c->buf->str, sizeof len);
@@ -416,6 +418,7 @@
 	struct pw_peer *me = (struct pw_peer *)((char *)t - offsetof(struct pw_peer, beat));
 
 	ev_in(t, me->wants ? ASK_US : BEAT_US);
+	if (me->mute) return;
 	if (!me->link) me->link = connect_to_entry(me);
 	/* Frames don't mix: what is sent slowly keeps others waiting. */
 	if (me->link && !me->link->cn.connecting && !me->link->pace.armed) send_on_link(me);
@@ -450,6 +453,14 @@
 	return me;
 }
 
+void pw_peer_silence(struct pw_peer *me)
+{
+	uint32_t i;
+
+	for (i = 0; i < me->in->len; i++)
+		((struct pw_peer_cn *)g_ptr_array_index(me->in, i))->silent = 1;
+}
+
 void pw_peer_stop(struct pw_peer *me)
 {
 	uint32_t i;
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -15,6 +15,7 @@
 	int link_mbps;     /* that it tells; 0 at first */
 	int takes_callers; /* it says that it is ready, at an address of its own */
 	int store_up;      /* it says that the store answers it */
+	int mute;          /* says nothing on its link, and leaves it open */
 	int wants;         /* asks the entry for a copy until it has one */
 	int asks;          /* came from the entry */
 	int copies;        /* came whole */
@@ -47,6 +48,8 @@
 void pw_peer_tells_leaving(struct pw_peer *p, const char *server, int64_t born_ms);
 /* Says that this request is blamed for such ends. */
 void pw_peer_tells_verdict(struct pw_peer *p, const struct fp *fp);
+/* What the entry has open to it carries nothing more; new connections do. */
+void pw_peer_silence(struct pw_peer *p);
 /* Says nothing any more, as if it had died. */
 void pw_peer_stop(struct pw_peer *p);
 /* Ends all of them, before pw_end. */
--- a/test/test_standby.c
+++ b/test/test_standby.c
@@ -145,7 +145,52 @@
 	pw_end();
 }
 
+#define QUIET_RENEW_MS 8000 /* heartbeats of one that stands by come each 1.2 s */
+
+/* Hubs that heard nothing any more of one that stands by: it wrote on to links that carried
+ * nothing, for good. */
+static void links_of_one_that_stands_by_are_made_anew(void)
+{
+	struct pw_peer *p[WIDE];
+	struct pw_entry *e = entry_among_wide(p, 1);
+	int64_t now;
+	int i;
+
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_active"), 0);
+	for (i = 0; i < WIDE; i++) pw_peer_silence(p[i]);
+	pw_run(100);
+	now = clock_us();
+	pw_run(QUIET_RENEW_MS);
+	CU_ASSERT_EQUAL(beaten_since(p, now), 19);
+	pw_peers_end();
+	pw_end();
+}
+
+#define IDLE_MS 32000 /* nothing came for half a minute, and some way */
+
+/* The other end left a link, and its word of that did not get through: such connections stayed
+ * open for good. */
+static void a_connection_that_carries_nothing_is_closed(void)
+{
+	struct pw_server *s;
+	struct pw_entry *e = pw_init_with(&s, 1);
+	struct pw_peer *p = pw_peer_new(e, 0);
+
+	pw_run(600);
+	CU_ASSERT_PTR_NOT_NULL(p->link);
+	p->mute = 1;
+	pw_run(IDLE_MS);
+	CU_ASSERT_PTR_NULL(p->link);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_peer_connections_idle_total"), 1);
+	pw_peers_end();
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"links_of_one_that_stands_by_are_made_anew",
+	 links_of_one_that_stands_by_are_made_anew},
+	{"a_connection_that_carries_nothing_is_closed",
+	 a_connection_that_carries_nothing_is_closed},
 	{"a_hub_beats_seldom_to_most_that_stand_by", a_hub_beats_seldom_to_most_that_stand_by},
 	{"one_of_many_stands_by", one_of_many_stands_by},
 	{"on_the_first_start_few_list", on_the_first_start_few_list},
