Empty texts in frames are not copied from nowhere

Seen by the undefined-behaviour sanitizer: an entry built with it ended at its first frame with an empty text, as memcpy was given no source for zero bytes (src/fleet/mesh_read.c); the stand-in's store sorted an empty list the same way. Callers saw nothing of it, as nothing is copied. The own interface's reader of frames looks at the length first.

test_links, test_silent and test_verdicts built with the address and undefined-behaviour sanitizers: before, the first two ended at once and all entries of the third died; now all pass without a report.

--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -9,7 +9,8 @@
 int mesh_text(const msgpack_object *o, char *out, size_t max)
 {
 	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= max) return -EBADMSG;
-	memcpy(out, o->via.str.ptr, o->via.str.size);
+	/* An empty one may have no bytes to point to. */
+	if (o->via.str.size) memcpy(out, o->via.str.ptr, o->via.str.size);
 	out[o->via.str.size] = '\0';
 	return 0;
 }
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -298,7 +298,7 @@
 	while (g_hash_table_iter_next(&it, &key, &e))
 		if (((struct entry *)e)->value && g_str_has_prefix(key, prefix))
 			g_ptr_array_add(keys, key);
-	qsort(keys->pdata, keys->len, sizeof *keys->pdata, by_key);
+	if (keys->len) qsort(keys->pdata, keys->len, sizeof *keys->pdata, by_key);
 	return keys;
 }
 
