Test of instances that lose their path to all servers, red

In two seconds the instances without a path serve none of 79 to 81 requests (three of six), of 134 (five of six), of 140 (28 of 32), the others all; sound servers are ejected at all six.

--- a/Makefile
+++ b/Makefile
@@ -41,8 +41,8 @@
 	$(addprefix src/base/,clock.c err.c fp.c hostport.c jlog.c jsonw.c met.c reason.c ring.c))
 $(B)/saddlehead-entry: $(ENTRY_OBJ)
 	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ $(shell pkg-config --libs $(ENTRY_PKGS) 2>/dev/null) -lhttp_parser -lm
-# The same on a clock that tests move.
-$(B)/test/entry_jump: $(ENTRY_OBJ) $(B)/test/clock_jump.o
+# The same on a clock that tests move, and with a path to servers that they cut.
+$(B)/test/entry_jump: $(ENTRY_OBJ) $(B)/test/clock_jump.o $(B)/test/partition.o
 	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ $(shell pkg-config --libs $(ENTRY_PKGS) 2>/dev/null) -lhttp_parser -lm
 $(B)/saddleheadctl: $(patsubst %.c,$(B)/%.o,$(wildcard src/ctl/*.c)) $(B)/libsaddlehead.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -57,8 +57,9 @@
 # Tests of the platform path: a small platform in the test's process, the real program beside it.
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_entry pw_store pw_server pw_crash pw_run pw_conf pw_caller pw_peer pw_query) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
-PW_TESTS = $(patsubst %,$(B)/test/test_%,links verdicts silent relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices canary regions hold)
+PW_TESTS = $(patsubst %,$(B)/test/test_%,links verdicts silent relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices canary regions hold partition)
 $(PW_TESTS) $(B)/bench/bench_entry: $(PW_OBJ)
+$(B)/test/test_partition: | $(B)/test/entry_jump
 $(B)/test/test_links $(B)/test/test_verdicts $(B)/test/test_silent: $(B)/test/soak_proxy.o
 $(B)/test/test_links $(B)/test/test_verdicts: $(B)/test/relayed.o
 SOAK_OBJ = $(patsubst %,$(B)/test/%.o,soak soak_proxy soak_draw soak_server soak_notice soak_crash soak_fault soak_caller soak_check)
--- a/test/pw_entry.c
+++ b/test/pw_entry.c
@@ -11,7 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define ENTRIES_MAX 8 /* in one test */
+#define ENTRIES_MAX 32 /* in one test */
 
 const char *pw_entry_program = "saddlehead-entry";
 
@@ -73,6 +73,7 @@
 	char program[128], port[16];
 	int fd = open(e->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+	signal(SIGUSR1, SIG_IGN);         /* until the program handles it */
 	prctl(PR_SET_PDEATHSIG, SIGKILL); /* entries don't outlive a test that crashes */
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
