Serve through another instance where the path to servers is lost

Cause: an instance knew one way to a server, its own connection, and took each failure on it for the server's: it ejected sound servers, told the others that they fail (two such reports eject a server everywhere), and took resets of its connections followed by refusals for crashes of servers.

Change: a failure that a lost path would explain counts only once a check has shown whose it is (path, path_check); while the path is lost, exchanges go through another instance, which opens the connection and passes bytes (tunnel, tunnel_serve, mesh_helper). All counts of repeats, limits, runs and quarantine stay where the request is.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -62,6 +62,10 @@
 	"canary_requests",
 	"rollbacks",
 	"silent_connections",
+	"tunnels",
+	"tunnels_failed",
+	"tunnels_served",
+	"path_checks",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",
@@ -75,6 +79,8 @@
 	"active",
 	"blocked",
 	"drained_data_centres",
+	"path_lost",
+	"tunnels_open",
 };
 static const char *const hist_names[MET_HIST_MAX] = {
 	"first_token_seconds", "between_tokens_seconds",    "stall_seconds",
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,6 +14,7 @@
 #include "mesh.h"
 #include "met.h"
 #include "pace.h"
+#include "path.h"
 #include "quarantine.h"
 #include "probe.h"
 #include "ro.h"
@@ -213,6 +214,11 @@
 	be_on_incarnation_end = rq_on_incarnation_end;
 	probe_on_report = rq_on_report;
 	be_is_instance = mesh_is_instance;
+	path_on_verdict = rq_on_path_verdict;
+	path_on_refused = rq_on_refused;
+	path_on_lost = rq_on_path_lost;
+	mesh_on_leaving = rq_on_helper_leaving;
+	path_start();
 	ev_on_resume = on_resumed;
 	init_listeners();
 	cache_init();
@@ -281,7 +287,7 @@
 	lapsed = drain_began_us + ttl_us() * TTL_OVERRUN;
 	last = drain_began_us + cfg->grace_us - DRAIN_MARGIN_US;
 	if (now >= last) return 1;
-	return now >= lapsed && !rq_open_count();
+	return now >= lapsed && !rq_open_count() && !mesh_count_tunnels();
 }
 
 void entry_stop(void)
--- a/src/fleet/be_drain.c
+++ b/src/fleet/be_drain.c
@@ -15,6 +15,11 @@
 	return drained_dcs && g_hash_table_contains(drained_dcs, dc);
 }
 
+int be_is_any_dc_drained(void)
+{
+	return drained_dcs && g_hash_table_size(drained_dcs);
+}
+
 int be_only_drained(const char *service)
 {
 	const GPtrArray *list = be_of_service(service);
--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -6,15 +6,19 @@
 #include "jlog.h"
 #include "leave.h"
 #include "limit.h"
+#include "mesh.h"
 #include "met.h"
 #include "pace.h"
+#include "path.h"
 
 #define LOG_INTERVAL_US 1000000 /* a server may repeat a notice in each of its answers */
 
 /* The server of an exchange. */
 struct target {
 	struct be *be;
-	int after_backoff; /* counts among the exchanges after a back-off */
+	int after_backoff;         /* counts among the exchanges after a back-off */
+	struct tn *tunnel;         /* NULL: none */
+	struct sockaddr_in helper; /* that it leads through */
 };
 
 static void report_unusable(struct be *b, const char *field)
@@ -48,10 +52,50 @@
 	if (n.limit_per_s >= 0 || !n.has_limit) limit_report(t->be, n.limit_per_s, x->began_us);
 }
 
-static void target_free(void *target)
+static void on_any_connected(struct hx *x)
 {
-	struct target *t = target;
+	struct target *t = x->peer;
+
+	if (!t->tunnel) {
+		path_connected(t->be);
+		return;
+	}
+	met_add(MET_TUNNELS, 1);
+	mesh_helper_connected(&t->helper);
+}
+
+/* A helper answers within the time to connect, also that it failed. */
+enum tn_fault bx_fault(const struct hx *x)
+{
+	const struct target *t = x->peer;
+
+	if (!t->tunnel) return TN_NONE;
+	if (!x->connected && tn_fault(t->tunnel) == TN_NONE) return TN_HELPER;
+	return tn_fault(t->tunnel);
+}
+
+const struct sockaddr_in *bx_helper(const struct hx *x)
+{
+	const struct target *t = x->peer;
+
+	return t->tunnel ? &t->helper : NULL;
+}
+
+/* Before the request is sent again, by way of another one. */
+static void on_any_end(struct hx *x)
+{
+	struct target *t = x->peer;
+
+	if (bx_fault(x) != TN_HELPER) return;
+	met_add(MET_TUNNELS_FAILED, 1);
+	mesh_helper_failed(&t->helper);
+}
+
+static void on_release(struct hx *x)
+{
+	struct target *t = x->peer;
 
+	tn_free(t->tunnel);
 	if (t->after_backoff) pace_end_after_backoff(t->be);
 	be_unref(t->be);
 	g_free(t);
@@ -64,8 +108,14 @@
 	t->be = be_ref(b);
 	t->after_backoff = pace_begin_after_backoff(b);
 	x->peer = t;
-	x->peer_free = target_free;
+	x->on_release = on_release;
 	x->on_any_head = on_any_head;
+	x->on_any_connected = on_any_connected;
+	x->on_any_end = on_any_end;
 	pace_sent(b, conf_service(cache_conf(), b->service));
-	return hx_start(x, &b->sa, request, connect_us);
+	path_recheck(b);
+	if (!path_is_around(b) || mesh_pick_helper(b, NULL, &t->helper))
+		return hx_start(x, &b->sa, request, connect_us);
+	t->tunnel = tn_new(&x->cn, b);
+	return hx_start(x, &t->helper, request, connect_us);
 }
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -4,6 +4,7 @@
 #include "met.h"
 #include "quarantine.h"
 #include "watch.h"
+#include <arpa/inet.h>
 
 /* Time after a suspension until this instance continues with what it has, though none has sent
  * anything new. Microseconds; more than three heartbeats. */
@@ -13,7 +14,8 @@
 
 static const struct entry_cfg *cfg;
 static struct ev_timer heartbeat_timer;
-static int self_ready, self_draining, self_store_up = 1, self_store_late;
+static int self_ready, self_draining, self_store_up = 1, self_store_late, self_path_lost;
+static struct sockaddr_in self_via; /* the helper whose tunnel came up last */
 static unsigned heartbeat_count;
 static int64_t unsynced_since_us; /* time of the resume if not yet up to date; else 0 */
 static int64_t resumed_us;
@@ -62,6 +64,18 @@
 	mesh_heartbeat_now();
 }
 
+/* The others choose no helper that has no path itself. */
+void mesh_set_path_lost(int lost)
+{
+	self_path_lost = lost;
+	mesh_heartbeat_now();
+}
+
+void mesh_helper_connected(const struct sockaddr_in *at)
+{
+	self_via = *at;
+}
+
 int mesh_store_degraded(void)
 {
 	const GPtrArray *all = mesh_members();
@@ -113,9 +127,12 @@
 				   .backends_from = watch_backends_from(),
 				   .dc = mesh_self_dc(),
 				   .region = mesh_self_region(),
-				   .interval = heartbeat_interval(to)};
+				   .interval = heartbeat_interval(to),
+				   .path = self_path_lost ? MESH_PATH_LOST : MESH_PATH_GOOD};
 	int64_t now = clock_us(), confirmed = cache_confirmed_us();
 
+	if (self_path_lost && self_via.sin_port)
+		inet_ntop(AF_INET, &self_via.sin_addr, b.via, sizeof b.via);
 	g_strlcpy(b.name, cfg->instance, sizeof b.name);
 	g_strlcpy(b.ip, cfg->ip, sizeof b.ip);
 	g_strlcpy(b.front, cfg->front_text, sizeof b.front);
--- a/src/fleet/mesh_accept.c
+++ b/src/fleet/mesh_accept.c
@@ -19,6 +19,7 @@
 void mesh_drop_in(struct mesh_in *in)
 {
 	mesh_serve_end(in);
+	mesh_tunnel_end(in);
 	g_ptr_array_remove_fast(accepted, in);
 	cn_close(&in->cn);
 	g_string_free(in->buf, TRUE);
@@ -48,6 +49,8 @@
 		rc = mesh_dispatch(in, in->buf->str + off + sizeof n, n);
 		if (rc) return rc;
 		off += sizeof n + n;
+		/* A requester waits for the answer before it sends more. */
+		if (in->tunnel) return in->buf->len > off ? -EBADMSG : 0;
 	}
 	g_string_erase(in->buf, 0, off);
 	return 0;
@@ -64,8 +67,13 @@
 static void on_in_data(struct cn *c, const char *p, size_t n)
 {
 	struct mesh_in *in = (struct mesh_in *)c;
-	int rc = mesh_split_frames(in, p, n);
+	int rc;
 
+	if (in->tunnel) {
+		mesh_tunnel_data(in, p, n);
+		return;
+	}
+	rc = mesh_split_frames(in, p, n);
 	in->last_data_us = clock_us();
 	if (!rc) return;
 	if (rc == -EBADMSG) log_malformed(in);
@@ -90,7 +98,8 @@
 	for (i = accepted->len; i-- > 0;) {
 		struct mesh_in *in = g_ptr_array_index(accepted, i);
 
-		if (in->sending_copy || now - in->last_data_us < IDLE_US) continue;
+		if (in->sending_copy || in->tunnel || now - in->last_data_us < IDLE_US)
+			continue;
 		met_add(MET_PEER_CONNECTIONS_IDLE, 1);
 		mesh_drop_in(in);
 	}
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -167,6 +167,7 @@
 	if (type == MESH_HEARTBEAT) return handle_heartbeat(in, a);
 	/* Accepted without a heartbeat, as the store answers anybody, too. */
 	if (type == MESH_FETCH) return handle_fetch(in, a);
+	if (type == MESH_TUNNEL) return mesh_handle_tunnel(in, a);
 	if (!in->from) return -EBADMSG;
 	switch ((enum mesh_type)type) {
 	case MESH_LOADS: mesh_handle_loads(in->from, a); return 0;
@@ -184,6 +185,7 @@
 	case MESH_ORDERS: return mesh_handle_orders(in->from, a);
 	case MESH_ABSENT: return mesh_handle_absent(a);
 	case MESH_FETCH:
+	case MESH_TUNNEL:
 	case MESH_HEARTBEAT: return 0;
 	case MESH_LEAVING:
 	case MESH_SUSPECT:
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -127,6 +127,7 @@
 void mesh_heartbeat_received(struct member *m, const struct mesh_heartbeat *b)
 {
 	int starts_serving = b->serving && !m->hb.serving;
+	int stops = b->draining && !m->hb.draining;
 
 	if (changes_roles(m, b)) mesh_roles_stale();
 	m->hb = *b;
@@ -148,6 +149,7 @@
 	mesh_sync_orders(m);
 	mesh_sync_verdicts(m);
 	if (starts_serving) send_serving_state(m);
+	if (stops) mesh_helper_leaves(m);
 	mesh_check_lists(m);
 }
 
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -57,7 +57,11 @@
 	b->region = a->size > MESH_HB_REGION ? (uint32_t)mesh_int(&a->ptr[MESH_HB_REGION]) : 0;
 	b->interval = a->size > MESH_HB_INTERVAL ? (int)mesh_int(&a->ptr[MESH_HB_INTERVAL]) : 1;
 	b->interval = CLAMP(b->interval, 1, MESH_STANDBY_INTERVAL);
-	return 0;
+	b->path = a->size > MESH_HB_PATH ? (enum mesh_path)mesh_int(&a->ptr[MESH_HB_PATH])
+					 : MESH_PATH_UNKNOWN;
+	b->via[0] = 0;
+	if (a->size <= MESH_HB_VIA) return 0;
+	return mesh_text(&a->ptr[MESH_HB_VIA], b->via, sizeof b->via);
 }
 
 int mesh_read_load_row(const msgpack_object *o, struct mesh_load_row *r)
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -57,6 +57,8 @@
 	msgpack_pack_uint32(p, b->dc);
 	msgpack_pack_uint32(p, b->region);
 	msgpack_pack_int(p, b->interval);
+	msgpack_pack_int(p, b->path);
+	mesh_pack_text(p, b->via);
 	mesh_frame_end(&f, out);
 }
 
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -17,6 +17,7 @@
 #include "mesh.h"
 #include "met.h"
 #include "pace.h"
+#include "path.h"
 #include <errno.h>
 
 /* The age at which lists count as stale while the store fails some instance. With
@@ -112,7 +113,10 @@
 		apply_answer(pr, &x->hp.head);
 	else
 		log_failed(pr, err, status);
-	if (err == -ECONNREFUSED) be_refused_connection(pr->be);
+	if (err == -ECONNREFUSED)
+		path_blame_unreached(pr->be, err);
+	else if (err && !x->connected)
+		path_check(pr->be);
 	probe_free(pr);
 }
 
--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -137,6 +137,15 @@
 	}
 }
 
+void cn_read_rest(struct cn *c)
+{
+	char buf[READ_SIZE];
+	ssize_t n;
+
+	while (c->ev.fd >= 0 && (n = recv(c->ev.fd, buf, sizeof buf, 0)) > 0)
+		c->on_data(c, buf, n);
+}
+
 /* While reading is paused, the end is still reported, as a reset or a closed side. */
 static void on_hangup(struct cn *c, uint32_t events)
 {
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -9,7 +9,7 @@
 	hp_free(&x->hp);
 	if (x->request) g_string_free(x->request, TRUE);
 	x->request = NULL;
-	if (x->peer_free) x->peer_free(x->peer);
+	if (x->on_release) x->on_release(x);
 	ev_free_later(x);
 }
 
@@ -20,6 +20,7 @@
 		cn_reset(&x->cn);
 	else
 		cn_close(&x->cn);
+	if (x->on_any_end) x->on_any_end(x);
 	x->on_end(x, err);
 	release(x);
 }
@@ -36,6 +37,7 @@
 	struct hx *x = (struct hx *)c;
 
 	x->connected = 1;
+	if (x->on_any_connected) x->on_any_connected(x);
 	if (x->wait_us)
 		ev_in(&x->timer, x->wait_us);
 	else
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -40,6 +40,19 @@
 	int64_t last_full_us; /* when a request last had to wait for max_in_flight */
 };
 
+/* This instance's network path to one backend server (path.h). */
+struct be_path {
+	int around;               /* it is reached only through another instance */
+	int64_t up_us;            /* when a connection from here last came up; 0: never */
+	int64_t checked_us;       /* when a lost path was last tried */
+	uint32_t unreached_in;    /* the last series of unreached servers it was in (path.c) */
+	struct path_check *check; /* in progress; or NULL */
+	/* Failures that wait for the verdict of a check: their number, the last reason, and
+	 * whether a connection was refused. */
+	int failures, refused;
+	const char *why;
+};
+
 struct be {
 	int refs;
 	char *id;
@@ -62,6 +75,7 @@
 	/* When it was added, listed again or restored; 0: at this instance's start. */
 	int64_t available_us;
 	struct be_backoff backoff;
+	struct be_path path;
 	struct quota_pace pace[QUOTA_KINDS]; /* of this instance's requests to it */
 	int64_t lapsed_us; /* since when its entry has lapsed (be_set_lapsed); 0: it has not */
 	/* Suspected to be leaving, which no entry can confirm at present: */
@@ -124,12 +138,15 @@
  * there are moved elsewhere where possible. */
 void be_drain_dc(const char *dc, int drained);
 int be_dc_is_drained(const char *dc);
+int be_is_any_dc_drained(void);
 /* Whether a stream whose memory is only at b may still continue there: not once its data centre
  * has been drained for be_drain_grace_us, even if the stream is lost by that. */
 int be_may_continue(const struct be *b);
 /* The region of a data centre; NULL: unknown. */
 void be_set_region(const char *dc, const char *region);
 const char *be_region_of(const char *dc);
+/* Whether the data centres are in more than one region. */
+int be_in_several_regions(void);
 /* Whether the service has ready servers, all of them in drained data centres. */
 int be_only_drained(const char *service);
 /* Records the name of a data centre that has servers. */
--- a/src/internal/cn.h
+++ b/src/internal/cn.h
@@ -13,6 +13,7 @@
 	uint64_t sent; /* bytes of out passed to the kernel so far */
 	uint32_t events;
 	int connecting, paused, got_eof;
+	void *filter; /* of a tunnel, which has replaced the callbacks; or NULL */
 	void (*on_connected)(struct cn *c); /* connection established; may be NULL */
 	void (*on_data)(struct cn *c, const char *p, size_t n);
 	/* The peer closed its side (err 0) or the connection failed (a negative errno). */
@@ -30,6 +31,9 @@
 /* Never blocks: what the kernel does not take is queued and counted by cn_pending. */
 void cn_write(struct cn *c, const void *p, size_t n);
 size_t cn_pending(const struct cn *c);
+/* After the peer closed its side: delivers what it sent before and was not read while reading
+ * was paused. */
+void cn_read_rest(struct cn *c);
 /* Stops or resumes reading. The end of the connection is still reported while paused. */
 void cn_pause(struct cn *c, int paused);
 /* Both close without a callback. cn_reset drops unsent bytes and sends a reset. */
--- a/src/internal/hx.h
+++ b/src/internal/hx.h
@@ -17,8 +17,13 @@
 	int64_t began_us; /* start of the exchange */
 	/* Called with the answer's head before on_head; may be NULL. */
 	void (*on_any_head)(struct hx *x);
-	void *peer; /* for on_any_head */
-	void (*peer_free)(void *peer);
+	/* The connection is up; called before on_connected; may be NULL. */
+	void (*on_any_connected)(struct hx *x);
+	/* The exchange ended, but was not cancelled; called before on_end; may be NULL. */
+	void (*on_any_end)(struct hx *x);
+	void *peer; /* for these three */
+	/* x is about to be freed; may be NULL. */
+	void (*on_release)(struct hx *x);
 	void (*on_connected)(struct hx *x); /* connected and request written; may be NULL */
 	/* on_head and on_body return 0, or a negative errno that ends the exchange. */
 	int (*on_head)(struct hx *x);
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -47,6 +47,36 @@
 /* Whether it has been brought up to date by another instance or the store since then, or
  * neither answers. */
 int mesh_is_current(void);
+/* Chooses an instance that opens a tunnel to b: near ones first, wide links more often, none in
+ * a drained data centre or in a region that neither b nor this instance is in. except: not that
+ * one; or NULL. Returns 0 with its address in *at; -EAGAIN if none can help now; -ENOENT if
+ * there is none. */
+int mesh_pick_helper(const struct be *b, const struct sockaddr_in *except,
+		     struct sockaddr_in *at);
+/* A tunnel through the instance at that address came up: others that know none are told. */
+void mesh_helper_connected(const struct sockaddr_in *at);
+/* A tunnel through the instance at that address failed: it is not chosen for a moment. */
+void mesh_helper_failed(const struct sockaddr_in *at);
+/* The name of the instance at that address, for logs; its address if no name is known. */
+const char *mesh_helper_name(const struct sockaddr_in *at);
+/* Sets whether this instance reaches no backend server. */
+void mesh_set_path_lost(int lost);
+/* What tunnels need of this instance's own path. Set once, before the mesh's start. */
+struct mesh_path_hooks {
+	/* Whether exchanges with b go through another instance, which then can't help. */
+	int (*is_around)(const struct be *b);
+	/* Whether a connection to b may be made only to find out whether it comes up. */
+	int (*may_try)(const struct be *b);
+	/* A connection to b came up. */
+	void (*connected)(struct be *b);
+	/* One to b did not come up. */
+	void (*failed)(struct be *b);
+};
+void mesh_set_path_hooks(const struct mesh_path_hooks *h);
+/* Called when the instance at that address announces that it stops; set once. */
+extern void (*mesh_on_leaving)(const struct sockaddr_in *at);
+/* Number of tunnels that this instance has open for others. */
+int mesh_count_tunnels(void);
 /* Whether an instance, this one included, has this address: no backend server can be there. */
 int mesh_is_instance(const struct sockaddr_in *at);
 /* Adds the address of an instance that may exist. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -11,6 +11,13 @@
  * has received those of other instances. */
 enum { MESH_VERDICTS_SOME, MESH_VERDICTS_ALL, MESH_VERDICTS_SYNCED };
 
+/* An instance's path to backend servers, as its heartbeats report it. */
+enum mesh_path {
+	MESH_PATH_UNKNOWN, /* not reported: an earlier release, which opens no tunnels */
+	MESH_PATH_GOOD,    /* opens tunnels for others */
+	MESH_PATH_LOST
+};
+
 /* A heartbeat: the state that an instance reports of itself. */
 struct mesh_heartbeat {
 	char name[ENTRY_TEXT_MAX + 1], ip[ENTRY_TEXT_MAX + 1], front[ENTRY_TEXT_MAX + 1];
@@ -28,6 +35,9 @@
 	uint32_t dc;              /* hash of its data centre; 0: not reported */
 	uint32_t region;          /* hash of its region; 0: not reported */
 	int interval;             /* until the next heartbeat, in units of MESH_HEARTBEAT_US */
+	enum mesh_path path;      /* its path to backend servers */
+	/* While its path is lost, the instance that last opened a tunnel for it; or empty. */
+	char via[INET_ADDRSTRLEN];
 };
 
 struct mesh_load_row {
@@ -49,10 +59,11 @@
 	int64_t candidate_us; /* since when it has been waited for; 0: it has not */
 	struct cn link;       /* to the member; only this instance writes on it */
 	int64_t next_connect_us;
-	int64_t link_up_us;     /* when the link last came up */
-	int refused;            /* the last connection was refused; cleared by a heartbeat */
-	int64_t acked_us;       /* newest stamp of this instance that it has echoed */
-	int64_t fetch_after_us; /* it refused a copy, and is not asked again before */
+	int64_t link_up_us;      /* when the link last came up */
+	int refused;             /* the last connection was refused; cleared by a heartbeat */
+	int64_t acked_us;        /* newest stamp of this instance that it has echoed */
+	int64_t fetch_after_us;  /* it refused a copy, and is not asked again before */
+	int64_t tunnel_after_us; /* a tunnel failed, and is not asked for again before */
 	struct cache_revs reported_revs; /* of its lists, as another instance reported */
 	GHashTable *loads;               /* id -> struct peer_load */
 	GHashTable *outcomes;            /* id -> struct peer_outcomes */
@@ -60,8 +71,8 @@
 
 /* Fields of a heartbeat and of a load row, type or id included. Both sides rely on their
  * order. */
-#define MESH_HB_FIELDS 22
-#define MESH_HB_FIELDS_MIN 14    /* sent by earlier releases, without the next eight */
+#define MESH_HB_FIELDS 24
+#define MESH_HB_FIELDS_MIN 14    /* sent by earlier releases, without the next ten */
 #define MESH_HB_LINK 14          /* index of link_mbps */
 #define MESH_HB_SERVING 15       /* index of serving; a sender without it gets loads */
 #define MESH_HB_VERDICTS 16      /* index of verdicts */
@@ -70,6 +81,8 @@
 #define MESH_HB_DC 19            /* index of dc */
 #define MESH_HB_REGION 20        /* index of region */
 #define MESH_HB_INTERVAL 21      /* index of interval */
+#define MESH_HB_PATH 22          /* index of path */
+#define MESH_HB_VIA 23           /* index of via */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10  /* sent by earlier releases, without the next one */
 #define MESH_ROW_INCARNATION 10 /* index of incarnation_ms */
@@ -107,6 +120,7 @@
 	int sending_copy;            /* a copy is being sent on it */
 	int redirected;              /* a copy was refused here; holders were named */
 	int outgoing;                /* opened by this instance, which serves no copy on it */
+	struct mesh_tunnel *tunnel;  /* passes its bytes to a backend server; or NULL */
 };
 #define MESH_FRAME_MAX (4u << 20) /* bytes; the largest configuration is under a megabyte */
 
@@ -254,6 +268,18 @@
 /* The connection is about to be dropped. */
 void mesh_serve_end(struct mesh_in *in);
 
+/* mesh_helper.c: m announces that it stops. */
+void mesh_helper_leaves(const struct member *m);
+
+/* tunnel_serve.c */
+/* Handles a request for a tunnel. From then on the connection carries no frames. 0, -EBADMSG,
+ * or another negative errno, which the requester has been told. */
+int mesh_handle_tunnel(struct mesh_in *in, const msgpack_object_array *a);
+/* Passes bytes of the requester on. */
+void mesh_tunnel_data(struct mesh_in *in, const char *p, size_t n);
+/* The requester's connection is about to be dropped. */
+void mesh_tunnel_end(struct mesh_in *in);
+
 /* mesh_quarantine.c */
 /* Writes all verdicts that this instance has. */
 void mesh_write_verdicts(GString *out);
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -45,6 +45,10 @@
 	MET_CANARY_REQUESTS,    /* requests sent to versions that are being rolled out */
 	MET_ROLLBACKS,          /* versions found bad and rolled back */
 	MET_SILENT_CONNECTIONS, /* of streams whose engine had generated more than arrived */
+	MET_TUNNELS,            /* exchanges through another instance */
+	MET_TUNNELS_FAILED,     /* that ended by a failure of the helper */
+	MET_TUNNELS_SERVED,     /* requests for a tunnel from other instances */
+	MET_PATH_CHECKS,        /* checks whether a server is reached from here */
 	MET_COUNT_MAX
 };
 
@@ -60,6 +64,8 @@
 	MET_G_ACTIVE,               /* 1 if this instance receives caller traffic */
 	MET_G_QUARANTINED,          /* requests in quarantine now */
 	MET_G_DRAINED_DATA_CENTRES, /* data centres drained now */
+	MET_G_PATH_LOST,            /* 1 while no backend server is reached from here */
+	MET_G_TUNNELS,              /* open for other instances now */
 	MET_GAUGE_MAX
 };
 
--- a/src/internal/rq.h
+++ b/src/internal/rq.h
@@ -6,6 +6,7 @@
 #include "dialect.h"
 #include "entry_cfg.h"
 #include "hs.h"
+#include "path.h"
 
 void rq_init(const struct entry_cfg *c);
 /* Starts exchanging with other instances which requests crash backend servers. first_start: of
@@ -25,6 +26,15 @@
 /* A backend server reported its progress: finds streams here that have received less than it
  * has generated for them. */
 void rq_on_report(struct be *b, const struct dl_report *r);
+/* A connection from here to b was refused. */
+void rq_on_refused(struct be *b);
+/* A check found whether b is reached. */
+void rq_on_path_verdict(struct be *b, enum path_verdict v);
+/* The path to some server is lost: requests whose connection to it hangs go around. */
+void rq_on_path_lost(void);
+/* The instance at that address stops, and closes its tunnels soon: streams that lead through it
+ * resume from their engines' memory. */
+void rq_on_helper_leaving(const struct sockaddr_in *at);
 uint32_t rq_open_count(void);
 /* From now on refuses requests that can't finish before until_us. */
 void rq_drain(int64_t until_us);
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -7,8 +7,10 @@
 #include "ev.h"
 #include "evs.h"
 #include "fp.h"
+#include "bx.h"
 #include "hx.h"
 #include "met.h"
+#include "path.h"
 #include "ro.h"
 #include "rq.h"
 #include <saddlehead/forecast.h>
@@ -44,6 +46,8 @@
 	int was_cold;          /* its server was cold when it was sent */
 	int not_run;           /* the answer states that the request was not run */
 	int answered;          /* the head of a valid answer arrived */
+	enum tn_fault fault;   /* once it has ended: whose failure, if through a tunnel */
+	struct sockaddr_in helper; /* that its tunnel leads through; no port: none */
 	int64_t sent_us, first_us;
 	struct evs evs;
 };
@@ -289,8 +293,10 @@
 /* rq_quarantine.c */
 /* Its exchange broke off with this error: its server may have crashed. */
 void att_note_broken(const struct attempt *att, int err);
-/* Its server refuses connections. */
-void att_note_refused(const struct attempt *att);
+/* b refused a connection from here: unless another instance reaches it, it crashed. */
+void att_note_refused(const struct be *b);
+/* Another instance reaches it: only the path from here is lost. */
+void att_note_alive(const struct be *b);
 /* By its list entry an incarnation is over: exchanges that broke off there were cut by a crash.
  */
 void rq_note_incarnation_end(const struct be *b);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -3,6 +3,7 @@
 #include "rq_impl.h"
 #include "clock.h"
 #include "jlog.h"
+#include "mesh.h"
 #include <string.h>
 
 #define RETRY_SPREAD_US 200000 /* spreads the retries of callers over time */
@@ -34,6 +35,8 @@
 	jlog_str(g, "service", r->service ? r->service->name : NULL);
 	jlog_str(g, "workspace", r->group ? r->group->name : NULL);
 	jlog_str(g, "backend", r->attempt ? r->attempt->be->id : NULL);
+	if (r->attempt && r->attempt->helper.sin_port)
+		jlog_str(g, "via", mesh_helper_name(&r->attempt->helper));
 	jlog_int(g, "sends", r->sends);
 	if (r->runs) jlog_int(g, "broken_runs", r->runs);
 	jlog_int(g, "took_ms", (now - r->began_us) / 1000);
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -1,6 +1,7 @@
 /* Outcomes of exchanges with backend servers, and what becomes of the request then. */
 #include "clock.h"
 #include "jlog.h"
+#include "mesh.h"
 #include "rq_impl.h"
 #include <errno.h>
 
@@ -14,6 +15,7 @@
 	if (att->rq->has_fp) jlog_str(g, "fingerprint", print);
 	jlog_str(g, "backend", att->be->id);
 	jlog_str(g, "why", why);
+	if (att->helper.sin_port) jlog_str(g, "via", mesh_helper_name(&att->helper));
 	jlog_int(g, "error", err);
 	jlog_int(g, "after_ms", (clock_us() - att->sent_us) / 1000);
 	jlog_int(g, "events", att->rq->seen.count);
@@ -43,16 +45,12 @@
 static void not_reached(struct attempt *att, int err)
 {
 	struct rq *r = att->rq;
-	int closed = err == -ECONNREFUSED;
+	int quick = err == -ECONNREFUSED || att->fault == TN_HELPER;
 
 	log_broken(att, "not_reached", err);
-	if (closed) att_note_refused(att);
-	if (closed)
-		be_refused_connection(att->be);
-	else
-		be_failed(att->be, "not reached");
+	if (att->fault != TN_HELPER) path_blame_unreached(att->be, err);
 	r->unreached_count++;
-	if (r->sends < (closed ? RQ_CONNECTS_MAX : RQ_SENDS_MAX))
+	if (r->sends < (quick ? RQ_CONNECTS_MAX : RQ_SENDS_MAX))
 		place_again(r, RETRY_CONNECT);
 	else
 		rq_refuse(r, REF_NO_ENGINE, RETRY_TRIED_US, "backend servers are not reached");
@@ -65,17 +63,31 @@
 	return rq_retryable(r) && r->runs < r->route->attempts && rq_may_retry(r);
 }
 
+/* The server may have reset the exchange or closed it too early; other errors are its answer's.
+ */
+static int is_cut(int err)
+{
+	return err == -EPIPE || err == -ECONNRESET || err == -ETIMEDOUT;
+}
+
+static void blame(const struct attempt *att, int err)
+{
+	if (att->fault == TN_HELPER) return;
+	att_note_broken(att, err);
+	att_report_outcome(att, RO_BROKEN);
+	if (is_cut(err))
+		path_blame(att->be, "broke off", clock_us());
+	else
+		be_failed(att->be, "broke off");
+}
+
 static void broken_off(struct attempt *att, int err)
 {
 	struct rq *r = att->rq;
 
 	/* An engine that was ordered to stop its stream has not failed; if that counted as a
 	 * failure, healthy engines would get no work. */
-	if (!move_stops_source(r)) {
-		att_note_broken(att, err);
-		att_report_outcome(att, RO_BROKEN);
-		be_failed(att->be, "broke off");
-	}
+	if (!move_stops_source(r)) blame(att, err);
 	log_broken(att, "may_have_run", err);
 	if (move_source_ended(r)) return;
 	r->runs++;
@@ -112,7 +124,7 @@
 {
 	log_broken(att, "copy_refused", err);
 	if (up) rq_note_copy_refused(att->rq);
-	if (err == -ECONNREFUSED) be_refused_connection(att->be);
+	if (!up && att->fault != TN_HELPER) path_blame_unreached(att->be, err);
 	move_next_refused(att->rq, att->not_run);
 }
 
@@ -135,6 +147,7 @@
 	struct attempt *att = x->user;
 
 	att->hx = NULL;
+	att->fault = bx_fault(x);
 	if (att == att->rq->next) {
 		copy_refused(att, err, x->connected);
 		return;
@@ -152,3 +165,39 @@
 	else
 		broken_off(att, err);
 }
+
+/* Whether it still waits for a connection from here, which a lost path lets hang. */
+static int hangs(const struct attempt *att)
+{
+	if (!att || !att->hx || att->hx->connected || att->helper.sin_port) return 0;
+	return path_is_around(att->be);
+}
+
+void rq_on_refused(struct be *b)
+{
+	att_note_refused(b);
+}
+
+void rq_on_path_verdict(struct be *b, enum path_verdict v)
+{
+	if (v != PATH_AROUND) return;
+	att_note_alive(b);
+	rq_on_path_lost();
+}
+
+void rq_on_path_lost(void)
+{
+	uint32_t i;
+
+	for (i = rq_all->len; i-- > 0;) {
+		struct rq *r;
+
+		if (i >= rq_all->len) continue; /* some ended meanwhile */
+		r = g_ptr_array_index(rq_all, i);
+		if (!hangs(r->attempt)) continue;
+		hx_cancel(r->attempt->hx);
+		r->attempt->hx = NULL;
+		r->unreached_count++;
+		place_again(r, RETRY_CONNECT);
+	}
+}
--- a/src/relay/rq_quarantine.c
+++ b/src/relay/rq_quarantine.c
@@ -7,10 +7,11 @@
 #include <errno.h>
 #include <stddef.h>
 
-/* Whether a server crashed is checked by a connection to it: a live server accepts it within
- * some ms, a crashed one refuses it. */
+/* Whether a server crashed is found by a check of the path to it: a live server accepts a
+ * connection within some ms, a crashed one refuses it. */
 #define CHECK_TIMEOUT_US 400000
-/* Time after that for the remaining exchanges that the crash broke off to be noticed. */
+/* Time after a refusal for the remaining exchanges that the crash broke off to be noticed, and
+ * for another instance to reach the server after all. */
 #define COLLECT_US 30000
 /* A stream that runs for so long after its first event counts as successful here: requests that
  * crash engines do so at their beginning. */
@@ -22,7 +23,6 @@
 
 /* A server on which exchanges broke off. */
 struct crash_check {
-	struct cn probe;
 	struct ev_timer timer;
 	struct be *be;
 	GArray *runs; /* of struct quarantine_run */
@@ -54,7 +54,6 @@
 				      (const struct quarantine_run *)(void *)ck->runs->data,
 				      (int)ck->runs->len, ck->at_us);
 	g_ptr_array_remove_fast(checks, ck);
-	cn_reset(&ck->probe);
 	be_unref(ck->be);
 	g_array_free(ck->runs, TRUE);
 	ev_free_later(ck);
@@ -67,24 +66,6 @@
 	ev_in(&ck->timer, COLLECT_US);
 }
 
-static void on_probe_up(struct cn *c)
-{
-	cn_reset(c); /* it is alive: only its connections were reset */
-}
-
-static void on_probe_data(struct cn *c, const char *p, size_t n)
-{
-	(void)c;
-	(void)p;
-	(void)n;
-}
-
-static void on_probe_end(struct cn *c, int err)
-{
-	cn_reset(c);
-	if (err == -ECONNREFUSED) mark_crashed((struct crash_check *)c);
-}
-
 static struct crash_check *check_new(struct be *b)
 {
 	struct crash_check *ck = g_new0(struct crash_check, 1);
@@ -93,13 +74,10 @@
 	ck->runs = g_array_new(FALSE, FALSE, sizeof(struct quarantine_run));
 	ck->at_us = clock_us();
 	ck->timer.fire = on_check_done;
-	ck->probe = (struct cn){
-		.on_connected = on_probe_up, .on_data = on_probe_data, .on_end = on_probe_end};
 	if (!checks) checks = g_ptr_array_new();
 	g_ptr_array_add(checks, ck);
 	ev_in(&ck->timer, CHECK_TIMEOUT_US);
-	met_add(MET_PROBES, 1);
-	if (cn_connect(&ck->probe, &b->sa) == -ECONNREFUSED) mark_crashed(ck);
+	path_check(b);
 	return ck;
 }
 
@@ -120,13 +98,22 @@
 	g_array_append_val(ck->runs, run);
 }
 
-void att_note_refused(const struct attempt *att)
+void att_note_refused(const struct be *b)
 {
-	struct crash_check *ck = find_check(att->be);
+	struct crash_check *ck = find_check(b);
 
 	if (ck) mark_crashed(ck);
 }
 
+void att_note_alive(const struct be *b)
+{
+	struct crash_check *ck = find_check(b);
+
+	if (!ck || !ck->crashed) return;
+	ck->crashed = 0;
+	ev_in(&ck->timer, 0);
+}
+
 void rq_note_incarnation_end(const struct be *b)
 {
 	struct crash_check *ck = find_check(b);
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -105,7 +105,10 @@
 	att_count_in(att);
 	rc = bx_start(att->hx, b, write_request(att, copy_at ? copy_at->address : NULL, copy),
 		      RQ_CONNECT_US);
-	if (!rc) return att;
+	if (!rc) {
+		if (bx_helper(att->hx)) att->helper = *bx_helper(att->hx);
+		return att;
+	}
 	att->hx = NULL;
 	att_free(att);
 	return NULL;
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -64,7 +64,7 @@
 		silent_request_report(r);
 		return;
 	}
-	if (!rq_engine_is_busy(r)) be_failed(r->attempt->be, "silent");
+	if (!rq_engine_is_busy(r)) path_blame(r->attempt->be, "silent", r->event_us);
 	silent_recover(r);
 }
 
@@ -118,3 +118,25 @@
 		if (!rq_retryable(r) || !rq_retry_elsewhere(r, 0)) silent_recover(r);
 	}
 }
+
+static int leads_through(const struct rq *r, const struct sockaddr_in *at)
+{
+	const struct attempt *att = r->attempt;
+
+	return att && att->hx && att->helper.sin_port &&
+	       att->helper.sin_addr.s_addr == at->sin_addr.s_addr;
+}
+
+void rq_on_helper_leaving(const struct sockaddr_in *at)
+{
+	uint32_t i;
+
+	for (i = rq_all->len; i-- > 0;) {
+		struct rq *r;
+
+		if (i >= rq_all->len) continue; /* some ended meanwhile */
+		r = g_ptr_array_index(rq_all, i);
+		if (leads_through(r, at) && r->event_us && r->move.state == MOVE_NONE)
+			silent_recover(r);
+	}
+}
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -38,7 +38,7 @@
 	}
 	if (is_server_failure(r)) {
 		att_report_outcome(r->attempt, RO_FAILED);
-		be_failed(r->attempt->be, "no answer in time");
+		path_blame(r->attempt->be, "no answer in time", r->attempt->sent_us);
 	}
 	rq_fail(r, REF_DEADLINE, "the time ran out");
 }
@@ -103,7 +103,7 @@
 	if (r->runs + 1 >= r->route->attempts || !rq_may_retry(r)) return 0;
 	if (failed) {
 		att_report_outcome(att, RO_FAILED);
-		be_failed(att->be, "silent");
+		path_blame(att->be, "silent", MAX(r->event_us, att->sent_us));
 	}
 	met_retried(att->answered ? RETRY_RESUME : RETRY_FIRST_BYTE);
 	if (att->hx->connected)
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -66,7 +66,7 @@
 static void write_heartbeat(GString *out, const struct pw_peer *me)
 {
 	struct frame f;
-	msgpack_packer *p = begin(&f, MESH_HEARTBEAT, MESH_HB_FIELDS);
+	msgpack_packer *p = begin(&f, MESH_HEARTBEAT, MESH_HB_VIA); /* and no helper */
 	char front[48];
 
 	g_snprintf(front, sizeof front, "%s:%d", me->ip, PW_FRONT);
@@ -91,6 +91,7 @@
 	msgpack_pack_uint32(p, 0); /* states no position */
 	msgpack_pack_uint32(p, 0);
 	msgpack_pack_int(p, 1);
+	msgpack_pack_int(p, me->path);
 	finish(&f, out);
 }
 
@@ -324,6 +325,7 @@
 		return;
 	case MESH_FETCH_LEGACY: answer(c->peer, c->peer->link); return;
 	case FETCH: answer(c->peer, c); return;
+	case MESH_TUNNEL: c->peer->tunnel_requests++; return;
 	case MESH_LEAVING: c->peer->leavings++; return;
 	case MESH_VERDICTS: c->peer->verdicts += len >= MIN_VERDICT_BYTES; return;
 	}
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -16,12 +16,14 @@
 	int serving_callers; /* it announces that it receives caller traffic, at its own address
 			      */
 	int store_up;        /* it announces that the store answers it */
-	int mute;            /* sends nothing on its link, and leaves it open */
-	int wants_copy;      /* requests a copy from the entry until it has one */
-	int copy_requests;   /* requests for a copy received from the entry */
-	int copies;          /* complete copies received */
-	int verdicts;        /* frames received that name quarantined requests */
-	int leavings;        /* frames received that name a leaving server */
+	int path; /* enum mesh_path that it announces; 0, as earlier releases, by default */
+	int mute; /* sends nothing on its link, and leaves it open */
+	int wants_copy;                  /* requests a copy from the entry until it has one */
+	int copy_requests;               /* requests for a copy received from the entry */
+	int copies;                      /* complete copies received */
+	int verdicts;                    /* frames received that name quarantined requests */
+	int tunnel_requests;             /* requests for a tunnel received */
+	int leavings;                    /* frames received that name a leaving server */
 	int64_t heartbeat_us;            /* when the last heartbeat was received */
 	int64_t gap_us;                  /* longest time between two heartbeats so far */
 	int64_t entry_clock_us;          /* the entry's clock in its last heartbeat; 0: none */
--- a/test/test_partition.c
+++ b/test/test_partition.c
@@ -4,7 +4,7 @@
 #include "clock.h"
 #include "mesh_impl.h"
 #include "partition.h"
-#include "pw.h"
+#include "pw_peer.h"
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -329,6 +329,30 @@
 	finish();
 }
 
+/* An instance of an earlier release would take a request for a tunnel as malformed. */
+static void one_of_an_earlier_release_is_asked_for_no_tunnel(void)
+{
+	struct pw_peer *p;
+	int i;
+
+	pw_init();
+	pw_entry_program = "test/entry_jump";
+	for (i = 0; i < SERVERS; i++) s[i] = pw_server_add("app", 0);
+	e[0] = pw_entry_ready();
+	p = pw_peer_new(e[0], 0);
+	pw_run(CONNECT_MS);
+	set_paths(1, PARTITION_REFUSED);
+	pw_run(100);
+	pw_call_wait(pw_request(e[0], "POST", "/safe/", 500), 1000);
+	CU_ASSERT_EQUAL(p->tunnel_requests, 0);
+	p->path = MESH_PATH_GOOD;
+	pw_run(CONNECT_MS);
+	pw_call_wait(pw_request(e[0], "POST", "/safe/", 500), 1000);
+	CU_ASSERT(p->tunnel_requests > 0);
+	pw_peers_end();
+	finish();
+}
+
 /* The close reaches the server through the helper. */
 static void a_caller_that_leaves_is_felt_at_the_server(void)
 {
@@ -395,6 +419,8 @@
 	{"a_helper_that_is_killed_is_replaced", a_helper_that_is_killed_is_replaced},
 	{"a_helper_that_hangs_is_passed_over", a_helper_that_hangs_is_passed_over},
 	{"streams_outlive_a_helper_that_stops", streams_outlive_a_helper_that_stops},
+	{"one_of_an_earlier_release_is_asked_for_no_tunnel",
+	 one_of_an_earlier_release_is_asked_for_no_tunnel},
 	{"a_caller_that_leaves_is_felt_at_the_server",
 	 a_caller_that_leaves_is_felt_at_the_server},
 	{"a_reader_that_stops_holds_up_the_server_through_the_helper",
