Give a silent peer all of its keep-alive probes

Cause: the kernel ends a connection once its probes are unanswered for TCP_USER_TIMEOUT, whatever their number. With 3 s, as long as the idle time before the first probe, one lost probe ended the connection of a sound peer.

Change: the user time-out covers the idle time and all probes. test_pure compares the options of a connection; it fails on the values before.

--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -6,14 +6,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define READ_SIZE 16384      /* bytes per read; larger ones only use more stack */
-#define SENT_MAX 65536       /* sent bytes at the start of out before they are dropped */
-#define READS_PER_EVENT 4    /* for fairness to other connections */
-#define USER_TIMEOUT_MS 3000 /* unacknowledged bytes for so long end the connection */
-#define KEEPALIVE_IDLE_S 3   /* a peer silent for so long is probed ... */
-#define KEEPALIVE_EVERY_S 1  /* ... this often ... */
-#define KEEPALIVE_PROBES 3   /* ... and given up after so many probes */
-#define LISTEN_BACKLOG 1024  /* connections; a full queue delays callers by seconds */
+#define READ_SIZE 16384     /* bytes per read; larger ones only use more stack */
+#define SENT_MAX 65536      /* sent bytes at the start of out before they are dropped */
+#define READS_PER_EVENT 4   /* for fairness to other connections */
+#define KEEPALIVE_IDLE_S 3  /* a peer silent for so long is probed ... */
+#define KEEPALIVE_EVERY_S 1 /* ... this often ... */
+#define KEEPALIVE_PROBES 3  /* ... and given up after so many probes */
+/* Unacknowledged bytes for so long end the connection. The kernel also gives up probing after
+ * this time, whatever their number: with less, one lost probe would end a connection. */
+#define USER_TIMEOUT_MS ((KEEPALIVE_IDLE_S + KEEPALIVE_EVERY_S * KEEPALIVE_PROBES) * 1000)
+#define LISTEN_BACKLOG 1024 /* connections; a full queue delays callers by seconds */
 
 int cn_is_open(const struct cn *c)
 {
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -4,12 +4,14 @@
 #include "budget.h"
 #include "check.h"
 #include "clock.h"
+#include "cn.h"
 #include "conf.h"
 #include "dialect.h"
 #include "evs.h"
 #include "hostport.h"
 #include "hp.h"
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <saddlehead/forecast.h>
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
@@ -346,7 +348,35 @@
 	CU_ASSERT(strstr(e.text, "zones.") != NULL);
 }
 
+/* With a shorter user time-out a single probe without an answer ended a connection whose peer
+ * had been silent for a second. */
+static void a_silent_peer_is_given_up_after_all_its_probes(void)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET,
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd, idle, every, probes, ms;
+	socklen_t n = sizeof(int);
+	struct cn c = {.on_end = NULL};
+
+	CU_ASSERT_FATAL(!ev_init());
+	fd = cn_listen(&at);
+	n = sizeof at;
+	getsockname(fd, (struct sockaddr *)&at, &n);
+	CU_ASSERT_FATAL(!cn_connect(&c, &at));
+	n = sizeof(int);
+	getsockopt(c.ev.fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, &n);
+	getsockopt(c.ev.fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, &n);
+	getsockopt(c.ev.fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, &n);
+	getsockopt(c.ev.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, &n);
+	CU_ASSERT(probes > 1);
+	CU_ASSERT(ms >= (idle + every * probes) * 1000);
+	cn_close(&c);
+	close(fd);
+}
+
 static const struct check list[] = {
+	{"a_silent_peer_is_given_up_after_all_its_probes",
+	 a_silent_peer_is_given_up_after_all_its_probes},
 	{"more_data_centres_than_are_supported_are_refused",
 	 more_data_centres_than_are_supported_are_refused},
 	{"route_and_workspace_both_bind_to_regions", route_and_workspace_both_bind_to_regions},
