Let a stream stay with an engine that pauses

Cause: a stream that may run again was begun anew elsewhere after a second of silence, and the prompt that its engine had read was lost; the engine was ejected besides. An engine that is silent for a second or so is sound.

Change: such a stream stays as long as another engine's first event would still reach a caller that waits (2 s), unless the engine is known to be lost here. Streams whose first events usually take 0.5 s or more still leave after about a second.

test_silent: three tests of engines and servers that are silent for 1.2 s and go on; one run each, nobody blamed.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -17,15 +17,16 @@
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 
-#define RQ_CONNECT_US 250000  /* a live backend server answers within a few ms */
-#define RQ_PRIORITY_MAX 9     /* the least urgent priority of engines; 0 is the most urgent */
-#define RQ_SENDS_MAX 4        /* of one request, whatever their outcome */
-#define RQ_CONNECTS_MAX 8     /* the same for closed ports: noticed in a round trip */
-#define RETRY_SOON_US 150000  /* another instance may serve it at once */
-#define RETRY_TRIED_US 300000 /* after servers were tried: a retry goes to others first */
-#define RETRY_LATER_US 400000 /* what is missing is usually back within about a second */
-#define MOVE_RETRY_US 40000   /* wait after a copy order that can't be carried out yet */
-#define MOVE_TRIES_MAX 12     /* copy orders of one move */
+#define RQ_CONNECT_US 250000    /* a live backend server answers within a few ms */
+#define RQ_PRIORITY_MAX 9       /* the least urgent priority of engines; 0 is the most urgent */
+#define RQ_SENDS_MAX 4          /* of one request, whatever their outcome */
+#define RQ_CONNECTS_MAX 8       /* the same for closed ports: noticed in a round trip */
+#define RETRY_SOON_US 150000    /* another instance may serve it at once */
+#define RETRY_TRIED_US 300000   /* after servers were tried: a retry goes to others first */
+#define RETRY_LATER_US 400000   /* what is missing is usually back within about a second */
+#define RQ_PAUSE_MAX_US 2000000 /* callers abandon a stream that pauses for longer */
+#define MOVE_RETRY_US 40000     /* wait after a copy order that can't be carried out yet */
+#define MOVE_TRIES_MAX 12       /* copy orders of one move */
 
 struct rq;
 
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -12,7 +12,6 @@
 /* Timeout of the next engine's answer without a running source: the connection may be silent
  * for good, and a new one may work. */
 #define NEXT_TIMEOUT_US 1000000
-#define PAUSE_MAX_US 2000000 /* callers abandon a stream that pauses for longer */
 /* Refusals of one copy that are followed by another try: an engine that sheds a third of its
  * requests accepts by then. */
 #define COPY_REFUSALS_MAX 3
@@ -29,7 +28,7 @@
 		move_postpone(r, MOVE_RETRY_US); /* the source still runs */
 		return 1;
 	}
-	if (wait_us > PAUSE_MAX_US) {
+	if (wait_us > RQ_PAUSE_MAX_US) {
 		move_fail(r, "the engine that has its memory takes no more requests in time");
 		return 1;
 	}
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -8,6 +8,7 @@
  * answer within it. */
 #define ANSWER_TIMEOUT_TENTHS 6
 #define ANSWER_TIMEOUT_MIN_US 50000 /* at least: an answer takes some tens of ms */
+#define START_FACTOR 2              /* on the usual time to a first event: some take as long */
 #define SILENCE_CHECK_US 250000     /* how often a stream's silence is checked */
 /* After a silence of so many of the route's usual pauses an engine is taken for dead. */
 #define SILENCE_GAPS 8
@@ -70,9 +71,25 @@
 	return MAX(r->route->objective_us * ANSWER_TIMEOUT_TENTHS / 10, ANSWER_TIMEOUT_MIN_US);
 }
 
+/* A new run loses the prompt that was read, and a sound engine may pause. So a stream stays
+ * with a silent engine as long as another one's first event would still reach a caller that
+ * waits, unless the engine is known to be lost to this instance. */
+static int64_t run_again_after_us(const struct rq *r)
+{
+	double first_us = rq_length_stats(r)->first_token_us;
+	int64_t start_us =
+		first_us > 0 ? (int64_t)(first_us * START_FACTOR) : r->route->objective_us;
+	const struct be *b = r->attempt->be;
+
+	if (path_is_around(b) || !be_usable(b, clock_us())) return 0;
+	return RQ_PAUSE_MAX_US - start_us;
+}
+
 int64_t rq_silence_timeout_us(const struct rq *r)
 {
-	return MAX(r->route->gap_us * SILENCE_GAPS, SILENCE_MIN_US) + rq_prefill_us(r);
+	int64_t us = MAX(r->route->gap_us * SILENCE_GAPS, SILENCE_MIN_US) + rq_prefill_us(r);
+
+	return rq_retryable(r) && r->event_us ? MAX(us, run_again_after_us(r)) : us;
 }
 
 int64_t rq_silence_us(const struct rq *r)
--- a/test/test_silent.c
+++ b/test/test_silent.c
@@ -143,7 +143,88 @@
 	end();
 }
 
+#define PAUSE_MS 1200 /* a second or so: a sound engine that goes on after it */
+
+/* An engine says nothing to anybody for a while, and goes on. */
+static void pause_engines(void)
+{
+	int i;
+
+	for (i = 0; i < ENGINES; i++) proxy_set(engine_proxy[i], PROXY_SILENT);
+	pw_run(PAUSE_MS);
+	for (i = 0; i < ENGINES; i++) proxy_set(engine_proxy[i], PROXY_OK);
+}
+
+static void stream_outlives_a_pause(const char *path)
+{
+	struct pw_entry *e = begin();
+	struct pw_call *c = pw_request(e, "POST", path, 4000);
+
+	pw_run(500);
+	pause_engines();
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(pw_stream_complete(c, EVENTS));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	CU_ASSERT(!pw_log_has(e, "backend_ejected"));
+	end();
+}
+
+/* A stream was begun anew elsewhere after a second of silence, and what had been read was lost.
+ */
+static void a_stream_that_may_run_again_stays_with_an_engine_that_pauses(void)
+{
+	stream_outlives_a_pause("/sum/");
+}
+
+static void a_stream_stays_with_an_engine_that_pauses(void)
+{
+	stream_outlives_a_pause("/chat/");
+}
+
+/* A call that may run once is answered after the pause. */
+static void a_call_outlives_a_pause_and_blames_nobody(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct proxy *p[2];
+	struct sockaddr_in at, to;
+	struct pw_call *c[6];
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) {
+		s[i] = pw_server_new("app", 0);
+		s[i]->work_ms = 100;
+		pw_address_of(pw_server_ip(), atoi(strchr(s[i]->address, ':') + 1), &to);
+		pw_address_of(pw_ip(ENGINE_PROXY), PW_SERVER + 50 + i, &at);
+		p[i] = proxy_new(&at, &to);
+		g_snprintf(s[i]->address, sizeof s[i]->address, "%s:%d", pw_ip(ENGINE_PROXY),
+			   PW_SERVER + 50 + i);
+		pw_server_list(s[i], "ready");
+	}
+	e = pw_entry_ready();
+	for (i = 0; i < 6; i++) c[i] = pw_request(e, "POST", "/unsafe/", 4000);
+	pw_run(50);
+	for (i = 0; i < 2; i++) proxy_set(p[i], PROXY_SILENT);
+	pw_run(PAUSE_MS);
+	for (i = 0; i < 2; i++) proxy_set(p[i], PROXY_OK);
+	for (i = 0; i < 6; i++) {
+		CU_ASSERT(pw_call_wait(c[i], 2000));
+		CU_ASSERT_EQUAL(c[i]->status, 200);
+		CU_ASSERT_EQUAL(pw_runs_of(c[i]->id), 1);
+	}
+	CU_ASSERT(!pw_log_has(e, "backend_ejected"));
+	for (i = 0; i < 2; i++) proxy_free(p[i]);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"a_stream_that_may_run_again_stays_with_an_engine_that_pauses",
+	 a_stream_that_may_run_again_stays_with_an_engine_that_pauses},
+	{"a_stream_stays_with_an_engine_that_pauses",
+	 a_stream_stays_with_an_engine_that_pauses},
+	{"a_call_outlives_a_pause_and_blames_nobody",
+	 a_call_outlives_a_pause_and_blames_nobody},
 	{"a_stream_leaves_a_silent_connection_before_its_run_is_over",
 	 a_stream_leaves_a_silent_connection_before_its_run_is_over},
 	{"a_stream_without_an_event_leaves_a_silent_connection",
