Read between two checks of a silent stream

Cause: the timer of the check fires up to a millisecond early, and the check then set it for a millisecond again: the loop ran nothing else until the time had passed, and read nothing of what would have ended the silence.

Change: two milliseconds at least.

--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -13,7 +13,9 @@
 #define REPORT_AFTER_MIN_US 200000
 #define REPORT_INTERVAL_US 100000 /* reports are some hundred ms old */
 #define CHECK_US 250000           /* longest time between two checks of a stream */
-#define CHECK_MIN_US 1000         /* timers fire a millisecond early */
+/* Timers fire a millisecond early. With no more than that the loop would run this check again
+ * and again, and read nothing meanwhile. */
+#define CHECK_MIN_US 2000
 
 static int64_t report_after_us(const struct rq *r)
 {
