--- a/test/pw.h
+++ b/test/pw.h
@@ -89,6 +89,8 @@
 	int slow_bytes;   /* sent per 100 ms of an answer over 64 KB; 0: all at once */
 	int page;         /* items in one answer to a listing, sorted by key; 0: all */
 	uint64_t revision;
+	const char *era; /* of each answer, NULL: era_number */
+	uint64_t era_number;
 };
 extern struct pw_store pw_store;
 void pw_store_start(const char *ip);
@@ -99,6 +101,10 @@
 /* Discards the history of changes: open watches are reset, and a watch that continues from an
  * older revision gets 410. */
 void pw_store_compact(void);
+/* Remembers the contents and the revision; later changes are lost by pw_store_restore, which
+ * resets all watches, begins a new era and gives out revisions again. Leases are lost. */
+void pw_store_copy(void);
+void pw_store_restore(void);
 /* Resets the watches that wait at the second address. */
 void pw_store_cut_second(void);
 /* The value of a key, or NULL. Free with g_free. */
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -21,6 +21,8 @@
 static GHashTable *entries;
 static GPtrArray *watchers;
 static uint64_t compacted, leases;
+static GHashTable *copy; /* of entries; NULL: none */
+static uint64_t copy_revision;
 
 static void json_item(GString *out, const char *key, const struct entry *e)
 {
@@ -96,8 +98,19 @@
 	ev_in(&s->timer, 0);
 }
 
+static void era_field(char *out, size_t max)
+{
+	char number[24];
+
+	g_snprintf(number, sizeof number, "%" G_GUINT64_FORMAT, pw_store.era_number);
+	g_snprintf(out, max, "Content-Type: application/json\r\nStore-Era: %s\r\n",
+		   pw_store.era ? pw_store.era : number);
+}
+
 static void answer(struct hs *h, int status, const char *json)
 {
+	char fields[128];
+
 	if (pw_store.slow_bytes && strlen(json) > 65536) {
 		answer_slowly(h, status, json);
 		return;
@@ -106,7 +119,8 @@
 		hs_abort(h);
 		return;
 	}
-	hs_answer(h, status, "Content-Type: application/json\r\n", json, strlen(json));
+	era_field(fields, sizeof fields);
+	hs_answer(h, status, fields, json, strlen(json));
 }
 
 static void remove_watcher(struct watcher *w)
@@ -147,7 +161,8 @@
 	pw_store.watches++;
 	pw_query(target, "afterRevision", after, sizeof after);
 	pw_query(target, "waitMs", wait, sizeof wait);
-	if (g_ascii_strtoull(after, NULL, 10) < compacted) {
+	if (g_ascii_strtoull(after, NULL, 10) < compacted ||
+	    g_ascii_strtoull(after, NULL, 10) > pw_store.revision) {
 		answer(h, 410, "{}");
 		return;
 	}
@@ -194,6 +209,16 @@
 	notify_watchers();
 }
 
+static void reset_watches(void)
+{
+	while (watchers->len) {
+		struct hs *h = ((struct watcher *)g_ptr_array_index(watchers, 0))->h;
+
+		remove_watcher(g_ptr_array_index(watchers, 0));
+		hs_abort(h);
+	}
+}
+
 void pw_store_compact(void)
 {
 	GHashTableIter it;
@@ -203,12 +228,43 @@
 	g_hash_table_iter_init(&it, entries);
 	while (g_hash_table_iter_next(&it, NULL, &e))
 		if (!((struct entry *)e)->value) g_hash_table_iter_remove(&it);
-	while (watchers->len) {
-		struct hs *h = ((struct watcher *)g_ptr_array_index(watchers, 0))->h;
+	reset_watches();
+}
 
-		remove_watcher(g_ptr_array_index(watchers, 0));
-		hs_abort(h);
+static void free_entry(gpointer p);
+
+static GHashTable *copy_of(GHashTable *from)
+{
+	GHashTable *to = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
+	GHashTableIter it;
+	gpointer key, e;
+
+	g_hash_table_iter_init(&it, from);
+	while (g_hash_table_iter_next(&it, &key, &e)) {
+		struct entry *n = g_new(struct entry, 1);
+
+		*n = *(struct entry *)e;
+		n->value = g_strdup(n->value);
+		g_hash_table_insert(to, g_strdup(key), n);
 	}
+	return to;
+}
+
+void pw_store_copy(void)
+{
+	if (copy) g_hash_table_destroy(copy);
+	copy = copy_of(entries);
+	copy_revision = pw_store.revision;
+}
+
+void pw_store_restore(void)
+{
+	g_hash_table_destroy(entries);
+	entries = copy_of(copy);
+	pw_store.revision = copy_revision;
+	pw_store.era_number++;
+	leases = 0;
+	reset_watches();
 }
 
 void pw_store_cut_second(void)
@@ -472,6 +528,7 @@
 	entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
 	watchers = g_ptr_array_new();
 	memset(&pw_store, 0, sizeof pw_store);
+	pw_store.era_number = 1;
 	listen_at(&listener, ip);
 	listen_at(&second, pw_second_ip());
 }
