Order states by the store's era, then its revision

Cause: the store's revision alone ordered items held, lists complete up to one, watches and conditions that name one, and all that instances tell each other. After the store came back from a copy the same revision names another state, and a newer one may have a lower revision.

Change: st_rev is era and revision, era first; the adapter to the store makes and unpacks it, and the frames between instances carry the era in fields that the release before ignores. The configuration is ordered by its version; an older one that the store shows changes and confirms nothing.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -66,6 +66,7 @@
 	"tunnels_failed",
 	"tunnels_served",
 	"path_checks",
+	"eras_unread",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -208,6 +208,7 @@
 	b->unreadable = 0;
 	b->lapsed_us = 0;
 	if (i->cold_us) be_set_cold(b, i->cold_us);
+	if (i->leaving) b->leaving_reported = 1; /* also if a copy of the list says otherwise */
 	if (i->leaving)
 		set_state(b, BE_LEAVING, "platform");
 	else if (b->state == BE_GONE) /* lapsed while the store was down, and is listed again */
--- a/src/fleet/mesh.c
+++ b/src/fleet/mesh.c
@@ -128,6 +128,7 @@
 				   .dc = mesh_self_dc(),
 				   .region = mesh_self_region(),
 				   .interval = heartbeat_interval(to),
+				   .version = cache_conf() ? cache_conf()->version : 0,
 				   .path = self_path_lost ? MESH_PATH_LOST : MESH_PATH_GOOD};
 	int64_t now = clock_us(), confirmed = cache_confirmed_us();
 
--- a/src/fleet/mesh_confirm.c
+++ b/src/fleet/mesh_confirm.c
@@ -17,6 +17,7 @@
 
 void mesh_check_lists(struct member *m)
 {
+	cache_report_version(m->hb.version);
 	apply_confirmation(&m->hb);
 	mesh_fetch_soon(m);
 }
--- a/src/fleet/mesh_fetch.c
+++ b/src/fleet/mesh_fetch.c
@@ -39,15 +39,30 @@
 	return revs.conf > mine.conf || revs.backends > mine.backends;
 }
 
+/* Versions decide: the store may show an older one under a newer revision. An earlier release
+ * reports none. */
+static int has_newer_conf(const struct mesh_heartbeat *b)
+{
+	uint64_t mine = cache_conf() ? cache_conf()->version : 0;
+
+	if (!b->version || b->version == mine) return b->revs.conf > cache_revs().conf;
+	return b->version > mine;
+}
+
+static int reports_newer(const struct member *m)
+{
+	return has_newer_conf(&m->hb) || m->hb.revs.backends > cache_revs().backends;
+}
+
 /* Newer by its own heartbeat, or by the report of an instance that refused a copy. */
 static int has_newer(const struct member *m)
 {
-	return is_newer(m->hb.revs) || is_newer(m->reported_revs);
+	return reports_newer(m) || is_newer(m->reported_revs);
 }
 
 static int may_have_newer(const struct member *m)
 {
-	return (m->alive && is_newer(m->hb.revs)) || is_newer(m->reported_revs);
+	return (m->alive && reports_newer(m)) || is_newer(m->reported_revs);
 }
 
 static int can_be_asked(const struct member *m)
@@ -197,6 +212,7 @@
 	struct cache_revs after = cache_revs();
 
 	if (!cache_conf()) after.backends = NOTHING_NEWER;
+	if (cache_lacks_version()) after.conf = 0; /* its revision may be older */
 	return after;
 }
 
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -5,6 +5,7 @@
 #include "watch.h"
 #include "wire.h"
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 
 static int handle_heartbeat(struct mesh_in *in, const msgpack_object_array *a)
@@ -22,7 +23,7 @@
 {
 	struct cache_revs after;
 
-	if (mesh_read_revs(a, &after)) return -EBADMSG;
+	if (mesh_read_fetch(a, &after)) return -EBADMSG;
 	return mesh_serve(in, after, a->size > 3 ? (uint32_t)mesh_int(&a->ptr[3]) : 0);
 }
 
@@ -54,7 +55,7 @@
  * releases don't, and their newest item counts. */
 struct frame_revs {
 	struct cache_revs newest;
-	uint64_t complete_to;
+	st_rev complete_to;
 };
 
 static void note_item(struct frame_revs *c, const struct st_item *i)
@@ -141,6 +142,18 @@
 	return 0;
 }
 
+/* The eras of the revisions of a frame of holders, in its last text. */
+static void read_holders_eras(const msgpack_object_array *a, struct cache_revs *held)
+{
+	char text[ENTRY_TEXT_MAX + 1];
+	uint64_t conf, backends;
+
+	if (mesh_text(&a->ptr[a->size - 1], text, sizeof text)) return;
+	if (sscanf(text, "eras %" SCNu64 " %" SCNu64, &conf, &backends) != 2) return;
+	held->conf = st_rev_of(conf, st_rev_number(held->conf));
+	held->backends = st_rev_of(backends, st_rev_number(held->backends));
+}
+
 /* Stores who has a copy by the report of the instance that refused one. */
 static int handle_holders(struct mesh_in *in, const msgpack_object_array *a)
 {
@@ -151,6 +164,7 @@
 
 	if (!in->outgoing) return 0;
 	if (mesh_read_revs(a, &held)) return -EBADMSG;
+	read_holders_eras(a, &held);
 	in->redirected = 1;
 	for (k = 3; k < a->size; k++) {
 		if (mesh_text(&a->ptr[k], ip, sizeof ip)) return -EBADMSG;
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -31,6 +31,13 @@
 	msgpack_sbuffer_destroy(&f->buf);
 }
 
+/* Without their eras, which earlier releases do not know. */
+static void pack_revs(msgpack_packer *p, struct cache_revs r)
+{
+	msgpack_pack_uint64(p, st_rev_number(r.conf));
+	msgpack_pack_uint64(p, st_rev_number(r.backends));
+}
+
 void mesh_write_heartbeat(GString *out, const struct mesh_heartbeat *b)
 {
 	struct mesh_frame f;
@@ -41,8 +48,8 @@
 	mesh_pack_text(p, b->front);
 	msgpack_pack_int(p, b->ready);
 	msgpack_pack_int(p, b->draining);
-	msgpack_pack_uint64(p, b->revs.conf);
-	msgpack_pack_uint64(p, b->revs.backends);
+	msgpack_pack_uint64(p, st_rev_number(b->revs.conf));
+	msgpack_pack_uint64(p, st_rev_number(b->revs.backends));
 	msgpack_pack_int64(p, b->confirmed_ago_us);
 	msgpack_pack_int64(p, b->stamp_us);
 	msgpack_pack_int64(p, b->echo_us);
@@ -53,11 +60,15 @@
 	msgpack_pack_int(p, b->serving);
 	msgpack_pack_uint64(p, b->verdicts);
 	msgpack_pack_uint64(p, b->orders);
-	msgpack_pack_uint64(p, b->backends_from);
+	msgpack_pack_uint64(p, st_rev_number(b->backends_from));
 	msgpack_pack_uint32(p, b->dc);
 	msgpack_pack_uint32(p, b->region);
 	msgpack_pack_int(p, b->interval);
 	msgpack_pack_int(p, b->path);
+	msgpack_pack_uint64(p, st_rev_era(b->revs.conf));
+	msgpack_pack_uint64(p, st_rev_era(b->revs.backends));
+	msgpack_pack_uint64(p, st_rev_era(b->backends_from));
+	msgpack_pack_uint64(p, b->version);
 	mesh_pack_text(p, b->via);
 	mesh_frame_end(&f, out);
 }
@@ -92,11 +103,12 @@
 void mesh_write_fetch(GString *out, struct cache_revs after, uint32_t dc)
 {
 	struct mesh_frame f;
-	msgpack_packer *p = mesh_frame_begin(&f, MESH_FETCH, 4);
+	msgpack_packer *p = mesh_frame_begin(&f, MESH_FETCH, MESH_FETCH_FIELDS);
 
-	msgpack_pack_uint64(p, after.conf);
-	msgpack_pack_uint64(p, after.backends);
+	pack_revs(p, after);
 	msgpack_pack_uint32(p, dc);
+	msgpack_pack_uint64(p, st_rev_era(after.conf));
+	msgpack_pack_uint64(p, st_rev_era(after.backends));
 	mesh_frame_end(&f, out);
 }
 
@@ -121,15 +133,16 @@
 
 void mesh_pack_item(msgpack_packer *p, const struct st_item *i)
 {
-	msgpack_pack_array(p, 3);
+	msgpack_pack_array(p, 4);
 	mesh_pack_text(p, i->key);
-	msgpack_pack_uint64(p, i->revision);
-	if (!i->value) {
+	msgpack_pack_uint64(p, st_rev_number(i->revision));
+	if (i->value) {
+		msgpack_pack_bin(p, i->len);
+		msgpack_pack_bin_body(p, i->value, i->len);
+	} else {
 		msgpack_pack_int(p, 0); /* deleted */
-		return;
 	}
-	msgpack_pack_bin(p, i->len);
-	msgpack_pack_bin_body(p, i->value, i->len);
+	msgpack_pack_uint64(p, st_rev_era(i->revision));
 }
 
 static void pack_item(const struct st_item *i, void *arg)
@@ -138,26 +151,31 @@
 }
 
 /* Precedes the items: the revision up to which they make the receiver's list of servers
- * complete. Earlier releases ignore an item that belongs to no list. */
-static void pack_complete_to(msgpack_packer *p)
+ * complete (0: not stated), and the eras of the revisions that the frame names. Earlier
+ * releases ignore an item that belongs to no list, and what follows its value. */
+static void pack_marker(msgpack_packer *p, st_rev complete_to, struct cache_revs after)
 {
-	struct st_item marker = {.key = "", .revision = cache_revs().backends};
-
-	mesh_pack_item(p, &marker);
+	msgpack_pack_array(p, MESH_MARKER_FIELDS);
+	mesh_pack_text(p, "");
+	msgpack_pack_uint64(p, st_rev_number(complete_to));
+	msgpack_pack_int(p, 0);
+	msgpack_pack_uint64(p, st_rev_era(complete_to));
+	msgpack_pack_uint64(p, st_rev_era(after.conf));
+	msgpack_pack_uint64(p, st_rev_era(after.backends));
 }
 
 static void write_newer(GString *out, enum mesh_type type, struct cache_revs after)
 {
-	int n = 0, has_marker = cache_revs().backends > after.backends;
+	st_rev mine = cache_revs().backends, complete_to = mine > after.backends ? mine : 0;
 	struct mesh_frame f;
 	msgpack_packer *p;
+	int n = 0;
 
 	cache_each_newer(after, count_item, &n);
-	if (!n && !has_marker) return;
-	p = mesh_frame_begin(&f, type, 3 + has_marker + n);
-	msgpack_pack_uint64(p, after.conf);
-	msgpack_pack_uint64(p, after.backends);
-	if (has_marker) pack_complete_to(p);
+	if (!n && !complete_to) return;
+	p = mesh_frame_begin(&f, type, 4 + n);
+	pack_revs(p, after);
+	pack_marker(p, complete_to, after);
 	cache_each_newer(after, pack_item, p);
 	mesh_frame_end(&f, out);
 }
@@ -194,6 +212,16 @@
 	return n;
 }
 
+/* Among addresses, where earlier releases ignore a text that is none. */
+static void pack_eras_as_text(msgpack_packer *p, struct cache_revs r)
+{
+	char text[48];
+
+	g_snprintf(text, sizeof text, MESH_ERAS_TEXT, st_rev_era(r.conf),
+		   st_rev_era(r.backends));
+	mesh_pack_text(p, text);
+}
+
 void mesh_write_holders(GString *out, int max, uint32_t dc)
 {
 	const struct member **found = g_new(const struct member *, max);
@@ -203,11 +231,10 @@
 	msgpack_packer *p;
 
 	if (!n) n = collect_holders(found, max, 0);
-	p = mesh_frame_begin(&f, MESH_HOLDERS, 3 + n);
-
-	msgpack_pack_uint64(p, mine.conf);
-	msgpack_pack_uint64(p, mine.backends);
+	p = mesh_frame_begin(&f, MESH_HOLDERS, 4 + n);
+	pack_revs(p, mine);
 	for (i = 0; i < n; i++) mesh_pack_text(p, found[i]->ip);
+	pack_eras_as_text(p, mine);
 	mesh_frame_end(&f, out);
 	g_free(found);
 }
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -185,6 +185,7 @@
 
 	ev_in(t, TICK_US);
 	be_check_lapsed();
+	cache_release_held();
 	if (!cache_conf()) return;
 	stale = lists_are_stale();
 	used = be_in_use();
--- a/src/fleet/ro_mesh.c
+++ b/src/fleet/ro_mesh.c
@@ -4,6 +4,7 @@
 #include "mesh.h"
 #include "mesh_topic.h"
 #include "ro_impl.h"
+#include "st_era.h"
 #include <errno.h>
 
 #define SEND_US 250000    /* least time between two tallies of one instance */
@@ -25,10 +26,11 @@
 {
 	int n = with_tally ? o->own.n : 0, i, side;
 	struct mesh_frame f;
-	msgpack_packer *p = mesh_frame_begin(&f, MESH_ROLLOUT, HEAD_FIELDS + n * ROUTE_FIELDS);
+	msgpack_packer *p =
+		mesh_frame_begin(&f, MESH_ROLLOUT, HEAD_FIELDS + n * ROUTE_FIELDS + (n > 0));
 
 	mesh_pack_text(p, o->service);
-	msgpack_pack_uint64(p, o->order);
+	msgpack_pack_uint64(p, st_rev_number(o->order));
 	msgpack_pack_int(p, (int)o->stage);
 	msgpack_pack_int64(p, clock_us() - o->began_us);
 	msgpack_pack_int(p, (int)o->written);
@@ -38,6 +40,9 @@
 		for (side = 0; side < ROLLOUT_SIDES; side++)
 			pack_count(p, &o->own.route[i].of[side]);
 	}
+	/* The order's era. Earlier releases ignore a field behind the rows, and take any behind
+	 * the head alone for a tally. */
+	if (n) msgpack_pack_uint64(p, st_rev_era(o->order));
 	mesh_frame_end(&f, out);
 }
 
@@ -114,6 +119,15 @@
 	read_tally(a, &t->tally);
 }
 
+/* The order that a frame is about; one without its era is of the present one. */
+static st_rev read_order(const msgpack_object_array *a)
+{
+	int has_era = a->size > HEAD_FIELDS && (a->size - HEAD_FIELDS) % ROUTE_FIELDS == 1;
+	uint64_t era = has_era ? (uint64_t)mesh_int(&a->ptr[a->size - 1]) : st_era();
+
+	return st_rev_of(era, st_rev_number((uint64_t)mesh_int(&a->ptr[2])));
+}
+
 static int on_frame(const char *from, const msgpack_object_array *a)
 {
 	char service[ENTRY_TEXT_MAX + 1];
@@ -126,7 +140,7 @@
 	written = (enum rollout_stage)CLAMP(mesh_int(&a->ptr[5]), 0, ROLLOUT_COMPLETED);
 	o = ro_find(service);
 	/* The order has not arrived here yet; the frame is sent again. */
-	if (!o || o->order != (uint64_t)mesh_int(&a->ptr[2])) return 0;
+	if (!o || o->order != read_order(a)) return 0;
 	o->began_us = MIN(o->began_us, clock_us() - MAX(mesh_int(&a->ptr[4]), 0));
 	o->written = MAX(o->written, written);
 	update_peer(o, from, a);
--- a/src/fleet/ro_order.c
+++ b/src/fleet/ro_order.c
@@ -28,7 +28,7 @@
 
 	jlog_str(g, "service", o->service);
 	jlog_str(g, "version", o->target);
-	jlog_int(g, "revision", (int64_t)o->order);
+	jlog_int(g, "revision", (int64_t)st_rev_number(o->order));
 	jlog_int(g, "for_ms", o->duration_us / 1000);
 	jlog_end(g);
 }
@@ -40,7 +40,7 @@
 	ro_remove(o);
 }
 
-static void begin(const char *service, const struct dl_rollout *d, uint64_t revision)
+static void begin(const char *service, const struct dl_rollout *d, st_rev revision)
 {
 	struct ro *o = g_new0(struct ro, 1);
 
@@ -59,7 +59,7 @@
 }
 
 /* A repeated order for the version of the current rollout continues it; returns 1 if so. */
-static int continues(struct ro *o, const struct dl_rollout *d, uint64_t revision)
+static int continues(struct ro *o, const struct dl_rollout *d, st_rev revision)
 {
 	if (!o || strcmp(o->target, d->target) || o->stage == ROLLOUT_ROLLED_BACK) return 0;
 	o->order = revision;
--- a/src/fleet/ro_status.c
+++ b/src/fleet/ro_status.c
@@ -30,12 +30,12 @@
 	g_free(key);
 }
 
-static void log_found(const struct ro *o, uint64_t revision)
+static void log_found(const struct ro *o, st_rev revision)
 {
 	GString *g = jlog_begin("fleet", "rollout_status_found");
 
 	jlog_str(g, "service", o->service);
-	jlog_int(g, "revision", (int64_t)revision);
+	jlog_int(g, "revision", (int64_t)st_rev_number(revision));
 	jlog_end(g);
 }
 
@@ -54,7 +54,7 @@
 }
 
 /* The write succeeded. */
-static void on_success(struct ro *o, enum rollout_stage s, uint64_t revision)
+static void on_success(struct ro *o, enum rollout_stage s, st_rev revision)
 {
 	o->status_rev = revision;
 	o->written = s;
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -5,6 +5,7 @@
 #include "roster.h"
 #include "ev.h"
 #include "mesh.h"
+#include "st_era.h"
 #include "store.h"
 #include "watch.h"
 #include <errno.h>
@@ -113,11 +114,21 @@
 	st_range(PREFIX, NULL, on_listed, NULL);
 }
 
+/* The store lost the lease, and may give its number to another one. Members write their keys
+ * again at different times. */
+static void on_era(void)
+{
+	lease = 0;
+	key_written = 0;
+	if (lease_timer.armed) ev_in(&lease_timer, g_random_int_range(0, RETRY_US));
+}
+
 void roster_start(const struct entry_cfg *c)
 {
 	cfg = c;
 	lease_timer.fire = on_lease_timer;
 	list_timer.fire = on_list_timer;
+	st_on_era = on_era;
 	ev_in(&lease_timer, SETTLE_US);
 	ev_in(&list_timer, LIST_ALONE_US);
 }
--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -31,9 +31,9 @@
 	struct dl_list list;
 	enum phase phase;
 	/* All changes up to this revision have been applied, removed keys included. */
-	uint64_t at;
+	st_rev at;
 	/* Changes after this one are cached; keys removed before it are not. */
-	uint64_t from;
+	st_rev from;
 	/* Set once the changes made since the listing, while nobody watched for this instance,
 	 * were requested. */
 	int caught_up;
@@ -88,7 +88,7 @@
 static void apply_changes(const struct watcher *w, const struct st_reply *r)
 {
 	struct cache_revs base = cache_revs();
-	uint64_t upto = 0;
+	st_rev upto = 0;
 	size_t i;
 
 	if (!r->n) return;
@@ -98,7 +98,7 @@
 	mesh_publish(base);
 }
 
-static uint64_t cached_revision(const struct watcher *w)
+static st_rev cached_revision(const struct watcher *w)
 {
 	struct cache_revs revs = cache_revs();
 
@@ -110,8 +110,9 @@
 	GString *g = jlog_begin("fleet", event);
 
 	jlog_str(g, "list", w->list.prefix);
-	jlog_int(g, "revision", w->at);
-	jlog_int(g, "known", cached_revision(w));
+	jlog_int(g, "era", st_rev_era(w->at));
+	jlog_int(g, "revision", st_rev_number(w->at));
+	jlog_int(g, "known", st_rev_number(cached_revision(w)));
 	jlog_end(g);
 }
 
@@ -150,6 +151,12 @@
 		return;
 	}
 	w->retry_us = 0;
+	if (g_hash_table_size(w->listed) && st_rev_era(r->revision) != st_rev_era(w->at)) {
+		/* The pages so far were of a state that the store has lost. */
+		g_hash_table_remove_all(w->listed);
+		next_call(w);
+		return;
+	}
 	if (!g_hash_table_size(w->listed)) {
 		w->base = cache_revs();
 		/* Pages are no snapshot: changes since the first page are watched for. */
@@ -360,14 +367,14 @@
 	w->poll = st_watch(w->list.prefix, w->at, POLL_MS, on_polled, w);
 }
 
-uint64_t watch_backends_from(void)
+st_rev watch_backends_from(void)
 {
 	const struct watcher *w = backends_watcher();
 
 	return w ? w->from : 0;
 }
 
-void watch_forwarded(enum dl_item kind, uint64_t after, uint64_t upto)
+void watch_forwarded(enum dl_item kind, st_rev after, st_rev upto)
 {
 	int i;
 
--- a/src/fleet/watch_check.c
+++ b/src/fleet/watch_check.c
@@ -57,7 +57,7 @@
 	return 1;
 }
 
-static void send_missing(const GPtrArray *keys, uint64_t at)
+static void send_missing(const GPtrArray *keys, st_rev at)
 {
 	uint32_t i;
 
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -26,7 +26,7 @@
 static int64_t age_us, not_before_us, sent_us;
 static int64_t backoff_until_us;   /* see roles_may_call; 0: not set */
 static int64_t receiving_since_us; /* a configuration is being received; 0: none is */
-static uint64_t confirming_revision;
+static st_rev confirming_revision;
 
 /* Differs between instances, so that one asks for all. */
 static int64_t random_age(void)
@@ -36,6 +36,7 @@
 
 static void on_confirmed(const struct st_reply *r, void *user)
 {
+	const struct conf *before = cache_conf();
 	int was_up = watch_store_up();
 
 	(void)user;
@@ -53,7 +54,9 @@
 		not_before_us = clock_us() + RETRY_US;
 		return;
 	}
-	if (!was_up || r->rc == -ECANCELED) watch_restart();
+	/* The store may have lost the version in force, and show an older one for a while. */
+	if (cache_confirmed_us() < r->sent_us) not_before_us = clock_us() + RETRY_US;
+	if (!was_up || cache_conf() != before) watch_restart();
 	mesh_heartbeat_now();
 	watch_check_lists();
 	age_us = random_age();
--- a/src/internal/conf.h
+++ b/src/internal/conf.h
@@ -1,6 +1,7 @@
 /* The operators' configuration: routes, services, and workspaces with their keys. Immutable. */
 #ifndef SH_CONF_H
 #define SH_CONF_H
+#include "st_rev.h"
 #include <glib.h>
 #include <stdint.h>
 
@@ -58,8 +59,8 @@
 
 struct conf {
 	int refs;
-	uint64_t version;  /* version set by the operators */
-	uint64_t revision; /* revision of the store */
+	uint64_t version; /* version set by the operators */
+	st_rev revision;  /* revision of the store */
 	GPtrArray *routes, *services, *groups;
 	GHashTable *by_prefix; /* "host prefix" -> route */
 	GHashTable *by_key, *by_service;
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -5,6 +5,7 @@
 #include "cn.h"
 #include "mesh.h"
 #include "mesh_topic.h"
+#include <inttypes.h>
 #include <msgpack.h>
 
 /* Contents of a frame of verdicts: some; all that the sender has; the same from a sender that
@@ -31,11 +32,12 @@
 	int64_t echo_held_us;     /* time since that stamp arrived */
 	uint64_t verdicts;        /* digest of its quarantine verdicts */
 	uint64_t orders;          /* digest of its operators' orders */
-	uint64_t backends_from;   /* has all changes of servers after it; 0: none */
+	st_rev backends_from;     /* has all changes of servers after it; 0: none */
 	uint32_t dc;              /* hash of its data centre; 0: not reported */
 	uint32_t region;          /* hash of its region; 0: not reported */
 	int interval;             /* until the next heartbeat, in units of MESH_HEARTBEAT_US */
 	enum mesh_path path;      /* its path to backend servers */
+	uint64_t version;         /* of its configuration; 0: none, or not reported */
 	/* While its path is lost, the instance that last opened a tunnel for it; or empty. */
 	char via[INET_ADDRSTRLEN];
 };
@@ -71,8 +73,8 @@
 
 /* Fields of a heartbeat and of a load row, type or id included. Both sides rely on their
  * order. */
-#define MESH_HB_FIELDS 24
-#define MESH_HB_FIELDS_MIN 14    /* sent by earlier releases, without the next ten */
+#define MESH_HB_FIELDS 28
+#define MESH_HB_FIELDS_MIN 14    /* sent by earlier releases, without the next 14 */
 #define MESH_HB_LINK 14          /* index of link_mbps */
 #define MESH_HB_SERVING 15       /* index of serving; a sender without it gets loads */
 #define MESH_HB_VERDICTS 16      /* index of verdicts */
@@ -82,7 +84,17 @@
 #define MESH_HB_REGION 20        /* index of region */
 #define MESH_HB_INTERVAL 21      /* index of interval */
 #define MESH_HB_PATH 22          /* index of path */
-#define MESH_HB_VIA 23           /* index of via */
+#define MESH_HB_ERAS 23          /* index of the eras of revs and backends_from */
+#define MESH_HB_VERSION 26       /* index of version */
+#define MESH_HB_VIA 27           /* index of via */
+/* Fields of a request for a copy, and of the first item of a frame of items. */
+#define MESH_FETCH_FIELDS 6
+#define MESH_FETCH_ERAS \
+	4 /* index of the eras; a sender without them is of an earlier release */
+#define MESH_ERAS_TEXT "eras %" PRIu64 " %" PRIu64
+#define MESH_ITEM_ERA 3
+#define MESH_MARKER_FIELDS 6
+#define MESH_MARKER_ERAS 4 /* index of the eras of the revisions before the items */
 #define MESH_ROW_FIELDS 11
 #define MESH_ROW_FIELDS_MIN 10  /* sent by earlier releases, without the next one */
 #define MESH_ROW_INCARNATION 10 /* index of incarnation_ms */
@@ -127,6 +139,7 @@
 /* mesh_read.c: malformed input gives -EBADMSG, except for an integer, which reads as 0. */
 int mesh_read_heartbeat(const msgpack_object_array *a, struct mesh_heartbeat *b);
 int mesh_read_load_row(const msgpack_object *o, struct mesh_load_row *r);
+int mesh_read_fetch(const msgpack_object_array *a, struct cache_revs *after);
 int mesh_read_revs(const msgpack_object_array *a, struct cache_revs *after);
 int mesh_read_item(const msgpack_object *o, struct st_item *i, char *key, size_t max);
 /* Link bandwidth, clamped to what machines have. */
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -49,6 +49,7 @@
 	MET_TUNNELS_FAILED,     /* that ended by a failure of the helper */
 	MET_TUNNELS_SERVED,     /* requests for a tunnel from other instances */
 	MET_PATH_CHECKS,        /* checks whether a server is reached from here */
+	MET_ERAS_INVALID,       /* answers of the store with an era that is no number */
 	MET_COUNT_MAX
 };
 
--- a/src/internal/ro_impl.h
+++ b/src/internal/ro_impl.h
@@ -16,7 +16,7 @@
 /* A rollout: the newest order for one service. */
 struct ro {
 	char *service, *target; /* the new version */
-	uint64_t order;         /* the order's revision in the store */
+	st_rev order;           /* the order's revision in the store */
 	int64_t duration_us;
 	int64_t began_us; /* when an instance first saw the order, by this instance's clock */
 	int64_t shift_us; /* when this instance entered the shift stage; 0: it has not */
@@ -28,8 +28,8 @@
 	struct rollout_tally own;
 	int own_changed; /* since it was last sent to others */
 	struct rollout_use use;
-	GHashTable *peers;   /* name of an instance -> struct ro_peer */
-	uint64_t status_rev; /* revision of the status in the store; 0: none known */
+	GHashTable *peers; /* name of an instance -> struct ro_peer */
+	st_rev status_rev; /* revision of the status in the store; 0: none known */
 	struct st_call *call;
 };
 
--- a/src/internal/store.h
+++ b/src/internal/store.h
@@ -2,6 +2,7 @@
  * through its callback. An adapter in platform/ implements it. */
 #ifndef SH_STORE_H
 #define SH_STORE_H
+#include "st_rev.h"
 #include <netinet/in.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -10,7 +11,7 @@
 	const char *key;
 	const char *value; /* NULL: the key was deleted */
 	size_t len;
-	uint64_t revision; /* of the last change */
+	st_rev revision; /* of the last change */
 };
 
 struct st_reply {
@@ -19,7 +20,7 @@
 	 * limit), -EAGAIN (nothing was done), or another negative errno: no usable answer, and
 	 * a change may have been made or may still be made. */
 	int rc;
-	uint64_t revision; /* the service's revision; 0: the answer does not state it */
+	st_rev revision; /* the service's revision; 0: the answer does not state it */
 	struct st_item *items;
 	size_t n;
 	int more; /* a range continues after the last item */
@@ -31,7 +32,7 @@
 
 struct st_condition {
 	const char *key;
-	uint64_t revision; /* revision that the key must have; 0: it must be absent */
+	st_rev revision; /* revision that the key must have; 0: it must be absent */
 };
 #define ST_CONDITIONS_MAX 32 /* of one change: the limit of the service */
 
@@ -50,9 +51,12 @@
 /* Lists the items whose keys begin with prefix, starting behind the key after (NULL: at the
  * first). */
 struct st_call *st_range(const char *prefix, const char *after, st_done *done, void *user);
-/* Completes with the changes after the revision, or empty after wait_ms. */
-struct st_call *st_watch(const char *prefix, uint64_t after, int64_t wait_ms, st_done *done,
+/* Completes with the changes after the revision, or empty after wait_ms. -ESTALE for a revision
+ * of an earlier era: the history since then was lost. */
+struct st_call *st_watch(const char *prefix, st_rev after, int64_t wait_ms, st_done *done,
 			 void *user);
+/* -ECANCELED without items if a condition names a revision of an earlier era that the present
+ * era has given out again. */
 struct st_call *st_commit(const struct st_change *c, st_done *done, void *user);
 struct st_call *st_lease(int64_t ttl_ms, st_done *done, void *user);
 struct st_call *st_renew(uint64_t lease, st_done *done, void *user);
--- a/src/internal/watch.h
+++ b/src/internal/watch.h
@@ -9,9 +9,9 @@
 void watch_start(int first);
 /* All changes of backend servers after this revision are cached here, removed keys included; 0:
  * none yet. */
-uint64_t watch_backends_from(void);
+st_rev watch_backends_from(void);
 /* A peer has forwarded all changes of items of that kind after one revision up to another. */
-void watch_forwarded(enum dl_item kind, uint64_t after, uint64_t upto);
+void watch_forwarded(enum dl_item kind, st_rev after, st_rev upto);
 /* Records whether the store answers this instance; to be called with every reply of it. */
 void watch_note_reply(const struct st_reply *r);
 #endif
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -92,6 +92,10 @@
 	msgpack_pack_uint32(p, 0);
 	msgpack_pack_int(p, 1);
 	msgpack_pack_int(p, me->path);
+	msgpack_pack_uint64(p, pw_store.era_number); /* of its lists */
+	msgpack_pack_uint64(p, pw_store.era_number);
+	msgpack_pack_uint64(p, pw_store.era_number);
+	msgpack_pack_int(p, 0); /* reports no version */
 	finish(&f, out);
 }
 
