--- a/test/soak.h
+++ b/test/soak.h
@@ -77,6 +77,7 @@
 	SOAK_SUSPEND, /* an entry's machine is suspended: clocks jump */
 	SOAK_NOTICE,  /* a server announces a state in its answers */
 	SOAK_PATH,    /* some entries lose their path to all servers */
+	SOAK_RETURN,  /* the store comes back from a copy */
 	SOAK_FAULT_KINDS
 };
 #define SOAK_FIRST_UNPLANNED SOAK_KILL
--- a/test/soak_draw.c
+++ b/test/soak_draw.c
@@ -37,7 +37,8 @@
 						    "entries by another writer",
 						    "machine suspended",
 						    "a server says something",
-						    "no path to servers"};
+						    "no path to servers",
+						    "store back from a copy"};
 
 const char *soak_fault_name(enum soak_fault_kind k)
 {
@@ -120,8 +121,11 @@
 	struct soak_fault path = {SOAK_PATH, at, at + CYCLE_US - BURST_US,
 				  .victim = g_rand_int_range(rand, 1, 1 << SOAK_ENTRIES),
 				  .variant = g_rand_int_range(rand, 0, 1 << 16)};
+	struct soak_fault back = {.kind = SOAK_RETURN, .from_us = at};
 
+	back.to_us = at + g_rand_int_range(rand, SHORTEST_US, LONGEST_US);
 	if (g_rand_boolean(rand)) g_array_append_val(s->faults, path);
+	if (!g_rand_int_range(rand, 0, LATER_IN)) g_array_append_val(s->faults, back);
 }
 
 void soak_draw_faults(struct soak *s, int seconds)
--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -92,6 +92,25 @@
 			set_path(&s->entry[i], 1 + f->variant % (PARTITION_MODES - 1));
 }
 
+/* The store loses what it was told while it was about to go away. */
+static void store_goes(struct soak *s)
+{
+	pw_store_copy();
+	s->key += s->key + 1 < (int)G_N_ELEMENTS(s->key_revoked_us);
+	write_conf(s);
+	s->key_revoked_us[s->key - 1] = clock_us();
+	pw_store.mode = PW_STORE_DOWN;
+}
+
+/* The operator and the servers write again. */
+static void store_returns(struct soak *s)
+{
+	pw_store_restore();
+	pw_store.mode = PW_STORE_OK;
+	pw_conf_write();
+	soak_list_all(s, 1);
+}
+
 static enum proxy_mode link_mode(const struct soak_fault *f)
 {
 	return 1 + f->variant % (PROXY_MODES - 1);
@@ -131,6 +150,7 @@
 	case SOAK_SUSPEND: signal_entry(e, SIGSTOP); return;
 	case SOAK_NOTICE: soak_notice_begin(s, f); return;
 	case SOAK_PATH: lose_path(s, f); return;
+	case SOAK_RETURN: store_goes(s); return;
 	case SOAK_FAULT_KINDS: return;
 	}
 }
@@ -185,6 +205,7 @@
 	int i;
 
 	restore_store(s, kind);
+	if (kind == SOAK_RETURN && f->begun) store_returns(s);
 	if (kind == SOAK_GROW) grow(s, 0);
 	if (kind == SOAK_CRASHER) soak_crasher_end(s);
 	if (kind == SOAK_RESTART) soak_end_restart(s, f);
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -79,12 +79,18 @@
 	CU_ASSERT_EQUAL(soak_run(501, 15, SOAK_NOTICE_KINDS), 0);
 }
 
+/* Entries without a path to servers, and a store that comes back from a copy. */
+static void soak_seed_1201(void)
+{
+	CU_ASSERT_EQUAL(soak_run(1201, 15, SOAK_ALL_KINDS), 0);
+}
+
 static const struct check list[] = {
 	{"soak_seed_1", soak_seed_1},     {"soak_seed_4", soak_seed_4},
 	{"soak_seed_12", soak_seed_12},   {"soak_seed_1002", soak_seed_1002},
 	{"soak_seed_80", soak_seed_80},   {"soak_seed_301", soak_seed_301},
 	{"soak_seed_431", soak_seed_431}, {"soak_seed_440", soak_seed_440},
 	{"soak_seed_738", soak_seed_738}, {"soak_seed_724", soak_seed_724},
-	{"soak_seed_501", soak_seed_501},
+	{"soak_seed_501", soak_seed_501}, {"soak_seed_1201", soak_seed_1201},
 };
 CHECK_MAIN(list)
