--- a/test/pw.h
+++ b/test/pw.h
@@ -168,11 +168,14 @@
 	int moving, max_moving; /* concurrent move orders: now, and the maximum so far */
 	int draining;           /* its report states draining */
 	int unhealthy;          /* its health check fails */
+	int room;               /* runs at once; more are rejected; 0: no limit */
+	int running;            /* runs now */
 	int checks;             /* health checks received */
 	int reports;            /* reports requested */
 	int arrivals, moves, copies, drops;
 	const char *extra_fields; /* additional header lines of each answer, each ended by CRLF;
 				     or NULL */
+	GArray *rejected_us;      /* time of each rejection for want of room: int64_t */
 	GArray *arrived_us;       /* arrival time of each request of any kind: int64_t */
 	char last_raw[1024];      /* the last request head */
 };
@@ -187,6 +190,8 @@
 const char *pw_second_ip(void);
 /* The most requests of any kind that arrived within any period of ms since from_us. */
 int pw_server_max_arrivals(const struct pw_server *s, int64_t from_us, int ms);
+/* The same for rejections for want of room. */
+int pw_server_max_rejections(const struct pw_server *s, int64_t from_us, int ms);
 /* Answers with the server's additional header lines after fields. */
 void pw_server_answer(struct pw_server *s, struct hs *h, int status, const char *fields,
 		      const char *body);
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -18,7 +18,9 @@
 	ev_stop(&r->timer);
 	if (r->h) r->h->user = NULL;
 	r->h = NULL;
-	if (!r->ended_us) r->ended_us = clock_us();
+	if (r->ended_us) return;
+	r->server->running--;
+	r->ended_us = clock_us();
 }
 
 static void send_head(struct pw_run *r, int status, const char *more)
@@ -206,6 +208,7 @@
 	r->server = s;
 	r->h = h;
 	r->began_us = clock_us();
+	s->running++;
 	r->timer.fire = on_work;
 	h->user = r;
 	g_ptr_array_add(pw_runs, r);
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -33,12 +33,12 @@
 	g_free(all);
 }
 
-int pw_server_max_arrivals(const struct pw_server *s, int64_t from_us, int ms)
+static int max_within(const GArray *times, int64_t from_us, int ms)
 {
-	const int64_t *at = (const int64_t *)(void *)s->arrived_us->data;
+	const int64_t *at = (const int64_t *)(void *)times->data;
 	uint32_t i, first = 0, most = 0;
 
-	for (i = 0; i < s->arrived_us->len; i++) {
+	for (i = 0; i < times->len; i++) {
 		if (at[i] < from_us) first = i + 1;
 		while (first < i && at[i] - at[first] >= ms * 1000LL) first++;
 		if (first <= i) most = MAX(most, i + 1 - first);
@@ -46,6 +46,16 @@
 	return (int)most;
 }
 
+int pw_server_max_arrivals(const struct pw_server *s, int64_t from_us, int ms)
+{
+	return max_within(s->arrived_us, from_us, ms);
+}
+
+int pw_server_max_rejections(const struct pw_server *s, int64_t from_us, int ms)
+{
+	return max_within(s->rejected_us, from_us, ms);
+}
+
 static void move(struct pw_server *s, struct hs *h)
 {
 	struct json_object *o = pf_json(h->body->str, h->body->len);
@@ -144,8 +154,14 @@
 static void generate(struct pw_server *s, struct hs *h)
 {
 	char copy[96];
+	int64_t now = clock_us();
 
 	pw_field(h, "Kv-From", copy, sizeof copy);
+	if (s->room && s->running >= s->room) {
+		g_array_append_val(s->rejected_us, now);
+		pw_server_answer(s, h, 503, "X-Not-Executed: 1\r\n", "");
+		return;
+	}
 	if (*copy) {
 		s->copies++;
 		if (s->copy_status || s->copy_refusals-- > 0 || !pw_run_by_copy(copy)) {
@@ -270,6 +286,7 @@
 	g_strlcpy(s->version, "v1", sizeof s->version);
 	s->engine = engine;
 	s->arrived_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	s->rejected_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	s->work_ms = 5;
 	s->copy_ms = 5;
 	s->event_ms = 10;
@@ -353,6 +370,7 @@
 {
 	g_ptr_array_free(s->listener.conns, TRUE);
 	g_array_free(s->arrived_us, TRUE);
+	g_array_free(s->rejected_us, TRUE);
 	g_free(s);
 }
 
--- /dev/null
+++ b/test/test_brittle.c
@@ -0,0 +1,212 @@
+/* Servers that fall over when they have to reject too many requests in a second, and say how
+ * many they bear: all instances together stay below. */
+#include "check.h"
+#include "clock.h"
+#include "pw.h"
+#include <stdlib.h>
+
+#define INSTANCES 6
+#define MANY 30        /* more than half of them take part */
+#define GOSSIP_MS 4000 /* each of many hears of all others */
+#define SERVERS 5
+#define ROOM 6     /* runs at once at one server */
+#define WORK_MS 50 /* of a run: a server answers 120 requests a second */
+#define BEARS 10   /* rejections in a second */
+#define BRITTLE "Server-Brittle: 10\r\n"
+#define NOTICE_MS 1500 /* from the notice until servers are checked */
+#define LOAD_MS 4000
+#define DEADLINE_MS 600
+#define REFUSED_AT_ONCE_MS 100
+
+static struct pw_entry *e[MANY]; /* of many, those that the directory names */
+static int instances;
+static struct pw_server *s[SERVERS];
+static GPtrArray *calls;
+
+static void start_many(int n)
+{
+	int i, k;
+
+	pw_init();
+	calls = g_ptr_array_new();
+	for (i = 0; i < SERVERS; i++) {
+		s[i] = pw_server_add("app", 0);
+		s[i]->work_ms = WORK_MS;
+		s[i]->room = ROOM;
+	}
+	for (i = 0; i < n; i++) e[i] = pw_entry_start();
+	for (i = 0; i < n; i++) CU_ASSERT(pw_entry_until_ready(e[i]));
+	pw_run(n > INSTANCES ? GOSSIP_MS : 1600);
+	for (i = k = 0; i < n; i++)
+		if (n == INSTANCES || pw_metric(e[i], "saddlehead_active") > 0) e[k++] = e[i];
+	instances = k;
+	CU_ASSERT(instances >= n / 2);
+}
+
+static void start(void)
+{
+	start_many(INSTANCES);
+}
+
+static void finish(void)
+{
+	g_ptr_array_free(calls, TRUE);
+	pw_end();
+}
+
+/* So many calls per 5 ms; returns how many. */
+static uint32_t load(int per_step, int ms)
+{
+	int64_t until = clock_us() + ms * 1000LL;
+	int i;
+
+	g_ptr_array_set_size(calls, 0);
+	while (clock_us() < until) {
+		for (i = 0; i < per_step; i++)
+			g_ptr_array_add(calls, pw_request(e[g_random_int_range(0, instances)],
+							  "POST", "/safe/", DEADLINE_MS));
+		pw_run(5);
+	}
+	for (i = 0; i < (int)calls->len; i++)
+		pw_call_wait(g_ptr_array_index(calls, i), 2 * DEADLINE_MS);
+	return calls->len;
+}
+
+static uint32_t count_served(void)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < calls->len; i++)
+		n += ((struct pw_call *)g_ptr_array_index(calls, i))->status == 200;
+	return n;
+}
+
+static void set_brittle(const char *fields)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++) s[i]->extra_fields = fields;
+}
+
+static int max_rejections(int64_t from_us)
+{
+	int i, most = 0;
+
+	for (i = 0; i < SERVERS; i++)
+		most = MAX(most, pw_server_max_rejections(s[i], from_us, 1000));
+	return most;
+}
+
+/* Full servers were asked again ten times a second by each instance. */
+static void fill(int entries)
+{
+	uint32_t n, served;
+	int64_t from;
+	int most;
+
+	start_many(entries);
+	set_brittle(BRITTLE);
+	load(1, NOTICE_MS);
+	from = clock_us();
+	n = load(6, LOAD_MS); /* twice what they can answer */
+	served = count_served();
+	most = max_rejections(from);
+	printf("%u of %u served, %d rejections in a second at most\n", served, n, most);
+	CU_ASSERT(most <= BEARS);
+	/* Four fifths of what the servers could answer in that time. */
+	CU_ASSERT(served >= (uint32_t)(SERVERS * ROOM * (LOAD_MS / WORK_MS) * 4 / 5));
+	finish();
+}
+
+static void full_servers_that_are_brittle_reject_few(void)
+{
+	fill(INSTANCES);
+}
+
+/* Each instance had to be rejected itself before it knew that there was no room. */
+static void full_servers_that_are_brittle_reject_few_of_many_instances(void)
+{
+	fill(MANY);
+}
+
+/* What can't be placed is refused soon, with the time to come back. */
+static void what_brittle_servers_have_no_room_for_is_refused_at_once(void)
+{
+	uint32_t i, late = 0, untold = 0;
+
+	start();
+	set_brittle(BRITTLE);
+	load(1, NOTICE_MS);
+	load(6, LOAD_MS);
+	for (i = 0; i < calls->len; i++) {
+		const struct pw_call *c = g_ptr_array_index(calls, i);
+
+		if (c->status == 200) continue;
+		late += c->ended_us - c->began_us > DEADLINE_MS * 1000;
+		untold += !c->retry_after[0];
+	}
+	CU_ASSERT_EQUAL(late, 0);
+	CU_ASSERT_EQUAL(untold, 0);
+	finish();
+}
+
+/* Their room may get smaller than their slots, which no instance is told. */
+static void shrink(int entries)
+{
+	int64_t from;
+	int i, most;
+
+	start_many(entries);
+	set_brittle(BRITTLE);
+	load(1, NOTICE_MS);
+	from = clock_us();
+	for (i = 0; i < SERVERS; i++) s[i]->room = 2;
+	load(4, LOAD_MS);
+	most = max_rejections(from);
+	printf("%u served, %d rejections in a second at most\n", count_served(), most);
+	CU_ASSERT(most <= BEARS);
+	CU_ASSERT(count_served() >= (uint32_t)(SERVERS * 2 * (LOAD_MS / WORK_MS) * 4 / 5));
+	finish();
+}
+
+static void brittle_servers_whose_room_shrinks_reject_few(void)
+{
+	shrink(INSTANCES);
+}
+
+static void brittle_servers_whose_room_shrinks_reject_few_of_many_instances(void)
+{
+	shrink(MANY);
+}
+
+/* The notice in any answer counts, and ends with an answer without it. */
+static void it_lasts_as_long_as_they_say_so(void)
+{
+	int i, known = 0;
+
+	start();
+	set_brittle(BRITTLE);
+	load(1, NOTICE_MS);
+	for (i = 0; i < INSTANCES; i++) known += pw_log_has(e[i], "backend_brittle");
+	CU_ASSERT_EQUAL(known, INSTANCES);
+	set_brittle(NULL);
+	load(1, NOTICE_MS);
+	for (i = 0, known = 0; i < INSTANCES; i++)
+		known += pw_log_has(e[i], "\"per_s\":\"any\"");
+	CU_ASSERT_EQUAL(known, INSTANCES);
+	finish();
+}
+
+static const struct check list[] = {
+	{"full_servers_that_are_brittle_reject_few", full_servers_that_are_brittle_reject_few},
+	{"full_servers_that_are_brittle_reject_few_of_many_instances",
+	 full_servers_that_are_brittle_reject_few_of_many_instances},
+	{"brittle_servers_whose_room_shrinks_reject_few_of_many_instances",
+	 brittle_servers_whose_room_shrinks_reject_few_of_many_instances},
+	{"what_brittle_servers_have_no_room_for_is_refused_at_once",
+	 what_brittle_servers_have_no_room_for_is_refused_at_once},
+	{"brittle_servers_whose_room_shrinks_reject_few",
+	 brittle_servers_whose_room_shrinks_reject_few},
+	{"it_lasts_as_long_as_they_say_so", it_lasts_as_long_as_they_say_so},
+};
+CHECK_MAIN(list)
