Keep brittle servers below the rejections that they bear

Cause: nothing read Server-Brittle; a full server was sent to until it rejected.

Change: the bound is one more kind of quota beside cold servers and rate limits, read from the head of any answer and told to all. What surely fits is sent: each instance has a part of the slots, less once it was rejected, more while half of the slots are free. Beyond that a quarter of the bound is dealt over the instances.

Conclusion: right for few instances; with many each takes the same free places for its own.

--- a/include/saddlehead/quota.h
+++ b/include/saddlehead/quota.h
@@ -12,6 +12,9 @@
 enum quota_kind {
 	QUOTA_COLD,  /* it has just started and would be overloaded by its normal rate */
 	QUOTA_LIMIT, /* it announced a rate limit in its answers */
+	/* It announced how many rejections it bears; counts requests that it may have no room
+	 * for. */
+	QUOTA_BRITTLE,
 	QUOTA_KINDS
 };
 
@@ -24,11 +27,17 @@
 	double per_s;
 };
 
+/* It falls over if it rejects more than per_s requests in one second. */
+struct quota_brittle {
+	double per_s;
+};
+
 struct quota_bound {
 	enum quota_kind kind;
 	union {
 		struct quota_cold cold;
 		struct quota_limit limit;
+		struct quota_brittle brittle;
 	} of;
 };
 
@@ -36,8 +45,8 @@
 int64_t quota_window_us(const struct quota_bound *b);
 
 /* Requests per window that connected instances together may send to it. Two partitions of a
- * fleet may both send this many. At least one for a QUOTA_LIMIT, however low, as only an
- * answer shows that the limit is over. */
+ * fleet may both send this many. At least one for a QUOTA_LIMIT or QUOTA_BRITTLE, however
+ * low, as only an answer shows that the bound is over or that there is room again. */
 uint32_t quota_sum(const struct quota_bound *b);
 
 /* Share of the instance with this rank (from 0) among the sharers. The shares add up to sum. */
--- a/src/base/met.c
+++ b/src/base/met.c
@@ -57,6 +57,7 @@
 	"cold_passed_over",
 	"limit_passed_over",
 	"rest_passed_over",
+	"brittle_passed_over",
 	"turns_waited",
 	"notices_unread",
 	"canary_requests",
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -4,6 +4,9 @@
 /* Partitions of the fleet that each use the whole sum: a network partition creates two. */
 #define PARTITIONS 2
 #define COLD_WINDOW_S 1
+#define BRITTLE_WINDOW_S 1
+/* Rejections by a request without room: its own, or that of another one whose place it took. */
+#define BRITTLE_COST 2
 /* Long enough to hold whole requests at limits below one per second. */
 #define LIMIT_WINDOW_S 4
 /* Capacity that a server is assumed to have beyond its announced limit. */
@@ -16,6 +19,7 @@
 	switch (b->kind) {
 	case QUOTA_COLD: return COLD_WINDOW_S;
 	case QUOTA_LIMIT: return LIMIT_WINDOW_S;
+	case QUOTA_BRITTLE: return BRITTLE_WINDOW_S;
 	case QUOTA_KINDS: break;
 	}
 	return 0;
@@ -46,6 +50,9 @@
 		limit = b->of.limit.per_s * LIMIT_WINDOW_S;
 		sum = capped_total(limit, limit * LIMIT_OVER + LIMIT_SLACK);
 		return sum ? sum : 1;
+	case QUOTA_BRITTLE:
+		sum = (uint32_t)(b->of.brittle.per_s / (BRITTLE_COST * PARTITIONS));
+		return sum ? sum : 1;
 	case QUOTA_KINDS: break;
 	}
 	return 0;
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -115,6 +115,7 @@
 	b->region = be_region_of(i->dc);
 	b->version = g_strdup(i->version ? i->version : "");
 	b->sa = *sa;
+	b->room = BE_ROOM_UNKNOWN;
 	b->state_since_us = clock_us();
 	b->drained_us = be_dc_is_drained(b->dc) ? b->state_since_us : 0;
 	if (be_version_is_blocked(b->service, b->version)) b->blocked_us = b->state_since_us;
@@ -321,7 +322,12 @@
 
 int be_is_limited(const struct be *b)
 {
-	return b->limit.to_us && b->limit.per_s >= 0;
+	return b->limit.report.to_us && b->limit.report.per_s >= 0;
+}
+
+int be_is_brittle(const struct be *b)
+{
+	return b->brittle.report.to_us && b->brittle.report.per_s >= 0;
 }
 
 void be_set_gone(const char *id)
--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -17,6 +17,7 @@
 struct target {
 	struct be *be;
 	int after_backoff;         /* counts among the exchanges after a back-off */
+	int beyond_room;           /* sent though it may have no room: pace_is_beyond_room */
 	struct tn *tunnel;         /* NULL: none */
 	struct sockaddr_in helper; /* that it leads through */
 };
@@ -35,6 +36,15 @@
 	jlog_end(g);
 }
 
+/* Whether it had no room for the request, and has not run it. */
+static int is_rejection(const struct hp_head *head)
+{
+	struct dl_answer a;
+
+	dl_read_answer(head, &a);
+	return a.not_run;
+}
+
 static void on_any_head(struct hx *x)
 {
 	struct target *t = x->peer;
@@ -49,7 +59,11 @@
 	else if (t->after_backoff)
 		pace_succeeded_after_backoff(t->be);
 	/* An unusable number does not lift a limit. */
-	if (n.limit_per_s >= 0 || !n.has_limit) limit_report(t->be, n.limit_per_s, x->began_us);
+	if (n.limit_per_s >= 0 || !n.has_limit)
+		limit_report(t->be, LIMIT_RATE, n.limit_per_s, x->began_us);
+	if (n.brittle_per_s >= 0 || !n.has_brittle)
+		limit_report(t->be, LIMIT_REJECTIONS, n.brittle_per_s, x->began_us);
+	if (t->beyond_room && !is_rejection(&x->hp.head)) pace_room_grew(t->be);
 }
 
 static void on_any_connected(struct hx *x)
@@ -112,6 +126,7 @@
 	x->on_any_head = on_any_head;
 	x->on_any_connected = on_any_connected;
 	x->on_any_end = on_any_end;
+	t->beyond_room = pace_is_beyond_room(b);
 	pace_sent(b, conf_service(cache_conf(), b->service));
 	path_recheck(b);
 	if (!path_is_around(b) || mesh_pick_helper(b, NULL, &t->helper))
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -204,6 +204,7 @@
 	case MESH_LEAVING:
 	case MESH_SUSPECT:
 	case MESH_LIMITS:
+	case MESH_BRITTLE:
 	case MESH_ROLLOUT: break;
 	}
 	return mesh_handle_topic(in->from, a);
--- a/src/fleet/pace.c
+++ b/src/fleet/pace.c
@@ -15,6 +15,10 @@
 #define RESUMED_US 100000
 /* Exchanges in flight with which a back-off ends, for servers with fewer slots. */
 #define RESUMED_MIN 4u
+/* Part of a brittle server's slots up to which any instance may use them, as one over this. */
+#define SPARE_DIVISOR 2
+/* Wait for room at a brittle server where none of this instance's exchanges is to end. */
+#define ROOM_RECHECK_US 200000
 
 static double cold_over = 1, cold_slack;
 static int64_t started_us;
@@ -50,6 +54,50 @@
 	return until > now ? until : 0;
 }
 
+/* Exchanges that this instance may have with a brittle server at once without risk: its part of
+ * the slots, less once one was rejected. The parts of all instances together fit. */
+static int own_room(const struct be *b)
+{
+	struct mesh_rank r = mesh_rank(b);
+	int part = (int)quota_share(b->slots, r.sharers, r.rank);
+
+	return b->room == BE_ROOM_UNKNOWN ? part : MIN(part, b->room);
+}
+
+/* Whether the server surely has room beyond the part of this instance: others leave most of
+ * theirs unused. */
+static int has_spare_room(const struct be *b, uint32_t runs)
+{
+	return b->room == BE_ROOM_UNKNOWN &&
+	       (runs + b->others.runs) * SPARE_DIVISOR <= b->slots;
+}
+
+/* runs: exchanges of this instance, the one to be sent included. */
+static int is_beyond_room(const struct be *b, uint32_t runs)
+{
+	if (!be_is_brittle(b)) return 0;
+	return (int)runs > own_room(b) && !has_spare_room(b, runs);
+}
+
+int pace_is_beyond_room(const struct be *b)
+{
+	return is_beyond_room(b, b->own.runs);
+}
+
+void pace_no_room(struct be *b)
+{
+	if (be_is_brittle(b)) b->room = MIN(own_room(b), MAX((int)b->own.runs - 1, 0));
+}
+
+void pace_room_grew(struct be *b)
+{
+	struct mesh_rank r = mesh_rank(b);
+
+	if (b->room == BE_ROOM_UNKNOWN) return;
+	if (++b->room >= (int)quota_share(b->slots, r.sharers, r.rank))
+		b->room = BE_ROOM_UNKNOWN;
+}
+
 /* Returns 0 if no bound of the kind applies now. */
 static int get_bound(const struct be *b, const struct conf_service *s, enum quota_kind kind,
 		     int64_t now, struct quota_bound *out)
@@ -60,7 +108,10 @@
 		if (!pace_cold_until_us(b, s, now)) return 0;
 		out->of.cold = (struct quota_cold){s->cold_per_s, cold_over, cold_slack};
 		return 1;
-	case QUOTA_LIMIT: out->of.limit.per_s = b->limit.per_s; return be_is_limited(b);
+	case QUOTA_LIMIT: out->of.limit.per_s = b->limit.report.per_s; return be_is_limited(b);
+	case QUOTA_BRITTLE:
+		out->of.brittle.per_s = b->brittle.report.per_s;
+		return is_beyond_room(b, b->own.runs + 1);
 	case QUOTA_KINDS: break;
 	}
 	return 0;
@@ -70,7 +121,8 @@
  * respecting the bound. */
 static int64_t unpaced_until_us(const struct be *b, enum quota_kind kind)
 {
-	return kind == QUOTA_LIMIT ? MAX(b->limit_changed_us, started_us) : started_us;
+	if (kind == QUOTA_BRITTLE) return MAX(b->brittle.changed_us, started_us);
+	return kind == QUOTA_LIMIT ? MAX(b->limit.changed_us, started_us) : started_us;
 }
 
 static struct quota_pace *update_pace(struct be *b, const struct quota_bound *bound,
@@ -89,7 +141,14 @@
 {
 	int64_t after = SHARELESS_US + mesh_rank(b).rank * (int64_t)SHARELESS_STEP_US;
 
-	return MAX(b->limit.to_us + after - now, 0);
+	return MAX(b->limit.report.to_us + after - now, 0);
+}
+
+/* A place is free once an own exchange ends. */
+static int64_t room_wait_us(const struct be *b)
+{
+	if (!b->own.runs || !own_room(b)) return ROOM_RECHECK_US;
+	return MAX((int64_t)(b->latency_us / b->own.runs), RESUME_CHECK_US);
 }
 
 static int64_t wait_us(struct be *b, const struct conf_service *s,
@@ -100,6 +159,7 @@
 	switch (bound->kind) {
 	case QUOTA_COLD: return MIN(wait, pace_cold_until_us(b, s, now) - now);
 	case QUOTA_LIMIT: return wait == QUOTA_NEVER ? shareless_wait_us(b, now) : wait;
+	case QUOTA_BRITTLE: return MIN(wait, room_wait_us(b));
 	case QUOTA_KINDS: break;
 	}
 	return wait;
@@ -120,8 +180,9 @@
 static int64_t longest_wait_us(struct be *b, const struct conf_service *s, int64_t now,
 			       enum pace_why *why)
 {
-	static const enum pace_why reasons[QUOTA_KINDS] = {
-		[QUOTA_COLD] = PACE_COLD, [QUOTA_LIMIT] = PACE_LIMIT};
+	static const enum pace_why reasons[QUOTA_KINDS] = {[QUOTA_COLD] = PACE_COLD,
+							   [QUOTA_LIMIT] = PACE_LIMIT,
+							   [QUOTA_BRITTLE] = PACE_BRITTLE};
 	int64_t most = backoff_wait_us(b, now), wait;
 	struct quota_bound bound;
 	int kind;
@@ -173,6 +234,10 @@
 
 	for (kind = 0; kind < QUOTA_KINDS; kind++) {
 		if (!get_bound(b, s, kind, now, &bound)) continue;
+		if (kind == QUOTA_BRITTLE) {
+			most = MAX(most, room_wait_us(b));
+			continue;
+		}
 		most = MAX(most, quota_window_us(&bound) /
 					 MAX(update_pace(b, &bound, now)->share, 1));
 	}
@@ -181,7 +246,7 @@
 
 void pace_log(GString *line, struct be *b, const struct conf_service *s)
 {
-	static const char *const names[] = {"busy", "cold", "limit", "rest"};
+	static const char *const names[] = {"busy", "cold", "limit", "rest", "brittle"};
 	int64_t now = clock_us();
 	enum pace_why why = pace_why(b, s, now);
 
@@ -192,11 +257,15 @@
 	case PACE_COLD: jlog_int(line, "share", b->pace[QUOTA_COLD].share); break;
 	case PACE_LIMIT:
 		jlog_int(line, "share", b->pace[QUOTA_LIMIT].share);
-		jlog_int(line, "said_ms", (now - b->limit.to_us) / 1000);
+		jlog_int(line, "said_ms", (now - b->limit.report.to_us) / 1000);
 		break;
 	case PACE_BACKOFF:
 		jlog_int(line, "said_ms", (now - b->backoff.asked_us) / 1000);
 		return;
+	case PACE_BRITTLE:
+		jlog_int(line, "room", own_room(b));
+		jlog_int(line, "runs", b->own.runs);
+		break;
 	}
 	jlog_int(line, "sharers", mesh_rank(b).sharers);
 }
@@ -208,7 +277,8 @@
 	int kind;
 
 	for (kind = 0; kind < QUOTA_KINDS; kind++)
-		if (get_bound(b, s, kind, now, &bound))
+		if (get_bound(b, s, kind, now, &bound) &&
+		    (kind != QUOTA_BRITTLE || pace_is_beyond_room(b)))
 			quota_spend(update_pace(b, &bound, now), &bound, now);
 }
 
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -158,7 +158,7 @@
 /* A server with a rate limit gets few requests, and any answer shows whether it leaves. */
 static int answered_recently(const struct be *b)
 {
-	return be_is_limited(b) && clock_us() - b->limit.to_us < RECENT_US;
+	return be_is_limited(b) && clock_us() - b->limit.report.to_us < RECENT_US;
 }
 
 /* Only streams can be moved, so only engines are probed. Those in a drained data centre are
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -40,6 +40,14 @@
 	int64_t last_full_us; /* when a request last had to wait for max_in_flight */
 };
 
+/* A bound over all instances together, which a server announces in its answers. */
+struct be_limit {
+	struct limit_report report; /* the last one */
+	int64_t changed_us; /* when this instance last learned of it or of its end; 0: never */
+	int pending; /* its own answers named one or none, which was not sent to peers yet */
+};
+#define BE_ROOM_UNKNOWN (-1)
+
 /* This instance's network path to one backend server (path.h). */
 struct be_path {
 	int around;               /* it is reached only through another instance */
@@ -91,16 +99,17 @@
 	struct be_outcomes outcomes;
 	/* From the exchanges of all instances: */
 	uint32_t bad_streak; /* bad outcomes in a row, each of another instance than the last */
-	uint32_t last_bad_by;      /* the instance of the last of them */
+	uint32_t last_bad_by;    /* the instance of the last of them */
 	double latency_us;         /* moving average over plain answers; 0: none yet */
 	uint32_t latency_samples;  /* answers in latency_us */
-	struct limit_report limit; /* the rate limit that it announced last */
-	/* When this instance last learned of a limit or of its end; 0: never. */
-	int64_t limit_changed_us;
+	struct be_limit limit;   /* requests per second */
+	struct be_limit brittle; /* rejections per second after which it falls over */
+	/* While it is brittle: exchanges of this instance that it had room for when it last
+	 * rejected one; BE_ROOM_UNKNOWN: it has rejected none. */
+	int room;
 	int64_t unusable_logged_us; /* when an unusable notice of it was last logged */
-	int limit_pending; /* its own answers named a limit or none, not sent to peers yet */
-	int probing;       /* a health check or report is in flight */
-	int load_dirty;    /* own load changed since it was last sent to peers */
+	int probing;                /* a health check or report is in flight */
+	int load_dirty;             /* own load changed since it was last sent to peers */
 };
 
 struct be_info { /* an entry of the platform's list */
@@ -183,6 +192,8 @@
 void be_set_cold(struct be *b, int64_t for_us);
 /* Whether its last answers named a rate limit. */
 int be_is_limited(const struct be *b);
+/* The same for a bound on rejections. */
+int be_is_brittle(const struct be *b);
 
 /* be_health.c: */
 /* An exchange succeeded or failed: a server that fails too often is ejected for a while, with a
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -52,12 +52,14 @@
 
 /* State that a backend server reports of itself in the head of any answer. */
 struct dl_notice {
-	int has_limit;       /* a limit is stated, valid or not */
-	double limit_per_s;  /* requests per second that it accepts; negative: not stated */
-	int leaving;         /* it will shut down soon */
-	int64_t cold_us;     /* remaining time of its cold start; 0: not stated */
-	int64_t backoff_us;  /* requested back-off of this instance; 0: not stated */
-	const char *invalid; /* name of a field with an invalid value; or NULL */
+	int has_limit;        /* a limit is stated, valid or not */
+	double limit_per_s;   /* requests per second that it accepts; negative: not stated */
+	int has_brittle;      /* a bound on rejections is stated, valid or not */
+	double brittle_per_s; /* rejections in a second that it bears; negative: not stated */
+	int leaving;          /* it will shut down soon */
+	int64_t cold_us;      /* remaining time of its cold start; 0: not stated */
+	int64_t backoff_us;   /* requested back-off of this instance; 0: not stated */
+	const char *invalid;  /* name of a field with an invalid value; or NULL */
 };
 /* Returns 0, or -ENOENT if another incarnation answers: its state is not that of this one. */
 int dl_read_notice(const struct hp_head *h, struct dl_notice *n);
--- a/src/internal/mesh_topic.h
+++ b/src/internal/mesh_topic.h
@@ -27,7 +27,8 @@
 	MESH_LIMITS,    /* rate limits that backend servers stated */
 	MESH_ROLLOUT,   /* state of a rollout, and outcomes of exchanges with the new version */
 	MESH_PING,      /* requests an immediate heartbeat */
-	MESH_TUNNEL     /* requests a tunnel to a backend server on the same connection */
+	MESH_TUNNEL,    /* requests a tunnel to a backend server on the same connection */
+	MESH_BRITTLE    /* rejections per second that backend servers bear */
 };
 
 /* One kind of data that a module exchanges with the same module of other instances. */
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -40,6 +40,7 @@
 	MET_COLD_SKIPPED,       /* choices that skipped a cold server with its share used up */
 	MET_LIMIT_SKIPPED,      /* choices that skipped a server with its rate limit used up */
 	MET_BACKOFF_SKIPPED,    /* choices that skipped a server in or after back-off */
+	MET_BRITTLE_SKIPPED,    /* choices that skipped a brittle server without room */
 	MET_RATE_LIMIT_WAITS,   /* requests that waited for a server's rate limit */
 	MET_NOTICES_INVALID,    /* answers with an invalid notice about their server */
 	MET_CANARY_REQUESTS,    /* requests sent to versions that are being rolled out */
--- a/src/internal/pace.h
+++ b/src/internal/pace.h
@@ -20,7 +20,7 @@
 /* Whether it named a limit of which other instances have all shares, and this one none. */
 int pace_lacks_share(const struct be *b);
 /* The bound with the longest wait. */
-enum pace_why { PACE_FREE, PACE_COLD, PACE_LIMIT, PACE_BACKOFF, PACE_WHYS };
+enum pace_why { PACE_FREE, PACE_COLD, PACE_LIMIT, PACE_BACKOFF, PACE_BRITTLE, PACE_WHYS };
 enum pace_why pace_why(struct be *b, const struct conf_service *s, int64_t now);
 /* Adds to a log line which bound applies, this instance's share of it among how many sharers,
  * and how long ago the server announced it. */
@@ -28,6 +28,14 @@
 /* Counts a request that was sent to it, whether it was allowed or not. */
 void pace_sent(struct be *b, const struct conf_service *s);
 
+/* Whether an exchange that begins now, and is counted already, is beyond the room that this
+ * instance may use at a brittle server without a share of its rejections. */
+int pace_is_beyond_room(const struct be *b);
+/* It rejected a counted request for want of room. */
+void pace_no_room(struct be *b);
+/* It had room for an exchange beyond. */
+void pace_room_grew(struct be *b);
+
 /* It asked this instance for back-off. */
 void pace_backoff(struct be *b, int64_t for_us);
 /* Counts an exchange that begins now if it is one after a back-off; returns whether it is. */
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -137,6 +137,7 @@
 	met_add(MET_COLD_SKIPPED, c.passed_over[PACE_COLD]);
 	met_add(MET_LIMIT_SKIPPED, c.passed_over[PACE_LIMIT]);
 	met_add(MET_BACKOFF_SKIPPED, c.passed_over[PACE_BACKOFF]);
+	met_add(MET_BRITTLE_SKIPPED, c.passed_over[PACE_BRITTLE]);
 	if (c.n) return &c;
 	c.last_resort = 1;
 	be_walk(r->service->name, dc, rq_walk_start(), consider, &c);
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -377,7 +377,30 @@
 	CU_ASSERT_EQUAL(quota_slot_us(s, 0, 0), QUOTA_NEVER);
 }
 
+/* Instances send a brittle server what surely fits, and more only by their shares. */
+static void shares_at_a_brittle_server_add_up(void)
+{
+	static const uint32_t slots[] = {1, 6, 24, 48};
+	static const double bears[] = {1, 3, 10, 40};
+	uint32_t n, i, k;
+
+	for (n = 1; n <= 295; n++)
+		for (k = 0; k < 4; k++) {
+			struct quota_bound b = {QUOTA_BRITTLE, {.brittle = {bears[k]}}};
+			uint32_t room = 0, risky = 0;
+
+			for (i = 0; i < n; i++) {
+				room += quota_share(slots[k], n, i);
+				risky += quota_share(quota_sum(&b), n, i);
+			}
+			CU_ASSERT_EQUAL(room, slots[k]);
+			CU_ASSERT(risky >= 1);
+			CU_ASSERT(risky == 1 || risky <= bears[k] / 2);
+		}
+}
+
 static const struct check list[] = {
+	{"shares_at_a_brittle_server_add_up", shares_at_a_brittle_server_add_up},
 	{"no_window_has_more_than_the_limit_whatever_the_fleets_size",
 	 no_window_has_more_than_the_limit_whatever_the_fleets_size},
 	{"instances_that_start_again_stay_below", instances_that_start_again_stay_below},
