Forget answer times that are out of date

Cause: the average of a server's answer times changed by answers alone. A server that is not asked keeps an average from when it was slow, and is not asked because of it; where all had been slow, callers with little time were refused for ever.

The weight of earlier answers falls with time, when one is added and when the average is used; what is uncertain counts neither against a server nor against a caller's time. A call that times out confirms the average.

--- a/include/saddlehead/place.h
+++ b/include/saddlehead/place.h
@@ -22,8 +22,8 @@
 	uint32_t inbound;  /* tokens of memory that are being transferred to it */
 	uint32_t tokens;   /* capacity of its memory in tokens; 0: unknown */
 	double latency_us; /* moving average of its answer times; 0: no sample yet */
-	/* Uncertainty of latency_us, 0 to 1: this share of its excess over the lowest of all
-	 * candidates is ignored. */
+	/* Uncertainty of latency_us, 0 to 1: a choice ignores this share of its excess over the
+	 * lowest of all candidates, and place_call_in_time this share of the whole. */
 	double uncertainty;
 };
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -314,5 +314,7 @@
 
 int place_call_in_time(const struct place_server *s, int64_t left_us)
 {
-	return left_us >= s->latency_us * CALL_MIN_PERCENT / 100;
+	double expected_us = s->latency_us * (1 - s->uncertainty);
+
+	return left_us >= expected_us * CALL_MIN_PERCENT / 100;
 }
--- a/src/fleet/be_health.c
+++ b/src/fleet/be_health.c
@@ -6,8 +6,6 @@
 #define FAILURE_WEIGHT 0.25  /* weight of the newest exchange: three failures in a row eject */
 #define FAILURE_RATE_MAX 0.5 /* a server with a higher rate is ejected */
 #define FAILURE_RATE_RETRY 0.4 /* after an ejection: one more failure ejects it again */
-#define LATENCY_WEIGHT 0.2 /* weight of the newest answer: about five determine the average */
-#define LATENCY_SAMPLES_MIN 5 /* fewer may all be slow by chance */
 /* Bad outcomes in a row, of different instances, that eject: one may be chance. */
 #define BAD_STREAK 2
 #define SELF 0 /* this instance's number among those whose outcomes are counted */
@@ -19,22 +17,6 @@
 
 int64_t be_last_resort_us;
 
-static void add_latency(struct be *b, int64_t took_us)
-{
-	if (b->latency_us)
-		b->latency_us = b->latency_us * (1 - LATENCY_WEIGHT) + took_us * LATENCY_WEIGHT;
-	else
-		b->latency_us = took_us;
-	b->latency_samples++;
-}
-
-double be_latency_uncertainty(const struct be *b)
-{
-	return b->latency_samples >= LATENCY_SAMPLES_MIN
-		       ? 0
-		       : 1 - (double)b->latency_samples / LATENCY_SAMPLES_MIN;
-}
-
 static int may_eject(const struct be *b, int64_t now)
 {
 	const GPtrArray *list = be_of_service(b->service);
@@ -89,7 +71,7 @@
 	b->failure_rate *= 1 - FAILURE_WEIGHT;
 	if (b->failure_rate < FAILURE_WEIGHT) b->eject_us = 0;
 	b->ejected_until_us = 0;
-	if (took_us) add_latency(b, took_us);
+	if (took_us) latency_observe(&b->latency, took_us, clock_us());
 }
 
 static void add_failure(struct be *b, const char *why)
--- a/src/fleet/pace.c
+++ b/src/fleet/pace.c
@@ -148,7 +148,7 @@
 static int64_t room_wait_us(const struct be *b)
 {
 	if (!b->own.runs || !own_room(b)) return ROOM_RECHECK_US;
-	return MAX((int64_t)(b->latency_us / b->own.runs), RESUME_CHECK_US);
+	return MAX((int64_t)(b->latency.us / b->own.runs), RESUME_CHECK_US);
 }
 
 static int64_t wait_us(struct be *b, const struct conf_service *s,
@@ -222,7 +222,7 @@
 static int64_t resume_gap_us(const struct be *b)
 {
 	if (!b->backoff.until_us) return 0;
-	return b->latency_us > 0 ? (int64_t)(b->latency_us / MAX(b->slots, 1))
+	return b->latency.us > 0 ? (int64_t)(b->latency.us / MAX(b->slots, 1))
 				 : RESUME_CHECK_US;
 }
 
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -4,6 +4,7 @@
 #include "conf.h"
 #include <glib.h>
 #include <netinet/in.h>
+#include <saddlehead/latency.h>
 #include <saddlehead/limit.h>
 #include <saddlehead/quota.h>
 #include <stdint.h>
@@ -100,8 +101,7 @@
 	/* From the exchanges of all instances: */
 	uint32_t bad_streak; /* bad outcomes in a row, each of another instance than the last */
 	uint32_t last_bad_by;    /* the instance of the last of them */
-	double latency_us;         /* moving average over plain answers; 0: none yet */
-	uint32_t latency_samples;  /* answers in latency_us */
+	struct latency latency;  /* of plain answers */
 	struct be_limit limit;   /* requests per second */
 	struct be_limit brittle; /* rejections per second after which it falls over */
 	/* While it is brittle: exchanges of this instance that it had room for when it last
@@ -199,8 +199,6 @@
 /* An exchange succeeded or failed: a server that fails too often is ejected for a while, with a
  * cap on the share of ejected servers. */
 void be_succeeded(struct be *b, int64_t took_us);
-/* Uncertainty of b->latency_us, 0 to 1: a few samples may be chance. */
-double be_latency_uncertainty(const struct be *b);
 void be_failed(struct be *b, const char *why);
 /* It answered with a failure. Not reported to other instances, as their requests differ. */
 void be_answered_error(struct be *b);
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -66,8 +66,8 @@
 		.used = all.used,
 		.tokens = r->service->tokens,
 		.inbound = all.inbound,
-		.latency_us = b->latency_us,
-		.uncertainty = be_latency_uncertainty(b),
+		.latency_us = b->latency.us,
+		.uncertainty = latency_uncertainty(&b->latency, now),
 	};
 }
 
--- a/src/relay/rq_rate.c
+++ b/src/relay/rq_rate.c
@@ -35,8 +35,8 @@
 	t->s[t->n].gap_us = pace_gap_us(b, t->r->service, t->now);
 	if (t->s[t->n].first_us < t->least) t->first = b;
 	t->least = MIN(t->least, t->s[t->n].first_us);
-	if (b->latency_us > 0 && (!t->answer_us || b->latency_us < t->answer_us))
-		t->answer_us = b->latency_us;
+	if (b->latency.us > 0 && (!t->answer_us || b->latency.us < t->answer_us))
+		t->answer_us = b->latency.us;
 	return ++t->n < PLACE_SERVERS_MAX;
 }
 
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -29,6 +29,16 @@
 	return clock_us() - att->sent_us >= r->route->objective_us;
 }
 
+/* Otherwise every caller with too little time would be sent to a slow server again as soon as
+ * its answer times are out of date. */
+static void note_timeout(const struct rq *r)
+{
+	const struct attempt *att = r->attempt;
+
+	if (!att || !att->hx || att->answered || r->service->engine) return;
+	latency_observe_timeout(&att->be->latency, clock_us() - att->sent_us, clock_us());
+}
+
 static void on_end_time(struct ev_timer *t)
 {
 	struct rq *r = (struct rq *)((char *)t - offsetof(struct rq, end_timer));
@@ -37,6 +47,7 @@
 		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "the time ran out before it was sent");
 		return;
 	}
+	note_timeout(r);
 	if (is_server_failure(r)) {
 		att_report_outcome(r->attempt, RO_FAILED);
 		path_blame(r->attempt->be, "no answer in time", r->attempt->sent_us);
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -5,6 +5,7 @@
 #include "clock.h"
 #include <math.h>
 #include <saddlehead/forecast.h>
+#include <saddlehead/latency.h>
 #include <saddlehead/length.h>
 #include <saddlehead/place.h>
 #include <stdlib.h>
@@ -289,6 +290,76 @@
 	CU_ASSERT_EQUAL(times_chosen(s, 3, 0), 0);
 }
 
+/* ---- answer times ---- */
+
+#define SECOND INT64_C(1000000)
+
+static struct latency slow_since(int64_t now_us)
+{
+	struct latency l = {0};
+	int i;
+
+	for (i = 0; i < 20; i++) latency_observe(&l, 200000, now_us);
+	return l;
+}
+
+static void old_answer_times_are_uncertain(void)
+{
+	struct latency l = {0};
+
+	CU_ASSERT_EQUAL(latency_uncertainty(&l, 0), 1);
+	l = slow_since(SECOND);
+	CU_ASSERT(latency_uncertainty(&l, SECOND) < 0.001);
+	CU_ASSERT(latency_uncertainty(&l, 3 * SECOND) < 0.5);
+	CU_ASSERT(latency_uncertainty(&l, 30 * SECOND) > 0.99);
+}
+
+static void a_new_answer_outweighs_old_ones(void)
+{
+	struct latency l = slow_since(SECOND);
+
+	latency_observe(&l, 20000, 2 * SECOND);
+	CU_ASSERT(l.us > 100000);
+	l = slow_since(SECOND);
+	latency_observe(&l, 20000, 30 * SECOND);
+	CU_ASSERT(l.us < 21000);
+}
+
+static void answers_that_vary_take_longer_at_most(void)
+{
+	struct latency steady = {0}, varied = {0};
+	int i;
+
+	CU_ASSERT_EQUAL(latency_most_us(&steady), 0);
+	for (i = 0; i < 40; i++) {
+		latency_observe(&steady, 100000, SECOND);
+		latency_observe(&varied, i % 2 ? 20000 : 180000, SECOND);
+	}
+	CU_ASSERT(latency_most_us(&steady) < 101000);
+	CU_ASSERT(latency_most_us(&varied) > 180000);
+}
+
+static void a_timeout_confirms_that_answers_take_longer(void)
+{
+	struct latency l = slow_since(SECOND);
+
+	latency_observe_timeout(&l, 20000, 2 * SECOND); /* too short to tell */
+	CU_ASSERT_EQUAL(l.at_us, SECOND);
+	latency_observe_timeout(&l, 150000, 2 * SECOND);
+	CU_ASSERT_EQUAL(l.at_us, 2 * SECOND);
+	CU_ASSERT_EQUAL(l.us, 200000);
+}
+
+/* A caller is refused only for what is known: otherwise no answer would ever correct it. */
+static void a_call_may_be_in_time_where_answers_are_old(void)
+{
+	struct place_server s = {.usable = 1, .latency_us = 2000000};
+
+	CU_ASSERT(!place_call_in_time(&s, 500000));
+	s.uncertainty = 0.8;
+	CU_ASSERT(place_call_in_time(&s, 500000));
+}
+
 /* ---- lengths ---- */
 
 static void a_forecast_learns_how_far_off_it_was(void)
@@ -410,6 +481,13 @@
 	{"a_call_gives_one_with_few_answers_another_chance",
 	 a_call_gives_one_with_few_answers_another_chance},
 	{"a_call_goes_to_the_quickest", a_call_goes_to_the_quickest},
+	{"old_answer_times_are_uncertain", old_answer_times_are_uncertain},
+	{"a_new_answer_outweighs_old_ones", a_new_answer_outweighs_old_ones},
+	{"answers_that_vary_take_longer_at_most", answers_that_vary_take_longer_at_most},
+	{"a_timeout_confirms_that_answers_take_longer",
+	 a_timeout_confirms_that_answers_take_longer},
+	{"a_call_may_be_in_time_where_answers_are_old",
+	 a_call_may_be_in_time_where_answers_are_old},
 	{"a_forecast_learns_how_far_off_it_was", a_forecast_learns_how_far_off_it_was},
 	{"lengths_are_learnt_and_hints_weighed", lengths_are_learnt_and_hints_weighed},
 	{"failures_at_two_instances_eject_a_server", failures_at_two_instances_eject_a_server},
