Wait for the others before listing, on a fleet's first start

Cause: roles follow from the members that are known, so that of the first few each was one that lists from the store; only an instance that knew of nobody waited.

--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -117,12 +117,12 @@
 }
 
 /* Which instances watch for all is known once heartbeats of others, if there are any, have
- * arrived. */
+ * arrived: with few members known every instance would be one that lists. */
 static int must_watch(void)
 {
-	int alone = mesh_count_live() == 1 && mesh_most_members() > 1;
+	int unsettled = mesh_most_members() > 1 && clock_us() - started_us < SETTLE_US;
 
-	if (alone && clock_us() - started_us < SETTLE_US) return 0;
+	if (unsettled && (first_start || mesh_count_live() == 1)) return 0;
 	return mesh_watches_store();
 }
 
--- a/test/test_standby.c
+++ b/test/test_standby.c
@@ -66,12 +66,10 @@
 	pw_end();
 }
 
-/* When a whole fleet starts, it is no use that hundreds of instances list from the store at
- * once, as callers arrive seconds later. An instance that receives no lists then lists them
- * itself. */
-static void on_the_first_start_few_list(void)
+/* Checks that an instance that others list for calls the store only once their lists have not
+ * come. The first few of the others come before the rest. */
+static void start_fleet(struct pw_peer **p, int first, int rest_ms)
 {
-	struct pw_peer *p[PEERS];
 	struct pw_entry *e;
 	char settings[128];
 	int i;
@@ -86,6 +84,7 @@
 		p[i] = pw_peer_new(e, 0);
 		p[i]->link_mbps = 100;
 		p[i]->serving_callers = p[i]->store_up = 1;
+		if (i + 1 == first) pw_run(rest_ms);
 	}
 	pw_run(1500);
 	CU_ASSERT_EQUAL(pw_store.calls, 0);
@@ -96,6 +95,24 @@
 	pw_end();
 }
 
+/* When a whole fleet starts, it is no use that hundreds of instances list from the store at
+ * once, as callers arrive seconds later. An instance that receives no lists then lists them
+ * itself. */
+static void on_the_first_start_few_list(void)
+{
+	struct pw_peer *p[PEERS];
+
+	start_fleet(p, 0, 0);
+}
+
+/* Of the few that are known at first, each would be one that lists. */
+static void on_the_first_start_others_come_one_by_one(void)
+{
+	struct pw_peer *p[PEERS];
+
+	start_fleet(p, 2, 250);
+}
+
 /* While the store answers nobody, only two instances keep calling it for all. */
 static void a_store_that_is_away_is_left_to_few(void)
 {
@@ -196,6 +213,8 @@
 	{"a_hub_beats_seldom_to_most_that_stand_by", a_hub_beats_seldom_to_most_that_stand_by},
 	{"one_of_many_stands_by", one_of_many_stands_by},
 	{"on_the_first_start_few_list", on_the_first_start_few_list},
+	{"on_the_first_start_others_come_one_by_one",
+	 on_the_first_start_others_come_one_by_one},
 	{"a_store_that_is_away_is_left_to_few", a_store_that_is_away_is_left_to_few},
 };
 
