Ask the store who there is before an instance takes itself for alone

Cause: an instance that starts again without seeds, and that nobody has reached after 0.1 s, took itself for alone, and its quarantine for complete: it ran a request that all others had quarantined.

--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -14,6 +14,7 @@
 
 static GPtrArray *members;
 static GHashTable *by_ip; /* the same members by address */
+static int roster_listed; /* the store has named the members */
 static int most_members = 1;
 
 const GPtrArray *mesh_members(void)
@@ -301,6 +302,16 @@
 	return most_members;
 }
 
+void mesh_set_roster_listed(void)
+{
+	roster_listed = 1;
+}
+
+int mesh_is_alone(void)
+{
+	return most_members == 1 && roster_listed;
+}
+
 void mesh_members_start(void)
 {
 	members = g_ptr_array_new();
--- a/src/fleet/quarantine.c
+++ b/src/fleet/quarantine.c
@@ -317,7 +317,7 @@
 
 	if (ready) return 1;
 	if (synced_us && now - synced_us >= SYNC_US) ready = 1;
-	if (mesh_most_members() == 1 && now - started_us >= SYNC_US) ready = 1;
+	if (mesh_is_alone() && now - started_us >= SYNC_US) ready = 1;
 	if (now - started_us >= SYNC_MAX_US) ready = 1;
 	return ready;
 }
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -99,6 +99,7 @@
 		ip[r->items[i].len] = '\0';
 		mesh_add_ip(ip);
 	}
+	if (!r->rc) mesh_set_roster_listed();
 	ev_in(&list_timer, mesh_count_live() > 1 ? LIST_US : LIST_ALONE_US);
 }
 
@@ -130,7 +131,8 @@
 	list_timer.fire = on_list_timer;
 	st_on_era = on_era;
 	ev_in(&lease_timer, SETTLE_US);
-	ev_in(&list_timer, LIST_ALONE_US);
+	/* One that starts again and was told of nobody learns here whether it is alone. */
+	ev_in(&list_timer, c->first_start || mesh_most_members() > 1 ? LIST_ALONE_US : 0);
 }
 
 void roster_leave(void)
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -98,6 +98,10 @@
 /* Largest number of instances known at once so far; dead ones count until they are
  * forgotten. */
 int mesh_most_members(void);
+/* The store has named the members that it knows. */
+void mesh_set_roster_listed(void);
+/* Whether neither the store nor anybody else has named another instance. */
+int mesh_is_alone(void);
 /* This instance's part (0 to 1) of what all instances together may do within a window. */
 double mesh_part(int64_t window_us);
 /* The load on b changed: schedules a message to the serving instances. */
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -236,6 +236,31 @@
 	scenario_end(&d);
 }
 
+/* The others are suspended while it starts, and it was told of none of them: it must not take
+ * itself for alone. */
+static void an_instance_that_starts_before_others_reach_it_waits_for_them(void)
+{
+	struct scenario d;
+	struct pw_call *c;
+	int i, ends;
+
+	scenario_begin(&d, "app", 0);
+	quarantine(&d);
+	pw_run(1500); /* until all have written their addresses to the store */
+	ends = pw_crash.crashes;
+	pw_entry_kill(d.e[0], SIGKILL);
+	pw_entry_wait(d.e[0], 1000);
+	for (i = 1; i < ENTRIES; i++) pw_entry_kill(d.e[i], SIGSTOP);
+	pw_entry_restart(d.e[0]);
+	pw_run(50);
+	c = ask(d.e[0], "POST", "/safe/", "k1", CRASHING);
+	pw_run(400);
+	for (i = 1; i < ENTRIES; i++) pw_entry_kill(d.e[i], SIGCONT);
+	pw_call_wait(c, 2000);
+	CU_ASSERT_EQUAL(pw_crash.crashes, ends);
+	scenario_end(&d);
+}
+
 /* The store is down for all, and the instance that saw the crashes dies right after. */
 static void all_know_while_the_store_is_away(void)
 {
@@ -516,6 +541,8 @@
 	{"a_stream_that_ends_engines_is_stopped", a_stream_that_ends_engines_is_stopped},
 	{"copies_at_once_are_one_request", copies_at_once_are_one_request},
 	{"other_requests_go_on", other_requests_go_on},
+	{"an_instance_that_starts_before_others_reach_it_waits_for_them",
+	 an_instance_that_starts_before_others_reach_it_waits_for_them},
 	{"an_instance_that_starts_hears_of_it_before_it_serves",
 	 an_instance_that_starts_hears_of_it_before_it_serves},
 	{"all_know_while_the_store_is_away", all_know_while_the_store_is_away},
