Free the daemon's queues once all threads have ended

Cause: node_stop freed the queues of the keeper and of the claims before the threads ended that write to them; a member that ended meanwhile was queued into freed memory (segmentation fault in ring_push).

Change: *_join for all, then *_free.

--- a/src/internal/claim.h
+++ b/src/internal/claim.h
@@ -65,7 +65,9 @@
 
 /* claims.c: the thread that writes the shards whose home is this instance. */
 int claims_start(void);
-void claims_stop(void);
+/* As keeper_join and keeper_free. */
+void claims_join(void);
+void claims_free(void);
 /* Queues a copy of the operation; -EAGAIN when the ring is full. */
 int claims_post(uint64_t from, uint64_t request, const struct claim_op *op);
 #endif
--- a/src/internal/node.h
+++ b/src/internal/node.h
@@ -30,7 +30,11 @@
 
 /* keeper.c */
 int keeper_start(void);
-void keeper_stop(void);
+/* Waits for the thread's end. Other threads may still queue messages, so the queue stays until
+ * keeper_free. */
+void keeper_join(void);
+/* Once no other thread runs. */
+void keeper_free(void);
 /* Queues a message from a member for this instance's core. */
 int keeper_post(const struct wire_msg *m, uint64_t from);
 
--- a/src/internal/peer.h
+++ b/src/internal/peer.h
@@ -7,7 +7,9 @@
 /* peer_listen binds the port and stores the one chosen; peer_start starts the thread. */
 int peer_listen(const char *ip, uint16_t *port, struct err *e);
 int peer_start(const struct mbr_info *self, struct err *e);
-void peer_stop(void);
+/* As keeper_join and keeper_free. */
+void peer_join(void);
+void peer_free(void);
 
 /* Queues a message; -EAGAIN when the ring is full, and the message is counted as dropped. */
 int peer_send(uint64_t member, const struct wire_msg *m);
--- a/src/link/peer.c
+++ b/src/link/peer.c
@@ -58,6 +58,12 @@
 	return 0;
 }
 
+static void cmd_free(struct cmd *c)
+{
+	msgpack_sbuffer_destroy(&c->frame);
+	g_free(c);
+}
+
 static int push_cmd(enum cmd_type type, uint64_t member, const struct wire_msg *m)
 {
 	struct cmd *c = g_new0(struct cmd, 1);
@@ -67,8 +73,7 @@
 	msgpack_sbuffer_init(&c->frame);
 	if (m) wire_encode(&c->frame, m);
 	if (!ring_push(&peer.cmds, c)) return 0;
-	msgpack_sbuffer_destroy(&c->frame);
-	g_free(c);
+	cmd_free(c);
 	met_add(MET_PEER_DROPPED, 1);
 	return -EAGAIN;
 }
@@ -332,8 +337,7 @@
 	case CMD_DOCS: ping_members(FANOUT); break;
 	case CMD_LEAVE: leave(); break;
 	}
-	msgpack_sbuffer_destroy(&c->frame);
-	g_free(c);
+	cmd_free(c);
 }
 
 static void run_cmds(void)
@@ -425,12 +429,18 @@
 	return 0;
 }
 
-void peer_stop(void)
+void peer_join(void)
 {
-	guint i;
-
 	eventfd_write(peer.cmds.wake_fd, 1);
 	pthread_join(peer.thread, NULL);
+}
+
+void peer_free(void)
+{
+	void *item;
+	guint i;
+
+	while (ring_take(&peer.cmds, &item, 1)) cmd_free(item);
 	for (i = 0; i < peer.links->len; i++) plink_free(peer.links->pdata[i]);
 	g_ptr_array_unref(peer.links);
 	g_hash_table_unref(peer.by_member);
--- a/src/node/claims.c
+++ b/src/node/claims.c
@@ -257,12 +257,16 @@
 	return 0;
 }
 
-void claims_stop(void)
+void claims_join(void)
+{
+	pthread_join(claims.thread, NULL);
+}
+
+void claims_free(void)
 {
 	void *item;
 	int i;
 
-	pthread_join(claims.thread, NULL);
 	while (ring_take(&claims.ring, &item, 1)) job_free(item);
 	for (i = 0; i < CLAIM_SHARDS; i++) {
 		while (claims.home[i].waiting->len)
--- a/src/node/keeper.c
+++ b/src/node/keeper.c
@@ -436,9 +436,16 @@
 	return 0;
 }
 
-void keeper_stop(void)
+void keeper_join(void)
 {
 	pthread_join(keeper.thread, NULL);
+}
+
+void keeper_free(void)
+{
+	void *item;
+
+	while (ring_take(&keeper.ring, &item, 1)) g_free(item);
 	core_free(keeper.core);
 	shares_free();
 	g_hash_table_unref(keeper.entries);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -166,10 +166,13 @@
 	admin_stop();
 	node.stopping = 1;
 	platform_stop();
-	keeper_stop();
-	claims_stop();
-	peer_stop();
+	keeper_join();
+	claims_join();
+	peer_join();
 	mux_free(node.engines);
 	mux_free(node.platform);
+	keeper_free();
+	claims_free();
+	peer_free();
 	curl_global_cleanup();
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -66,6 +66,19 @@
 	return rc;
 }
 
+/* Whether every daemon that began to drain also stopped: one that crashes meanwhile leaves no
+ * other trace. */
+static int find_unclean_stops(struct fleet *f)
+{
+	char *cmd = g_strdup_printf("[ -z \"$(grep -l ' drain: Draining' %s/entry*.log | "
+				    "xargs -r grep -L ' has stopped')\" ]",
+				    f->dir);
+	int rc = system(cmd);
+
+	g_free(cmd);
+	return rc;
+}
+
 int fleet_stop(struct fleet *f)
 {
 	char *cmd = g_strdup_printf("scripts/fleet stop --dir %s", f->dir);
@@ -73,6 +86,7 @@
 	int rc = system(cmd);
 
 	if (!rc) rc = find_sanitizer_reports(f);
+	if (!rc) rc = find_unclean_stops(f);
 	if (!getenv("KEEP") && system(rm)) fprintf(stderr, "can't remove %s\n", f->dir);
 	json_object_put(f->json);
 	g_free(rm);
--- a/test/test_docs.c
+++ b/test/test_docs.c
@@ -77,7 +77,8 @@
 static void stop(void)
 {
 	node.stopping = 1;
-	peer_stop();
+	peer_join();
+	peer_free();
 }
 
 static void send_msg(struct plink *l, const struct wire_msg *m)
