--- a/test/pw.c
+++ b/test/pw.c
@@ -2,6 +2,7 @@
 #include "pw.h"
 #include "hostport.h"
 #include <signal.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <unistd.h>
 
@@ -12,29 +13,31 @@
 
 static char net[24];
 
-static volatile int stop;
-static int (*condition)(void *);
-static void *condition_arg;
-static int64_t until_us;
-static struct ev_timer poll_timer;
+/* One call of pw_until. */
+struct wait {
+	int (*condition)(void *);
+	void *arg;
+	int64_t until_us;
+	volatile int stop;
+	struct ev_timer timer;
+};
 
 static void on_poll(struct ev_timer *t)
 {
-	if ((condition && condition(condition_arg)) || ev_now() >= until_us)
-		stop = 1;
+	struct wait *w = (struct wait *)((char *)t - offsetof(struct wait, timer));
+
+	if ((w->condition && w->condition(w->arg)) || ev_now() >= w->until_us)
+		w->stop = 1;
 	else
 		ev_in(t, POLL_US);
 }
 
 int pw_until(int (*f)(void *), void *arg, int ms)
 {
-	condition = f;
-	condition_arg = arg;
-	until_us = ev_now() + (int64_t)ms * 1000;
-	stop = 0;
-	poll_timer.fire = on_poll;
-	ev_in(&poll_timer, 0);
-	ev_run(&stop);
+	struct wait w = {f, arg, ev_now() + (int64_t)ms * 1000, 0, {.fire = on_poll}};
+
+	ev_in(&w.timer, 0);
+	ev_run(&w.stop);
 	return f ? f(arg) : 1;
 }
 
--- a/test/pw.h
+++ b/test/pw.h
@@ -34,7 +34,8 @@
 void pw_end(void);
 /* Runs the event loop for ms. */
 void pw_run(int ms);
-/* Runs the loop until f(arg) is nonzero or ms have passed; returns the last value of f. */
+/* Runs the loop until f(arg) is nonzero or ms have passed; returns the last value of f, which
+ * may itself run the loop. */
 int pw_until(int (*f)(void *), void *arg, int ms);
 /* The address of a host; valid until the next call. */
 const char *pw_ip(int host);
