--- a/test/test_hold.c
+++ b/test/test_hold.c
@@ -168,20 +168,24 @@
 	end(r, 1);
 }
 
+/* Each may hold 128 KB however little is left, and this many hold more than PENDING_MAX then.
+ */
+#define MANY_READERS (6 * READERS)
+
 /* Memory does not suffice for all readers: those that read nothing are closed, readers are not.
  */
 static void memory_that_is_short_ends_those_that_take_nothing(void)
 {
-	static struct reader r[4 * READERS];
+	static struct reader r[MANY_READERS];
 	int i;
 
-	begin(r, 4 * READERS);
-	for (i = 1; i < 4 * READERS; i++) cn_pause(&r[i].cn, 1);
+	begin(r, MANY_READERS);
+	for (i = 1; i < MANY_READERS; i++) cn_pause(&r[i].cn, 1);
 	serve(2500);
 	CU_ASSERT(pending() <= PENDING_MAX);
 	CU_ASSERT_EQUAL(r[0].received, STREAM);
 	CU_ASSERT(ended > 0);
-	end(r, 4 * READERS);
+	end(r, MANY_READERS);
 }
 
 #define MEMORY_MB 88 /* of the smallest instance */
