Brittle servers: draw free places by lot, and take turns after rejections

Cause: of the rejections at sixteen instances two thirds were of requests in places of others: each instance that saw half of the slots free took the same ones, as loads are known 10 to 50 ms late. An instance without a share of the rejections, which most are (two a second for sixteen), never used free places again once it was rejected, and a part that was lost came back at the same rate.

Ruled out: an uneven deal of the parts (simulated: 95 in 100 of the room or more in 95 of 100 deals).

Free places go by lot, by the number of the others that had work lately; counts of rejections travel with the loads, and hold everybody back for 1 to 8 s; only those whose part was rejected risk another one, in turns.

--- a/include/saddlehead/quota.h
+++ b/include/saddlehead/quota.h
@@ -52,6 +52,9 @@
 /* Share of the instance with this rank (from 0) among the sharers. The shares add up to sum. */
 uint32_t quota_share(uint32_t sum, uint32_t sharers, uint32_t rank);
 
+/* Microseconds from one send of an instance to its next if as many sharers take turns. */
+int64_t quota_turn_us(const struct quota_bound *b, uint32_t sharers);
+
 /* Send times of one instance. Initialized with zeros. */
 struct quota_pace {
 	int64_t sent_us; /* last send; later than the actual one if it sent more than its share
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -64,6 +64,11 @@
 	return sum / sharers + (rank < sum % sharers);
 }
 
+int64_t quota_turn_us(const struct quota_bound *b, uint32_t sharers)
+{
+	return quota_window_us(b) * (sharers ? sharers : 1) / quota_sum(b);
+}
+
 void quota_set_share(struct quota_pace *p, uint32_t share, int64_t earlier_until_us,
 		     int64_t now_us)
 {
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -115,7 +115,7 @@
 	b->region = be_region_of(i->dc);
 	b->version = g_strdup(i->version ? i->version : "");
 	b->sa = *sa;
-	b->room = BE_ROOM_UNKNOWN;
+	b->room.own = BE_ROOM_UNKNOWN;
 	b->state_since_us = clock_us();
 	b->drained_us = be_dc_is_drained(b->dc) ? b->state_since_us : 0;
 	if (be_version_is_blocked(b->service, b->version)) b->blocked_us = b->state_since_us;
--- a/src/fleet/limit.c
+++ b/src/fleet/limit.c
@@ -10,6 +10,7 @@
 #include "ev.h"
 #include "jlog.h"
 #include "mesh_topic.h"
+#include "room.h"
 #include <errno.h>
 #include <math.h>
 
@@ -66,7 +67,7 @@
 {
 	if (k == LIMIT_RATE) b->pace[QUOTA_LIMIT] = (struct quota_pace){0};
 	if (k == LIMIT_REJECTIONS) b->pace[QUOTA_BRITTLE] = (struct quota_pace){0};
-	if (k == LIMIT_REJECTIONS) b->room = BE_ROOM_UNKNOWN;
+	if (k == LIMIT_REJECTIONS) room_reset(b);
 }
 
 /* Returns 1 if the bound in force changed. */
--- a/src/fleet/mesh_loads.c
+++ b/src/fleet/mesh_loads.c
@@ -4,6 +4,7 @@
 #include "ev.h"
 #include "mesh_impl.h"
 #include "met.h"
+#include "room.h"
 #include <string.h>
 
 /* Delay that batches changes; short, because an engine that looks free is chosen by many. */
@@ -89,13 +90,15 @@
 		g_hash_table_insert(m->outcomes, g_strdup(r->id), prev);
 	}
 	if (prev->incarnation_ms == r->incarnation_ms && delta.good >= prev->outcomes.good &&
-	    delta.bad >= prev->outcomes.bad) {
+	    delta.bad >= prev->outcomes.bad && delta.rejected >= prev->outcomes.rejected) {
 		delta.good -= prev->outcomes.good;
 		delta.bad -= prev->outcomes.bad;
+		delta.rejected -= prev->outcomes.rejected;
 	}
 	prev->incarnation_ms = r->incarnation_ms;
 	prev->outcomes = r->outcomes;
 	be_apply_outcomes(b, g_str_hash(m->ip) | 1, delta);
+	room_rejected_others(b, delta.rejected);
 }
 
 static void apply_row(struct member *m, const struct mesh_load_row *r)
@@ -110,6 +113,7 @@
 		g_hash_table_insert(m->loads, g_strdup(r->id), t);
 	}
 	detach_load(t);
+	if (r->load.runs) m->worked_us = clock_us();
 	t->incarnation_ms = r->incarnation_ms;
 	t->load = r->load;
 	attach_load(t, b);
--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -7,6 +7,7 @@
 /* Until heartbeats of the others have arrived, the largest possible number of them is assumed.
  */
 #define SETTLE_US 1500000
+#define BUSY_US 1000000
 #define MULTIPLIER 2654435761u /* odd, with bits set throughout the word */
 
 static int64_t started_us;
@@ -29,16 +30,20 @@
 struct mesh_rank mesh_rank(const struct be *b)
 {
 	struct mesh_rank r = {.sharers = 1};
+	int64_t now = clock_us();
 	uint32_t i, server = g_str_hash(b->id), mine = order_of(mesh_cfg()->ip, server);
 
+	r.order = mine;
+
 	for (i = 0; i < mesh_members()->len; i++) {
 		const struct member *m = g_ptr_array_index(mesh_members(), i);
 
 		if (!is_sharer(m)) continue;
 		r.sharers++;
+		r.busy += now - m->worked_us < BUSY_US;
 		r.rank += order_of(m->ip, server) < mine;
 	}
-	if (clock_us() - started_us < SETTLE_US) r.sharers = MAX(r.sharers, ROLES_ACTIVE);
+	if (now - started_us < SETTLE_US) r.sharers = MAX(r.sharers, ROLES_ACTIVE);
 	if (!mesh_self_active()) r.rank = r.sharers;
 	return r;
 }
--- a/src/fleet/mesh_read.c
+++ b/src/fleet/mesh_read.c
@@ -93,6 +93,8 @@
 	r->outcomes.bad = mesh_int(&a->ptr[9]);
 	r->incarnation_ms =
 		a->size > MESH_ROW_INCARNATION ? mesh_int(&a->ptr[MESH_ROW_INCARNATION]) : 0;
+	r->outcomes.rejected =
+		a->size > MESH_ROW_REJECTED ? mesh_int(&a->ptr[MESH_ROW_REJECTED]) : 0;
 	return 0;
 }
 
--- a/src/fleet/mesh_write.c
+++ b/src/fleet/mesh_write.c
@@ -87,6 +87,7 @@
 	msgpack_pack_uint32(p, row->outcomes.good);
 	msgpack_pack_uint32(p, row->outcomes.bad);
 	msgpack_pack_int64(p, row->incarnation_ms);
+	msgpack_pack_uint32(p, row->outcomes.rejected);
 }
 
 void mesh_write_loads(GString *out, const struct mesh_load_row *row, int n, int whole)
--- a/src/fleet/pace.c
+++ b/src/fleet/pace.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "jlog.h"
 #include "mesh.h"
+#include "room.h"
 
 /* A limited server without an answer for this long may be sent a request by instances without a
  * share, one after the other: those with a share may be down, or have no requests. */
@@ -15,10 +16,6 @@
 #define RESUMED_US 100000
 /* Exchanges in flight with which a back-off ends, for servers with fewer slots. */
 #define RESUMED_MIN 4u
-/* Part of a brittle server's slots up to which any instance may use them, as one over this. */
-#define SPARE_DIVISOR 2
-/* Wait for room at a brittle server where none of this instance's exchanges is to end. */
-#define ROOM_RECHECK_US 200000
 
 static double cold_over = 1, cold_slack;
 static int64_t started_us;
@@ -54,50 +51,6 @@
 	return until > now ? until : 0;
 }
 
-/* Exchanges that this instance may have with a brittle server at once without risk: its part of
- * the slots, less once one was rejected. The parts of all instances together fit. */
-static int own_room(const struct be *b)
-{
-	struct mesh_rank r = mesh_rank(b);
-	int part = (int)quota_share(b->slots, r.sharers, r.rank);
-
-	return b->room == BE_ROOM_UNKNOWN ? part : MIN(part, b->room);
-}
-
-/* Whether the server surely has room beyond the part of this instance: others leave most of
- * theirs unused. */
-static int has_spare_room(const struct be *b, uint32_t runs)
-{
-	return b->room == BE_ROOM_UNKNOWN &&
-	       (runs + b->others.runs) * SPARE_DIVISOR <= b->slots;
-}
-
-/* runs: exchanges of this instance, the one to be sent included. */
-static int is_beyond_room(const struct be *b, uint32_t runs)
-{
-	if (!be_is_brittle(b)) return 0;
-	return (int)runs > own_room(b) && !has_spare_room(b, runs);
-}
-
-int pace_is_beyond_room(const struct be *b)
-{
-	return is_beyond_room(b, b->own.runs);
-}
-
-void pace_no_room(struct be *b)
-{
-	if (be_is_brittle(b)) b->room = MIN(own_room(b), MAX((int)b->own.runs - 1, 0));
-}
-
-void pace_room_grew(struct be *b)
-{
-	struct mesh_rank r = mesh_rank(b);
-
-	if (b->room == BE_ROOM_UNKNOWN) return;
-	if (++b->room >= (int)quota_share(b->slots, r.sharers, r.rank))
-		b->room = BE_ROOM_UNKNOWN;
-}
-
 /* Returns 0 if no bound of the kind applies now. */
 static int get_bound(const struct be *b, const struct conf_service *s, enum quota_kind kind,
 		     int64_t now, struct quota_bound *out)
@@ -111,7 +64,7 @@
 	case QUOTA_LIMIT: out->of.limit.per_s = b->limit.report.per_s; return be_is_limited(b);
 	case QUOTA_BRITTLE:
 		out->of.brittle.per_s = b->brittle.report.per_s;
-		return is_beyond_room(b, b->own.runs + 1);
+		return room_is_beyond(b, b->own.runs + 1);
 	case QUOTA_KINDS: break;
 	}
 	return 0;
@@ -144,22 +97,33 @@
 	return MAX(b->limit.report.to_us + after - now, 0);
 }
 
-/* A place is free once an own exchange ends. */
-static int64_t room_wait_us(const struct be *b)
+/* Until this instance's turn to risk a rejection. There are fewer rejections than instances, so
+ * that shares of them would leave most instances none. */
+static int64_t turn_wait_us(const struct be *b, const struct quota_bound *bound, int64_t now)
 {
-	if (!b->own.runs || !own_room(b)) return ROOM_RECHECK_US;
-	return MAX((int64_t)(b->latency.us / b->own.runs), RESUME_CHECK_US);
+	int64_t sent_us = b->pace[QUOTA_BRITTLE].sent_us;
+	int64_t from_us = unpaced_until_us(b, QUOTA_BRITTLE), turn;
+	uint32_t takers = room_risk_takers(b, b->own.runs + 1);
+	struct mesh_rank r = mesh_rank(b);
+
+	if (!takers) return QUOTA_NEVER;
+	turn = quota_turn_us(bound, takers);
+	if (sent_us < from_us) sent_us = from_us + turn * (r.rank % takers) / takers;
+	return MAX(sent_us + turn - now, 0);
 }
 
 static int64_t wait_us(struct be *b, const struct conf_service *s,
 		       const struct quota_bound *bound, int64_t now)
 {
-	int64_t wait = quota_wait_us(update_pace(b, bound, now), bound, now);
+	int64_t wait;
 
+	if (bound->kind == QUOTA_BRITTLE)
+		return MIN(turn_wait_us(b, bound, now), room_wait_us(b));
+	wait = quota_wait_us(update_pace(b, bound, now), bound, now);
 	switch (bound->kind) {
 	case QUOTA_COLD: return MIN(wait, pace_cold_until_us(b, s, now) - now);
 	case QUOTA_LIMIT: return wait == QUOTA_NEVER ? shareless_wait_us(b, now) : wait;
-	case QUOTA_BRITTLE: return MIN(wait, room_wait_us(b));
+	case QUOTA_BRITTLE:
 	case QUOTA_KINDS: break;
 	}
 	return wait;
@@ -263,7 +227,7 @@
 		jlog_int(line, "said_ms", (now - b->backoff.asked_us) / 1000);
 		return;
 	case PACE_BRITTLE:
-		jlog_int(line, "room", own_room(b));
+		jlog_int(line, "room", room_own(b));
 		jlog_int(line, "runs", b->own.runs);
 		break;
 	}
@@ -276,10 +240,12 @@
 	struct quota_bound bound;
 	int kind;
 
-	for (kind = 0; kind < QUOTA_KINDS; kind++)
-		if (get_bound(b, s, kind, now, &bound) &&
-		    (kind != QUOTA_BRITTLE || pace_is_beyond_room(b)))
+	for (kind = 0; kind < QUOTA_KINDS; kind++) {
+		if (kind == QUOTA_BRITTLE) continue;
+		if (get_bound(b, s, kind, now, &bound))
 			quota_spend(update_pace(b, &bound, now), &bound, now);
+	}
+	if (room_is_beyond(b, b->own.runs)) b->pace[QUOTA_BRITTLE].sent_us = now;
 }
 
 /* ---- back-off ---- */
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -29,6 +29,7 @@
 /* Outcomes of one instance's exchanges with one backend server since the instance's start. */
 struct be_outcomes {
 	uint32_t good, bad; /* bad: broken off, silent, or not reached */
+	uint32_t rejected;  /* for want of room */
 };
 
 /* Back-off that a server asked this instance for: it gets no request until until_us. Then one
@@ -47,7 +48,16 @@
 	int64_t changed_us; /* when this instance last learned of it or of its end; 0: never */
 	int pending; /* its own answers named one or none, which was not sent to peers yet */
 };
+/* Room at a server while it is brittle (room.h). */
 #define BE_ROOM_UNKNOWN (-1)
+struct be_room {
+	/* Exchanges of this instance that it had room for when it last rejected one of its
+	 * part; BE_ROOM_UNKNOWN: it has rejected none. */
+	int own;
+	uint32_t rejections;   /* by all instances since it last rejected none for a while */
+	int64_t spare_from_us; /* free places of other instances are not used before */
+	int64_t hold_us;       /* the time for which they were last not used */
+};
 
 /* This instance's network path to one backend server (path.h). */
 struct be_path {
@@ -104,9 +114,7 @@
 	struct latency latency;  /* of plain answers */
 	struct be_limit limit;   /* requests per second */
 	struct be_limit brittle; /* rejections per second after which it falls over */
-	/* While it is brittle: exchanges of this instance that it had room for when it last
-	 * rejected one; BE_ROOM_UNKNOWN: it has rejected none. */
-	int room;
+	struct be_room room;
 	int64_t unusable_logged_us; /* when an unusable notice of it was last logged */
 	int probing;                /* a health check or report is in flight */
 	int load_dirty;             /* own load changed since it was last sent to peers */
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -115,6 +115,9 @@
  * keep their positions, which no other one takes. rank >= sharers: it has no position. */
 struct mesh_rank {
 	uint32_t sharers, rank;
+	uint32_t order; /* a hash of this instance and b */
+	uint32_t busy;  /* of the others, those that have sent to some server in the last second
+			 */
 };
 struct mesh_rank mesh_rank(const struct be *b);
 /* Sets whether a call of this instance to the store has been unanswered for long. */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -65,6 +65,7 @@
 	int refused;             /* the last connection was refused; cleared by a heartbeat */
 	int64_t acked_us;        /* newest stamp of this instance that it has echoed */
 	int64_t fetch_after_us;  /* it refused a copy, and is not asked again before */
+	int64_t worked_us;       /* when it last reported a run at some server */
 	int64_t tunnel_after_us; /* a tunnel failed, and is not asked for again before */
 	struct cache_revs reported_revs; /* of its lists, as another instance reported */
 	GHashTable *loads;               /* id -> struct peer_load */
@@ -95,9 +96,10 @@
 #define MESH_ITEM_ERA 3
 #define MESH_MARKER_FIELDS 6
 #define MESH_MARKER_ERAS 4 /* index of the eras of the revisions before the items */
-#define MESH_ROW_FIELDS 11
-#define MESH_ROW_FIELDS_MIN 10  /* sent by earlier releases, without the next one */
+#define MESH_ROW_FIELDS 12
+#define MESH_ROW_FIELDS_MIN 10  /* sent by earlier releases, without the next two */
 #define MESH_ROW_INCARNATION 10 /* index of incarnation_ms */
+#define MESH_ROW_REJECTED 11    /* index of outcomes.rejected */
 
 /* Packs an item for mesh_read_item. */
 void mesh_pack_item(msgpack_packer *p, const struct st_item *i);
--- a/src/internal/pace.h
+++ b/src/internal/pace.h
@@ -28,14 +28,6 @@
 /* Counts a request that was sent to it, whether it was allowed or not. */
 void pace_sent(struct be *b, const struct conf_service *s);
 
-/* Whether an exchange that begins now, and is counted already, is beyond the room that this
- * instance may use at a brittle server without a share of its rejections. */
-int pace_is_beyond_room(const struct be *b);
-/* It rejected a counted request for want of room. */
-void pace_no_room(struct be *b);
-/* It had room for an exchange beyond. */
-void pace_room_grew(struct be *b);
-
 /* It asked this instance for back-off. */
 void pace_backoff(struct be *b, int64_t for_us);
 /* Counts an exchange that begins now if it is one after a back-off; returns whether it is. */
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -2,7 +2,7 @@
 #include "clock.h"
 #include "jlog.h"
 #include "mesh.h"
-#include "pace.h"
+#include "room.h"
 #include "rq_impl.h"
 #include <errno.h>
 
@@ -36,7 +36,7 @@
 
 	log_broken(att, "not_run", 0);
 	be_rejected_request(att->be);
-	pace_no_room(att->be);
+	room_rejected(att->be);
 	att_prompt_read(att);
 	if (rq_may_retry(r))
 		place_again(r, RETRY_ENGINE_STATUS);
