Send what waits for a brittle server as soon as a place is free

Cause: requests that wait were looked at every 10 ms, so that a place with answers of 50 ms stood idle for a tenth of its time.

Change: the end of an exchange with such a server wakes the first that wait for its service.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -249,6 +249,8 @@
 		    void (*f)(const struct rq *other, void *arg), void *arg);
 /* No effect on a request that does not wait. */
 void rq_queue_leave(struct rq *r);
+/* An exchange with a server of the service ended: the first that wait for it may be sent. */
+void rq_queue_wake(const char *service);
 
 /* rq_load.c */
 /* Adds its load to its servers, or removes it. */
--- a/src/relay/rq_load.c
+++ b/src/relay/rq_load.c
@@ -92,6 +92,7 @@
 	att_drop_replica(att);
 	att->be->own.runs--;
 	count_memory(att, 0, 0);
+	if (be_is_brittle(att->be)) rq_queue_wake(att->be->service);
 }
 
 void att_prompt_read(struct attempt *att)
--- a/src/relay/rq_queue.c
+++ b/src/relay/rq_queue.c
@@ -6,7 +6,8 @@
 #define POLL_US 10000 /* how often waiting requests are checked */
 
 static GPtrArray *queue;
-static struct ev_timer timer;
+static struct ev_timer timer, wake_timer;
+static GPtrArray *woken; /* names of services of which an exchange has just ended */
 
 static int precedes(const struct rq *a, const struct rq *b)
 {
@@ -56,6 +57,42 @@
 	if (queue->len) ev_in(t, POLL_US);
 }
 
+/* The first that still waits shows that those behind it do, too. */
+static void recheck_service(const char *service)
+{
+	uint32_t i = 0;
+
+	while (i < queue->len) {
+		struct rq *r = g_ptr_array_index(queue, i);
+
+		if (r->waiting != RQ_WAIT_RATE || strcmp(r->service->name, service))
+			i++;
+		else if (!recheck(r))
+			return;
+	}
+}
+
+static void on_wake(struct ev_timer *t)
+{
+	(void)t;
+	while (woken->len) {
+		char *service = g_ptr_array_steal_index(woken, woken->len - 1);
+
+		recheck_service(service);
+		g_free(service);
+	}
+}
+
+void rq_queue_wake(const char *service)
+{
+	if (!queue || !queue->len) return;
+	if (!woken) woken = g_ptr_array_new_with_free_func(g_free);
+	if (g_ptr_array_find_with_equal_func(woken, service, g_str_equal, NULL)) return;
+	g_ptr_array_add(woken, g_strdup(service));
+	wake_timer.fire = on_wake;
+	if (!wake_timer.armed) ev_in(&wake_timer, 0);
+}
+
 void rq_queue_join(struct rq *r, enum rq_wait_reason what)
 {
 	uint32_t i;
