Soak: a server that asks for rest does so in its health checks, too

Ruled out: that checks need not count; they are requests to a server that rests, and an instance that was told keeps to it (test_notices).

Change: while it asks for rest its health check answers 503, as its other answers do.

--- a/test/soak_notice.c
+++ b/test/soak_notice.c
@@ -34,6 +34,7 @@
 	case SOAK_NOTICE_BACKOFF:
 		v->pw->extra_fields = "Retry-After: 2\r\n";
 		v->pw->mode = PW_FULL;
+		v->pw->unhealthy = 1; /* its health check answers 503, which asks for it too */
 		return;
 	case SOAK_NOTICE_LEAVING:
 		v->pw->extra_fields = "Server-Leaving: 1\r\n";
@@ -92,6 +93,7 @@
 		v->notice = SOAK_NOTICE_NONE;
 		v->pw->extra_fields = NULL;
 		v->pw->mode = PW_OK;
+		v->pw->unhealthy = 0;
 	}
 }
 
