--- a/src/fleet/mesh_helper.c
+++ b/src/fleet/mesh_helper.c
@@ -29,19 +29,33 @@
 	DISTANCES
 };
 
-static int is_drained(uint32_t dc)
+/* Hashes of the drained data centres; NULL: there are none. */
+static GArray *drained_places(void)
 {
-	GPtrArray *dcs = be_dcs();
+	GPtrArray *dcs;
+	GArray *places;
 	uint32_t i;
-	int found = 0;
 
-	for (i = 0; i < dcs->len && !found; i++) {
-		const char *name = g_ptr_array_index(dcs, i);
+	if (!be_is_any_dc_drained()) return NULL;
+	dcs = be_dcs();
+	places = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (i = 0; i < dcs->len; i++) {
+		uint32_t place = mesh_place_hash(g_ptr_array_index(dcs, i));
 
-		found = mesh_place_hash(name) == dc && be_dc_is_drained(name);
+		if (be_dc_is_drained(g_ptr_array_index(dcs, i)))
+			g_array_append_val(places, place);
 	}
 	g_ptr_array_unref(dcs);
-	return found;
+	return places;
+}
+
+static int is_drained(const GArray *places, uint32_t dc)
+{
+	uint32_t i;
+
+	for (i = 0; places && i < places->len; i++)
+		if (g_array_index(places, uint32_t, i) == dc) return 1;
+	return 0;
 }
 
 static uint32_t region_of(const struct be *b)
@@ -103,7 +117,7 @@
 	int i;
 
 	for (i = 0; i < DISTANCES; i++)
-		if (d[i].m && !is_drained(d[i].m->hb.dc)) return d[i].m;
+		if (d[i].m) return d[i].m;
 	return NULL;
 }
 
@@ -136,6 +150,7 @@
 {
 	const struct member *not_this = except ? member_at(except) : NULL;
 	struct draw d[DISTANCES] = {{0}};
+	GArray *drained = drained_places();
 	const struct member *m, *h;
 	int64_t now = clock_us();
 	uint32_t i, n = mesh_members()->len, first = g_random_int();
@@ -145,10 +160,11 @@
 		m = g_ptr_array_index(mesh_members(), (first + i) % n);
 		h = helper_of(m, b, now);
 		if (h && h != not_this) add(&d[REFERRED], h);
-		if (!is_helper(m, b)) continue;
-		if (rc == -ENOENT && !is_drained(m->hb.dc)) rc = -EAGAIN;
+		if (!is_helper(m, b) || is_drained(drained, m->hb.dc)) continue;
+		rc = -EAGAIN;
 		if (m != not_this && may_help(m, now)) add(&d[distance_of(m, b)], m);
 	}
+	if (drained) g_array_unref(drained);
 	m = drawn(d);
 	if (!m) return rc;
 	*at = address_of(m);
