--- a/test/test_brittle.c
+++ b/test/test_brittle.c
@@ -199,7 +199,110 @@
 	finish();
 }
 
+#define EVENTS 400 /* of a stream, longer than the test */
+
+/* Two instances and one engine, which runs a stream of the first one. */
+static struct pw_call *start_stream(void)
+{
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	s[0] = pw_server_add("llm", 1);
+	s[0]->events = EVENTS;
+	for (i = 0; i < 2; i++) e[i] = pw_entry_ready();
+	c = pw_request(e[0], "POST", "/chat/", 9000);
+	pw_run(500);
+	return c;
+}
+
+static void both_know_it(void)
+{
+	int i;
+
+	for (i = 0; i < 2; i++) CU_ASSERT(pw_log_has(e[i], "backend_brittle"));
+}
+
+static void the_head_of_a_stream_says_it(void)
+{
+	struct pw_call *c = start_stream(), *second;
+
+	s[0]->extra_fields = BRITTLE;
+	second = pw_request(e[0], "POST", "/chat/", 9000);
+	pw_run(300);
+	both_know_it();
+	pw_call_cancel(c);
+	pw_call_cancel(second);
+	pw_end();
+}
+
+static void a_rejection_says_it(void)
+{
+	struct pw_call *c = start_stream(), *second;
+
+	s[0]->extra_fields = BRITTLE;
+	s[0]->mode = PW_FULL;
+	second = pw_request(e[0], "POST", "/chat/", 500);
+	pw_run(300);
+	both_know_it();
+	pw_call_cancel(c);
+	pw_call_wait(second, 1000);
+	pw_end();
+}
+
+/* Engines are asked for them while the store does not answer. */
+static void a_health_check_says_it(void)
+{
+	struct pw_call *c = start_stream();
+
+	pw_store.mode = PW_STORE_BUSY;
+	s[0]->extra_fields = BRITTLE;
+	pw_run(2000);
+	CU_ASSERT(s[0]->checks > 0);
+	both_know_it();
+	pw_call_cancel(c);
+	pw_end();
+}
+
+static void a_report_says_it(void)
+{
+	struct pw_call *c = start_stream();
+
+	pw_store.mode = PW_STORE_SILENT;
+	while (!s[0]->reports) pw_run(5);
+	s[0]->extra_fields = BRITTLE;
+	pw_run(500);
+	both_know_it();
+	pw_call_cancel(c);
+	pw_end();
+}
+
+/* The engine that is told to fetch a stream's memory says it with the order's answer. */
+static void the_answer_to_a_copy_order_says_it(void)
+{
+	struct pw_call *c = start_stream();
+	struct pw_server *second;
+
+	second = pw_server_new("llm", 1);
+	second->events = EVENTS;
+	second->extra_fields = BRITTLE;
+	pw_server_list(second, "ready");
+	pw_run(100);
+	pw_server_list(s[0], "draining");
+	pw_run(1000);
+	CU_ASSERT(second->copies > 0);
+	CU_ASSERT_EQUAL(second->arrivals, second->copies);
+	both_know_it();
+	pw_call_cancel(c);
+	pw_end();
+}
+
 static const struct check list[] = {
+	{"the_head_of_a_stream_says_it", the_head_of_a_stream_says_it},
+	{"a_rejection_says_it", a_rejection_says_it},
+	{"a_health_check_says_it", a_health_check_says_it},
+	{"a_report_says_it", a_report_says_it},
+	{"the_answer_to_a_copy_order_says_it", the_answer_to_a_copy_order_says_it},
 	{"full_servers_that_are_brittle_reject_few", full_servers_that_are_brittle_reject_few},
 	{"full_servers_that_are_brittle_reject_few_of_many_instances",
 	 full_servers_that_are_brittle_reject_few_of_many_instances},
