--- a/test/test_brittle.c
+++ b/test/test_brittle.c
@@ -130,6 +130,35 @@
 	fill(MANY);
 }
 
+#define FEW_CALLS 150
+#define FEW_EACH_MS 20 /* some two or three run at once, of thirty that have room */
+#define SOON_MS 250    /* of work and waiting */
+
+/* Instances that have no part of any server's slots use free places, and need not wait long. */
+static void where_there_is_room_nobody_waits_long(void)
+{
+	struct pw_call *c[FEW_CALLS];
+	int i, served = 0, late = 0;
+
+	start_many(MANY);
+	set_brittle(BRITTLE);
+	load(1, NOTICE_MS);
+	pw_run(1000);
+	for (i = 0; i < FEW_CALLS; i++) {
+		c[i] = pw_request(e[i % instances], "POST", "/safe/", DEADLINE_MS);
+		pw_run(FEW_EACH_MS);
+	}
+	for (i = 0; i < FEW_CALLS; i++) {
+		pw_call_wait(c[i], 2 * DEADLINE_MS);
+		served += c[i]->status == 200;
+		late += c[i]->ended_us - c[i]->began_us > SOON_MS * 1000;
+	}
+	fprintf(stderr, "%d of %d served, %d late\n", served, FEW_CALLS, late);
+	CU_ASSERT_EQUAL(served, FEW_CALLS);
+	CU_ASSERT(late * 20 <= FEW_CALLS);
+	finish();
+}
+
 /* What can't be placed is refused soon, with the time to come back. */
 static void what_brittle_servers_have_no_room_for_is_refused_at_once(void)
 {
@@ -303,6 +332,7 @@
 	{"a_health_check_says_it", a_health_check_says_it},
 	{"a_report_says_it", a_report_says_it},
 	{"the_answer_to_a_copy_order_says_it", the_answer_to_a_copy_order_says_it},
+	{"where_there_is_room_nobody_waits_long", where_there_is_room_nobody_waits_long},
 	{"full_servers_that_are_brittle_reject_few", full_servers_that_are_brittle_reject_few},
 	{"full_servers_that_are_brittle_reject_few_of_many_instances",
 	 full_servers_that_are_brittle_reject_few_of_many_instances},
