Test that a list read page by page is begun anew in a new era

The store comes back from a copy after 20 of 100 pages: no list of the lost era is taken for complete.

--- a/test/test_restored.c
+++ b/test/test_restored.c
@@ -287,6 +287,61 @@
 	pw_end();
 }
 
+#define PAGE 10
+#define PAGES 100
+#define PAGES_BEFORE 20 /* read before the store is restored */
+#define READ_MAX_MS 10000
+
+static void list_idle_servers(int n)
+{
+	char key[32], value[160];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(key, sizeof key, "servers/a-%04d", i);
+		g_snprintf(value, sizeof value,
+			   "{\"service\":\"idle\",\"address\":\"%s:%d\",\"zone\":\"a\","
+			   "\"version\":\"v1\",\"slots\":6,\"state\":\"ready\"}",
+			   pw_server_ip(), 20000 + i);
+		pw_store_put(key, value);
+	}
+}
+
+static int so_many_pages(void *n)
+{
+	return pw_store.listings >= *(int *)n;
+}
+
+/* Two states of the store must not make one list, which would be told to others as complete: a
+ * server of the first pages that the copy lacks is not in it. */
+static void a_list_that_is_read_page_by_page_is_begun_anew(void)
+{
+	int before = PAGES_BEFORE, all = PAGES_BEFORE + PAGES, i;
+	struct pw_server *lost;
+
+	pw_init();
+	pw_store.page = PAGE;
+	list_idle_servers(PAGE * PAGES);
+	s[0] = pw_server_add("app", 0);
+	pw_store_copy();
+	lost = pw_server_new("app", 0);
+	g_strlcpy(lost->id, "0-lost", sizeof lost->id); /* on the first page */
+	pw_server_list(lost, "ready");
+	e[0] = pw_entry_start();
+	CU_ASSERT(pw_until(so_many_pages, &before, READ_MAX_MS));
+	pw_store_restore();
+	CU_ASSERT(pw_store.listings < PAGES);
+	CU_ASSERT(pw_until(so_many_pages, &all, READ_MAX_MS));
+	CU_ASSERT(pw_entry_until_ready(e[0]));
+	pw_run(500);
+	for (i = 0; i < 20; i++) CU_ASSERT_EQUAL(pw_status_of_key(e[0], "k1"), 200);
+	CU_ASSERT_EQUAL(lost->arrivals, 0);
+	CU_ASSERT(s[0]->arrivals >= 20);
+	CU_ASSERT(!pw_log_has(e[0], "\"list_read\",\"list\":\"servers/\",\"era\":1,"));
+	CU_ASSERT(pw_log_has(e[0], "\"list_read\",\"list\":\"servers/\",\"era\":2,"));
+	pw_end();
+}
+
 /* Without the header, or with one that is no number, all is as before. */
 static void an_era_that_is_no_number_changes_nothing(void)
 {
@@ -315,6 +370,8 @@
 	{"a_drain_outlives_the_return_of_the_store", a_drain_outlives_the_return_of_the_store},
 	{"a_server_that_is_gone_is_not_used_again_because_of_a_copy",
 	 a_server_that_is_gone_is_not_used_again_because_of_a_copy},
+	{"a_list_that_is_read_page_by_page_is_begun_anew",
+	 a_list_that_is_read_page_by_page_is_begun_anew},
 	{"an_era_that_is_no_number_changes_nothing", an_era_that_is_no_number_changes_nothing},
 };
 CHECK_MAIN(list)
