A new era of the store is no new try of a version that was rolled back

Cause: an order that comes again with another revision, for a version that was rolled back, means that the operators want it tried again. After the store came back from a copy all its entries have other revisions, so the bad version got a new share of the requests.

Ruled out: a status that is missing (it is written again; the_end_of_a_rollout_is_written_again passes before, too).

--- a/src/fleet/ro_order.c
+++ b/src/fleet/ro_order.c
@@ -58,10 +58,19 @@
 	ro_apply(o);
 }
 
-/* A repeated order for the version of the current rollout continues it; returns 1 if so. */
+/* Whether the operators want a version that was rolled back to be tried again. An order of a
+ * later era is the same one: the store shows it again, or the operators wrote it again after
+ * the store had lost it. */
+static int is_another_try(const struct ro *o, st_rev revision)
+{
+	return o->stage == ROLLOUT_ROLLED_BACK && st_rev_era(revision) == st_rev_era(o->order);
+}
+
+/* A repeated order for the version of the current rollout continues it; returns 1 if so. Its
+ * status is written again. */
 static int continues(struct ro *o, const struct dl_rollout *d, st_rev revision)
 {
-	if (!o || strcmp(o->target, d->target) || o->stage == ROLLOUT_ROLLED_BACK) return 0;
+	if (!o || strcmp(o->target, d->target) || is_another_try(o, revision)) return 0;
 	o->order = revision;
 	o->duration_us = d->duration_us;
 	o->written = ROLLOUT_UNKNOWN;
--- a/test/test_canary.c
+++ b/test/test_canary.c
@@ -141,6 +141,52 @@
 	CU_ASSERT_EQUAL(arrivals(new), 0);
 }
 
+/* The store comes back from a copy that has the order, but not what became of it: the bad
+ * version was tried again, and its status was missing. */
+static void a_rollback_outlives_the_return_of_the_store(void)
+{
+	struct pw_entry *e[2];
+
+	begin(e, 2);
+	roll_out(PW_ERROR, 0);
+	pw_store_copy();
+	check_rolled_back(e, 2);
+	pw_store.mode = PW_STORE_DOWN;
+	load(e, 2, 600);
+	pw_store_restore();
+	pw_store.mode = PW_STORE_OK;
+	load(e, 2, 2000);
+	CU_ASSERT(state_is("app", "rolled_back"));
+	CU_ASSERT_EQUAL(arrivals(new), 0);
+	/* The operator's next order is another try. */
+	order("app", "v2");
+	load(e, 2, 2000);
+	CU_ASSERT(arrivals(new) > 0);
+	end();
+}
+
+static void the_end_of_a_rollout_is_written_again(void)
+{
+	struct pw_entry *e[2];
+
+	begin(e, 2);
+	load(e, 2, 300);
+	roll_out(PW_OK, 0);
+	pw_store_copy();
+	load(e, 2, DURATION_S * 1000 + 300);
+	CU_ASSERT(state_is("app", "completed"));
+	pw_store.mode = PW_STORE_DOWN;
+	load(e, 2, 600);
+	pw_store_restore();
+	pw_store.mode = PW_STORE_OK;
+	old[0]->arrivals = old[1]->arrivals = old[2]->arrivals = 0;
+	load(e, 2, 2000);
+	CU_ASSERT(state_is("app", "completed"));
+	CU_ASSERT_EQUAL(arrivals(old), 0);
+	CU_ASSERT_EQUAL(failed(), 0);
+	end();
+}
+
 static void a_version_that_fails_is_rolled_back(void)
 {
 	struct pw_entry *e[2];
@@ -384,6 +430,9 @@
 
 static const struct check list[] = {
 	{"a_good_version_takes_over_in_time", a_good_version_takes_over_in_time},
+	{"a_rollback_outlives_the_return_of_the_store",
+	 a_rollback_outlives_the_return_of_the_store},
+	{"the_end_of_a_rollout_is_written_again", the_end_of_a_rollout_is_written_again},
 	{"a_version_that_fails_is_rolled_back", a_version_that_fails_is_rolled_back},
 	{"a_version_that_is_slow_is_rolled_back", a_version_that_is_slow_is_rolled_back},
 	{"a_version_that_turns_bad_late_is_rolled_back",
