--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -7,7 +7,7 @@
 /* Until heartbeats of the others have arrived, the largest possible number of them is assumed.
  */
 #define SETTLE_US 1500000
-#define BUSY_US 1000000
+#define BUSY_US 1000000        /* an instance that reported a run within this time has work */
 #define MULTIPLIER 2654435761u /* odd, with bits set throughout the word */
 
 static int64_t started_us;
@@ -34,7 +34,6 @@
 	uint32_t i, server = g_str_hash(b->id), mine = order_of(mesh_cfg()->ip, server);
 
 	r.order = mine;
-
 	for (i = 0; i < mesh_members()->len; i++) {
 		const struct member *m = g_ptr_array_index(mesh_members(), i);
 
--- a/src/fleet/room.c
+++ b/src/fleet/room.c
@@ -9,12 +9,13 @@
 /* Part of the slots up to which any instance may use them, as one over this: the rest is for
  * those whose parts they are. */
 #define SPARE_DIVISOR 2
-/* Free places for each instance that draws, as one over this. */
-#define LOTS_PER_PLACE 2
-#define LOT_US 50000   /* between two draws; others' loads are known by then */
+/* Part of the free places that one draw gives away on the average, as one over this. */
+#define DRAW_DIVISOR 2
+#define DRAW_US 50000  /* between two draws; others' loads are known by then */
 #define WAIT_US 200000 /* where none of this instance's exchanges is to end */
 #define WAIT_MIN_US 10000
-/* After a rejection no instance uses free places for so long, longer after the next one. */
+/* After a rejection no instance uses free places for so long, for twice as long after the next
+ * one. */
 #define HOLD_US 1000000
 #define HOLD_MAX_US 8000000
 #define MULTIPLIER 2654435761u /* odd, with bits set throughout the word */
@@ -36,12 +37,13 @@
 /* 0 to n - 1, the same until the next draw. */
 static uint32_t draw(uint32_t seed, int64_t now, uint32_t n)
 {
-	uint32_t x = (seed ^ (uint32_t)(now / LOT_US) * MULTIPLIER) * MULTIPLIER;
+	uint32_t x = (seed ^ (uint32_t)(now / DRAW_US) * MULTIPLIER) * MULTIPLIER;
 
 	x = (x ^ x >> 15) * MULTIPLIER;
 	return (x ^ x >> 13) % n;
 }
 
+/* Whether a draw gave this instance a place that the parts of others leave free. */
 static int may_use_spare(const struct be *b, uint32_t runs)
 {
 	uint32_t taken = runs + b->others.runs - 1, most = b->slots / SPARE_DIVISOR;
@@ -50,7 +52,7 @@
 
 	if (taken >= most || now < b->room.spare_from_us) return 0;
 	r = mesh_rank(b);
-	return !r.busy || draw(r.order, now, r.busy * LOTS_PER_PLACE) < most - taken;
+	return !r.busy || draw(r.order, now, r.busy * DRAW_DIVISOR) < most - taken;
 }
 
 int room_is_beyond(const struct be *b, uint32_t runs)
