Count only requests as ones that a brittle server had room for

The answer to a health check, report or copy order that began while an exchange was beyond the room was read as room that had grown. Whether a request is beyond is kept with its attempt, and bx knows nothing of it.

--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -10,7 +10,6 @@
 #include "met.h"
 #include "pace.h"
 #include "path.h"
-#include "room.h"
 
 #define LOG_INTERVAL_US 1000000 /* a server may repeat a notice in each of its answers */
 
@@ -18,7 +17,6 @@
 struct target {
 	struct be *be;
 	int after_backoff;         /* counts among the exchanges after a back-off */
-	int beyond_room;           /* sent though it may have no room: room_is_beyond */
 	struct tn *tunnel;         /* NULL: none */
 	struct sockaddr_in helper; /* that it leads through */
 };
@@ -37,15 +35,6 @@
 	jlog_end(g);
 }
 
-/* Whether it had no room for the request, and has not run it. */
-static int is_rejection(const struct hp_head *head)
-{
-	struct dl_answer a;
-
-	dl_read_answer(head, &a);
-	return a.not_run;
-}
-
 static void on_any_head(struct hx *x)
 {
 	struct target *t = x->peer;
@@ -64,7 +53,6 @@
 		limit_report(t->be, LIMIT_RATE, n.limit_per_s, x->began_us);
 	if (n.brittle_per_s >= 0 || !n.has_brittle)
 		limit_report(t->be, LIMIT_REJECTIONS, n.brittle_per_s, x->began_us);
-	if (t->beyond_room && !is_rejection(&x->hp.head)) room_grew(t->be);
 }
 
 static void on_any_connected(struct hx *x)
@@ -127,7 +115,6 @@
 	x->on_any_head = on_any_head;
 	x->on_any_connected = on_any_connected;
 	x->on_any_end = on_any_end;
-	t->beyond_room = room_is_beyond(b, b->own.runs);
 	pace_sent(b, conf_service(cache_conf(), b->service));
 	path_recheck(b);
 	if (!path_is_around(b) || mesh_pick_helper(b, NULL, &t->helper))
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -45,6 +45,7 @@
 	uint32_t unreplicated; /* of used: must be moved if its engine leaves */
 	uint64_t recounted;    /* count of events when its memory was last counted */
 	int was_cold;          /* its server was cold when it was sent */
+	int beyond_room;       /* sent though its server may have no room: room_is_beyond */
 	int not_run;           /* the answer states that the request was not run */
 	int answered;          /* the head of a valid answer arrived */
 	enum tn_fault fault;   /* once it has ended: whose failure, if through a tunnel */
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -3,6 +3,7 @@
 #include "hs_hold.h"
 #include "jlog.h"
 #include "leave.h"
+#include "room.h"
 #include "rq_impl.h"
 #include <errno.h>
 #include <string.h>
@@ -48,6 +49,7 @@
 			leave_report(att->be, "another incarnation answers at its address");
 		return -ECANCELED;
 	}
+	if (att->beyond_room) room_grew(att->be);
 	if (!a.id || strcmp(a.id, r->in.id)) {
 		met_add(MET_ANSWERS_DROPPED, 1);
 		return -EBADMSG;
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "jlog.h"
 #include "mesh.h"
+#include "room.h"
 #include "rq_impl.h"
 
 #define LEFT_MIN_US 2000 /* with less time left nothing is sent */
@@ -103,6 +104,7 @@
 	att->hx->on_body = att_on_body;
 	att->hx->on_end = att_on_end;
 	att_count_in(att);
+	att->beyond_room = room_is_beyond(b, b->own.runs);
 	rc = bx_start(att->hx, b, write_request(att, copy_at ? copy_at->address : NULL, copy),
 		      RQ_CONNECT_US);
 	if (!rc) {
