Choose canaries among none without passing NULL to qsort

Undefined by the C library's declaration, harmless in fact: found by the undefined behaviour sanitizer, under which the entry ended in 13 tests of test_canary. g_ptr_array_sort leaves an empty array alone.

--- a/src/fleet/ro_choose.c
+++ b/src/fleet/ro_choose.c
@@ -39,7 +39,7 @@
 		b->ro_role = ro_role_of(b);
 		if (b->ro_role == RO_NEW && !be_is_leaving(b)) g_ptr_array_add(candidates, b);
 	}
-	qsort(candidates->pdata, candidates->len, sizeof *candidates->pdata, by_hash);
+	g_ptr_array_sort(candidates, by_hash);
 	max = MAX((uint32_t)ceil(candidates->len * ro_cfg->exposure_share), CANARIES_MIN);
 	for (i = 0; i < candidates->len && i < max; i++)
 		((struct be *)g_ptr_array_index(candidates, i))->ro_role = RO_CANARY;
