Read a list anew where its state is of an era that the store has lost

Cause: a watch that goes on from a revision of the lost era gets 410 only while the store's history has not passed that revision again. After that it waits for the next change, up to 20 s; conditions on the old state hold no more, and the answers to them carry no items, so that the configuration is not read in the new era: nothing is confirmed, and after 5 s all keyed requests are refused.

Change: no list is watched from a state of an era before the one that is known; a watch from there that is open already is ended when the next question whether the configuration is the newest is answered.

--- a/src/fleet/watch.c
+++ b/src/fleet/watch.c
@@ -6,6 +6,7 @@
 #include "ev.h"
 #include "jlog.h"
 #include "mesh.h"
+#include "st_era.h"
 #include <errno.h>
 #include <stddef.h>
 
@@ -268,6 +269,13 @@
 	return mesh_retries_store() && !cache_conf() && w->list.kind == DL_CONF;
 }
 
+/* The store may have given out revisions beyond w->at again by now. Then a watch from there is
+ * not told that the history is gone, and waits for the next change. */
+static int is_of_lost_era(const struct watcher *w)
+{
+	return st_rev_era(w->at) < st_era();
+}
+
 static void watch(struct watcher *w, int64_t wait_ms)
 {
 	w->polling = wait_ms == POLL_MS;
@@ -293,7 +301,9 @@
 		w->call = st_range(w->list.prefix, NULL, on_listed, w);
 		return;
 	}
-	if (must_watch() || retries_at_once(w))
+	if ((must_watch() || retries_at_once(w)) && is_of_lost_era(w))
+		relist(w);
+	else if (must_watch() || retries_at_once(w))
 		watch(w, WATCH_MS);
 	else if (must_poll(w))
 		watch(w, POLL_MS);
@@ -333,6 +343,16 @@
 		if (watchers[i].phase == WATCHING) restart(&watchers[i]);
 }
 
+void watch_leave_lost_era(void)
+{
+	int i;
+
+	for (i = 0; i < nwatchers; i++)
+		if (watchers[i].phase == WATCHING && watchers[i].call &&
+		    is_of_lost_era(&watchers[i]))
+			restart(&watchers[i]);
+}
+
 static struct watcher *backends_watcher(void)
 {
 	int i;
--- a/src/fleet/watch_confirm.c
+++ b/src/fleet/watch_confirm.c
@@ -57,6 +57,7 @@
 	/* The store may have lost the version in force, and show an older one for a while. */
 	if (cache_confirmed_us() < r->sent_us) not_before_us = clock_us() + RETRY_US;
 	if (!was_up || cache_conf() != before) watch_restart();
+	watch_leave_lost_era();
 	mesh_heartbeat_now();
 	watch_check_lists();
 	age_us = random_age();
--- a/src/internal/watch_impl.h
+++ b/src/internal/watch_impl.h
@@ -19,6 +19,8 @@
  * this is called when another call shows changes that the watch did not, or the store is back.
  */
 void watch_restart(void);
+/* The same of those that began before the present era was known. */
+void watch_leave_lost_era(void);
 /* watch_check.c */
 /* Lists part of each list again, except the configuration. The instance that confirms the
  * configuration does so for all, which bounds how long a silent watch or the watch of an
--- a/test/test_restored.c
+++ b/test/test_restored.c
@@ -141,6 +141,28 @@
 	pw_end();
 }
 
+/* The servers write more than was lost before the instances watch again: a watch from the lost
+ * state is not told that its history is gone, and waited for a change for 20 s. Nothing was
+ * confirmed meanwhile, and after 5 s all keyed requests were refused. */
+static void a_watch_from_the_lost_state_holds_nothing_up(void)
+{
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = pw_server_add("app", 0);
+	e[0] = pw_entry_ready();
+	pw_run(SETTLE_MS);
+	pw_store_copy();
+	churn();
+	pw_store_restore();
+	for (i = 0; i < 2 * CHURN; i++) pw_server_list(s[i % 2], "ready");
+	for (i = 0; i < 7; i++) {
+		pw_run(1000);
+		CU_ASSERT_EQUAL(pw_status_of_key(e[0], "k1"), 200);
+	}
+	pw_end();
+}
+
 /* Two drills, the second soon after the first. */
 static void a_second_return_soon_after_the_first(void)
 {
@@ -344,6 +366,8 @@
 	 a_version_never_goes_back_while_the_store_shows_an_older_one},
 	{"one_that_starts_then_takes_no_key_that_was_removed",
 	 one_that_starts_then_takes_no_key_that_was_removed},
+	{"a_watch_from_the_lost_state_holds_nothing_up",
+	 a_watch_from_the_lost_state_holds_nothing_up},
 	{"a_second_return_soon_after_the_first", a_second_return_soon_after_the_first},
 	{"the_store_is_asked_little_while_it_is_behind",
 	 the_store_is_asked_little_while_it_is_behind},
