Tests: streams that are not complete though their connection ends well

What callers saw: a stream whose engine crashed inside an event came as a complete answer.

The test platform's engines frame their streams by chunks, by a length or by nothing, and break off as the framing ends a complete answer; they may close a stream that stops for a move instead of resetting it.

--- a/test/pw.h
+++ b/test/pw.h
@@ -139,6 +139,11 @@
 	PW_SILENT, /* a stream that sends nothing more after break_after events, left open */
 };
 
+/* How an engine frames its streams. */
+enum pw_framing { PW_CHUNKED, PW_WITH_LENGTH, PW_UNFRAMED };
+/* How PW_BREAK ends a stream: with a reset, or as its framing ends a complete one. */
+enum pw_break_end { PW_BY_RESET, PW_BY_END };
+
 struct pw_run {
 	char id[64], after[32], copy[96], backup[64], group[64], target[96], expect[64];
 	char body_sum[32];
@@ -158,6 +163,8 @@
 	struct hs_listener listener;
 	int64_t leaving_us; /* when its list entry was first draining, or removed */
 	enum pw_mode mode;
+	enum pw_framing framing;
+	enum pw_break_end break_end;
 	int engine;
 	int work_ms, event_ms, events, break_after;
 	int event_bytes; /* of padding in each event */
@@ -166,13 +173,16 @@
 	int copy_refusals; /* the first so many copies are refused */
 	int copy_ms; /* from when a run continues from a copy until its first event is sent */
 	int move_ms; /* until a move order is carried out */
+	int stop_ms; /* the same for one that stops the run; 0: move_ms */
 	int moving, max_moving; /* concurrent move orders: now, and the maximum so far */
-	int draining;           /* its report states draining */
-	int unhealthy;          /* its health check fails */
-	int room;               /* runs at once; more are rejected; 0: no limit */
-	int running;            /* runs now */
-	int checks;             /* health checks received */
-	int reports;            /* reports requested */
+	/* A stream that stops for a move is closed, not reset. */
+	int stop_closes;
+	int draining;  /* its report states draining */
+	int unhealthy; /* its health check fails */
+	int room;      /* runs at once; more are rejected; 0: no limit */
+	int running;   /* runs now */
+	int checks;    /* health checks received */
+	int reports;   /* reports requested */
 	int arrivals, moves, copies, drops;
 	const char *extra_fields; /* additional header lines of each answer, each ended by CRLF;
 				     or NULL */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -85,54 +85,109 @@
 	hs_abort(h);
 }
 
-static void break_off(struct pw_run *r)
+static void send_part(struct pw_run *r, const char *p, size_t n)
 {
-	send_chunk(r->h, "id: 99\nda", 9);
-	reset(r);
+	if (r->server->framing == PW_CHUNKED)
+		send_chunk(r->h, p, n);
+	else
+		hs_write(r->h, p, n);
 }
 
-static void send_padded_event(struct pw_run *r)
+static const char part_of_event[] = "id: 99\nda";
+
+static GString *event(const struct pw_run *r, int n)
 {
 	GString *g = g_string_new(NULL);
 	gsize prefix_len;
 
-	g_string_printf(g, "id: %d\ndata: %s-%d ", r->events, r->id, r->events);
-	prefix_len = g->len;
-	g_string_set_size(g, prefix_len + r->server->event_bytes);
-	memset(g->str + prefix_len, '.', r->server->event_bytes);
+	g_string_printf(g, "id: %d\ndata: %s-%d", n, r->id, n);
+	if (r->server->event_bytes) {
+		g_string_append_c(g, ' ');
+		prefix_len = g->len;
+		g_string_set_size(g, prefix_len + r->server->event_bytes);
+		memset(g->str + prefix_len, '.', r->server->event_bytes);
+	}
 	g_string_append(g, "\n\n");
-	send_chunk(r->h, g->str, g->len);
-	g_string_free(g, TRUE);
+	return g;
+}
+
+/* Bytes of the answer that the run is about to send. */
+static size_t answer_bytes(const struct pw_run *r)
+{
+	const struct pw_server *s = r->server;
+	int i, breaks = s->mode == PW_BREAK, last = breaks ? s->break_after : s->events;
+	size_t n = breaks ? sizeof part_of_event - 1 : 0;
+
+	for (i = r->events + 1; i <= last; i++) {
+		GString *g = event(r, i);
+
+		n += g->len;
+		g_string_free(g, TRUE);
+	}
+	return n;
+}
+
+static void send_stream_head(struct pw_run *r)
+{
+	char fields[128] = "Content-Type: text/event-stream\r\nConnection: close\r\n";
+
+	if (r->server->framing == PW_CHUNKED)
+		g_strlcpy(fields,
+			  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+			  sizeof fields);
+	if (r->server->framing == PW_WITH_LENGTH)
+		g_snprintf(fields, sizeof fields,
+			   "Content-Type: text/event-stream\r\nContent-Length: %zu\r\n",
+			   answer_bytes(r));
+	send_head(r, 200, fields);
+}
+
+/* Ends the answer as a complete one. */
+static void end_stream(struct pw_run *r)
+{
+	struct hs *h = r->h;
+
+	pw_run_finish(r);
+	if (r->server->framing == PW_CHUNKED) hs_write(h, "0\r\n\r\n", 5);
+	if (r->server->framing == PW_UNFRAMED) h->keep = 0;
+	hs_finish(h);
+}
+
+static int is_first_event(const struct pw_run *r)
+{
+	return !r->events || r->events == atoi(r->after);
+}
+
+static void break_off(struct pw_run *r)
+{
+	if (r->server->break_end == PW_BY_END && is_first_event(r)) send_stream_head(r);
+	send_part(r, part_of_event, sizeof part_of_event - 1);
+	if (r->server->break_end == PW_BY_END)
+		end_stream(r);
+	else
+		reset(r);
 }
 
 static void send_event(struct pw_run *r)
 {
 	struct pw_server *s = r->server;
-	struct hs *h = r->h;
-	char text[128];
+	GString *g;
 
 	if (s->mode == PW_BREAK && r->events >= s->break_after) {
 		break_off(r);
 		return;
 	}
 	if (s->mode == PW_SILENT && r->events >= s->break_after) return;
-	if (!r->events || r->events == atoi(r->after))
-		send_head(r, 200,
-			  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-	r->events++;
-	g_snprintf(text, sizeof text, "id: %d\ndata: %s-%d\n\n", r->events, r->id, r->events);
-	if (s->event_bytes)
-		send_padded_event(r);
-	else
-		send_chunk(h, text, strlen(text));
+	if (is_first_event(r)) send_stream_head(r);
+	g = event(r, ++r->events);
+	send_part(r, g->str, g->len);
+	g_string_free(g, TRUE);
 	if (r->events < s->events) {
 		ev_in(&r->timer, s->event_ms * 1000);
 		return;
 	}
 	r->finished = 1;
-	pw_run_finish(r);
-	hs_write(h, "0\r\n\r\n", 5);
-	hs_finish(h);
+	end_stream(r);
 }
 
 static void answer_garbage(struct pw_run *r)
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -56,6 +56,17 @@
 	return max_within(s->rejected_us, from_us, ms);
 }
 
+/* Ends the answer of a run that stopped, without the end of its framing if it has any. */
+static void end_stopped(const struct pw_server *s, struct hs *stream)
+{
+	if (!s->stop_closes) {
+		hs_abort(stream);
+		return;
+	}
+	stream->keep = 0;
+	hs_finish(stream);
+}
+
 static void move(struct pw_server *s, struct hs *h)
 {
 	struct json_object *o = pf_json(h->body->str, h->body->len);
@@ -73,7 +84,7 @@
 
 		r->stopped = 1;
 		pw_run_finish(r);
-		hs_abort(stream);
+		end_stopped(s, stream);
 	}
 	json_object_put(o);
 	pw_server_answer(s, h, status, NULL, body);
@@ -96,9 +107,10 @@
 
 static void on_move_order(struct pw_server *s, struct hs *h)
 {
+	int ms = s->stop_ms && strstr(h->body->str, "\"last\":true") ? s->stop_ms : s->move_ms;
 	struct delayed_move *m;
 
-	if (!s->move_ms) {
+	if (!ms) {
 		move(s, h);
 		return;
 	}
@@ -108,7 +120,7 @@
 	m->h = h;
 	s->moving++;
 	s->max_moving = MAX(s->max_moving, s->moving);
-	ev_in(&m->timer, s->move_ms * 1000);
+	ev_in(&m->timer, ms * 1000);
 }
 
 #define REPORT_AGE_MS 200 /* a report describes the runs as they were this long ago */
