Log what ends a backend server's answer, and how much of an event is pending

Cause: three hypotheses of the incident (the connection's end is believed, the engine's framing is, the rest was not read) leave the same line, request_ended with outcome answered.

Change: hp notes what frames a message; request_ended and exchange_broke say framing (length, chunks, close) and partial_bytes. No decision changes.

--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -70,12 +70,20 @@
 	return 0;
 }
 
+static enum hp_framing framing_of(const http_parser *p)
+{
+	if (p->flags & F_CHUNKED) return HP_BY_CHUNKS;
+	if (p->type == HTTP_REQUEST || p->content_length != UINT64_MAX) return HP_BY_LENGTH;
+	return HP_BY_CLOSE;
+}
+
 static int on_headers(http_parser *p)
 {
 	struct hp *m = self(p);
 
 	m->head.method = p->method;
 	m->head.status = p->status_code;
+	m->framing = framing_of(p);
 	m->head_done = 1;
 	m->rc = m->on_head ? m->on_head(m) : 0;
 	if (m->rc) return -1;
@@ -161,6 +169,16 @@
 	return p->done ? 0 : -EPIPE;
 }
 
+const char *hp_framing_name(enum hp_framing f)
+{
+	switch (f) {
+	case HP_BY_LENGTH: return "length";
+	case HP_BY_CHUNKS: return "chunks";
+	case HP_BY_CLOSE: return "close";
+	}
+	return NULL;
+}
+
 uint32_t hp_count(const struct hp_head *h)
 {
 	return h->fields->len;
--- a/src/internal/hp.h
+++ b/src/internal/hp.h
@@ -20,12 +20,20 @@
 	enum http_method method;
 };
 
+/* What ends the body of a message. */
+enum hp_framing {
+	HP_BY_LENGTH,
+	HP_BY_CHUNKS,
+	HP_BY_CLOSE, /* of the connection: only an answer can be framed so */
+};
+
 struct hp {
 	http_parser parser;
 	struct hp_head head;
 	size_t head_max;   /* bytes; 0: only http-parser's own limit */
 	size_t head_bytes; /* parsed so far */
 	int in_value, head_done, done, no_body;
+	enum hp_framing framing;      /* valid once head_done is set */
 	int (*on_head)(struct hp *p); /* returns 0, or a negative errno that stops parsing */
 	int (*on_body)(struct hp *p, const char *at, size_t n);
 	int rc; /* last return value of a callback */
@@ -47,6 +55,8 @@
 uint32_t hp_count(const struct hp_head *h);
 const char *hp_name(const struct hp_head *h, uint32_t i);
 const char *hp_value(const struct hp_head *h, uint32_t i);
+/* For logs. */
+const char *hp_framing_name(enum hp_framing f);
 /* Value of the first field of that name, ignoring case, or NULL. */
 const char *hp_get(const struct hp_head *h, const char *name);
 const char *hp_target(const struct hp_head *h);
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -34,21 +34,22 @@
 struct attempt {
 	struct rq *rq;
 	struct be *be;
-	struct hx *hx;         /* NULL once it has ended */
-	struct be *replica;    /* receives a replica of its memory from the engine; or NULL */
-	int replica_refused;   /* a resumption from it was refused; its memory still counts */
-	int replica_freed;     /* the run succeeded, or its replica was taken over */
-	int from_copy;         /* resumes from a copy: the same run, not a retry */
-	int prefill_counted;   /* its prompt is counted in the prefill of be */
-	uint32_t forecast;     /* tokens counted on be and replica: expected in the end ... */
-	uint32_t used;         /* ... and in use now */
-	uint32_t unreplicated; /* of used: must be moved if its engine leaves */
-	uint64_t recounted;    /* count of events when its memory was last counted */
-	int was_cold;          /* its server was cold when it was sent */
-	int beyond_room;       /* sent though its server may have no room: room_is_beyond */
-	int not_run;           /* the answer states that the request was not run */
-	int answered;          /* the head of a valid answer arrived */
-	enum tn_fault fault;   /* once it has ended: whose failure, if through a tunnel */
+	struct hx *hx;           /* NULL once it has ended */
+	struct be *replica;      /* receives a replica of its memory from the engine; or NULL */
+	int replica_refused;     /* a resumption from it was refused; its memory still counts */
+	int replica_freed;       /* the run succeeded, or its replica was taken over */
+	int from_copy;           /* resumes from a copy: the same run, not a retry */
+	int prefill_counted;     /* its prompt is counted in the prefill of be */
+	uint32_t forecast;       /* tokens counted on be and replica: expected in the end ... */
+	uint32_t used;           /* ... and in use now */
+	uint32_t unreplicated;   /* of used: must be moved if its engine leaves */
+	uint64_t recounted;      /* count of events when its memory was last counted */
+	int was_cold;            /* its server was cold when it was sent */
+	int beyond_room;         /* sent though its server may have no room: room_is_beyond */
+	int not_run;             /* the answer states that the request was not run */
+	int answered;            /* the head of a valid answer arrived */
+	enum hp_framing framing; /* of that answer */
+	enum tn_fault fault;     /* once it has ended: whose failure, if through a tunnel */
 	struct sockaddr_in helper; /* that its tunnel leads through; no port: none */
 	int64_t sent_us, first_us;
 	struct evs evs;
@@ -318,6 +319,8 @@
 void att_stream_done(struct attempt *att, const struct hp_head *head);
 
 /* rq_end.c */
+/* Adds to a log line how its answer is framed, and how much of an incomplete event it has. */
+void att_log_framing(const struct attempt *att, GString *g);
 void att_on_end(struct hx *x, int err);
 /* Its exchange is in flight, and its server no longer exists. */
 void att_server_gone(struct attempt *att);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -42,6 +42,7 @@
 	jlog_int(g, "took_ms", (now - r->began_us) / 1000);
 	if (r->first_us) jlog_int(g, "first_ms", (r->first_us - r->began_us) / 1000);
 	if (r->seen.count) jlog_int(g, "events", r->seen.count);
+	if (r->attempt) att_log_framing(r->attempt, g);
 	if (r->max_pause_us) {
 		jlog_int(g, "longest_pause_ms", r->max_pause_us / 1000);
 		jlog_int(g, "pause_ended_ms", (r->max_pause_end_us - r->began_us) / 1000);
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -6,6 +6,13 @@
 #include "rq_impl.h"
 #include <errno.h>
 
+void att_log_framing(const struct attempt *att, GString *g)
+{
+	if (!att->answered) return;
+	jlog_str(g, "framing", hp_framing_name(att->framing));
+	if (att->evs.partial->len) jlog_int(g, "partial_bytes", att->evs.partial->len);
+}
+
 static void log_broken(const struct attempt *att, const char *why, int err)
 {
 	GString *g = jlog_begin("relay", "exchange_broke");
@@ -20,6 +27,7 @@
 	jlog_int(g, "error", err);
 	jlog_int(g, "after_ms", (clock_us() - att->sent_us) / 1000);
 	jlog_int(g, "events", att->rq->seen.count);
+	att_log_framing(att, g);
 	jlog_end(g);
 }
 
