A stream whose answer ends inside an event has been broken off

What callers saw: the engine crashed inside an event; the caller got the part of it and the end of a complete answer.

Cause: whatever ended the answer (the last chunk, all of its length, or the close of its connection where it has neither) was taken for the end of the stream, and the bytes of an event that was not complete were passed on before it.

Change: an answer that ends with a part of an event pending ends like one that was closed too early, so that the replica, the next engine, blame, the allowance of retries, evidence for versions, quarantine, lengths, logs and counters follow by the one path that a reset takes. The part never leaves. Counter streams_cut_short.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -63,6 +63,7 @@
 	"canary_requests",
 	"rollbacks",
 	"silent_connections",
+	"streams_cut_short",
 	"tunnels",
 	"tunnels_failed",
 	"tunnels_served",
--- a/src/internal/evs.h
+++ b/src/internal/evs.h
@@ -21,6 +21,8 @@
 
 void evs_init(struct evs *s);
 void evs_free(struct evs *s);
+/* Whether it has received a part of an event whose end is missing. */
+int evs_is_inside_event(const struct evs *s);
 /* Appends the events that are complete now and were not seen before to out. 0 or -EMSGSIZE. */
 int evs_feed(struct evs *s, struct evs_seen *seen, const char *p, size_t n, GString *out);
 #endif
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -46,6 +46,7 @@
 	MET_CANARY_REQUESTS,    /* requests sent to versions that are being rolled out */
 	MET_ROLLBACKS,          /* versions found bad and rolled back */
 	MET_SILENT_CONNECTIONS, /* of streams whose engine had generated more than arrived */
+	MET_STREAMS_CUT_SHORT,  /* answers that ended as complete ones inside an event */
 	MET_TUNNELS,            /* exchanges through another instance */
 	MET_TUNNELS_FAILED,     /* that ended by a failure of the helper */
 	MET_TUNNELS_SERVED,     /* requests for a tunnel from other instances */
--- a/src/relay/evs.c
+++ b/src/relay/evs.c
@@ -14,6 +14,11 @@
 	s->partial = NULL;
 }
 
+int evs_is_inside_event(const struct evs *s)
+{
+	return s->partial->len != 0;
+}
+
 /* Length of the first complete event, including its blank line; 0: none yet. */
 static size_t event_length(const char *p, size_t n)
 {
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -168,8 +168,6 @@
 
 	att->replica_freed = 1;
 	rq_note_success(r);
-	if (att->evs.partial->len)
-		forward(att, head, att->evs.partial->str, att->evs.partial->len);
 	write_stream_head(r, head);
 	rq_stream_end(r);
 }
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -152,6 +152,14 @@
 		not_reached(att, -EHOSTUNREACH);
 }
 
+/* What ends the answer may come inside an event: then the engine broke off. */
+static int stream_error(const struct attempt *att, const struct hx *x)
+{
+	if (!att_is_stream(att, x) || !evs_is_inside_event(&att->evs)) return 0;
+	met_add(MET_STREAMS_CUT_SHORT, 1);
+	return -EPIPE;
+}
+
 void att_on_end(struct hx *x, int err)
 {
 	struct attempt *att = x->user;
@@ -162,11 +170,10 @@
 		copy_refused(att, err, x->connected);
 		return;
 	}
-	if (!err && att_is_stream(att, x)) {
+	if (!err) err = stream_error(att, x);
+	if (!err && att_is_stream(att, x))
 		att_stream_done(att, &x->hp.head);
-		return;
-	}
-	if (!err)
+	else if (!err)
 		answer_done(att, &x->hp.head);
 	else if (att->not_run)
 		on_rejected(att);
--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -200,6 +200,7 @@
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT(pw_stream_complete(c, s->events));
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	pw_run(s->stop_ms); /* the order's timer refers to the server */
 	pw_end();
 }
 
