Read an answer to its end before the close of its connection counts

What callers saw: a caller that read slowly got an unframed stream without its last events, framed as complete; a chunked one was cut though its engine had sent all of it.

Cause: while an answer is not read, as its caller's buffer is full, the peer's close was noticed at once and taken for the end of what had been read; what the kernel still held was dropped.

Change: the connections of exchanges report a close after all that came before it; a reset is reported at once, as before. Callers' connections keep noticing that their caller left.

--- a/src/http/cn.c
+++ b/src/http/cn.c
@@ -27,9 +27,15 @@
 	return c->out ? c->out->len - c->out_off : 0;
 }
 
+/* Whether a close by the peer is to be noticed now. */
+static int expects_close(const struct cn *c)
+{
+	return !c->got_eof && !(c->paused && c->end_in_order);
+}
+
 static void update_events(struct cn *c)
 {
-	uint32_t want = c->got_eof ? 0 : EPOLLRDHUP;
+	uint32_t want = expects_close(c) ? EPOLLRDHUP : 0;
 
 	if (!c->paused && !c->got_eof) want |= EPOLLIN;
 	if (c->connecting || cn_pending(c)) want |= EPOLLOUT;
@@ -148,7 +154,8 @@
 		c->on_data(c, buf, n);
 }
 
-/* While reading is paused, the end is still reported, as a reset or a closed side. */
+/* While reading is paused, a reset is still reported, and a closed side unless end_in_order is
+ * set. */
 static void on_hangup(struct cn *c, uint32_t events)
 {
 	int err = 0;
@@ -170,6 +177,7 @@
 
 	if (c->connecting || (events & EPOLLOUT)) on_writable(c);
 	if (c->ev.fd < 0 || c->connecting) return;
+	if (!expects_close(c)) events &= ~(uint32_t)EPOLLRDHUP;
 	if (!c->paused && !c->got_eof &&
 	    (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
 		on_readable(c);
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -110,6 +110,7 @@
 	x->cn.on_connected = on_connected;
 	x->cn.on_data = on_data;
 	x->cn.on_end = on_cn_end;
+	x->cn.end_in_order = 1; /* the close of the connection may end the answer */
 	x->timer.fire = on_timer;
 	hp_init(&x->hp, 0);
 	x->hp.user = x;
--- a/src/internal/cn.h
+++ b/src/internal/cn.h
@@ -13,7 +13,9 @@
 	uint64_t sent; /* bytes of out passed to the kernel so far */
 	uint32_t events;
 	int connecting, paused, got_eof;
-	void *filter; /* of a tunnel, which has replaced the callbacks; or NULL */
+	int end_in_order; /* the peer's close is reported after all that it sent before, also if
+			     reading was paused; set before cn_connect */
+	void *filter;     /* of a tunnel, which has replaced the callbacks; or NULL */
 	void (*on_connected)(struct cn *c); /* connection established; may be NULL */
 	void (*on_data)(struct cn *c, const char *p, size_t n);
 	/* The peer closed its side (err 0) or the connection failed (a negative errno). */
@@ -34,7 +36,8 @@
 /* After the peer closed its side: delivers what it sent before and was not read while reading
  * was paused. */
 void cn_read_rest(struct cn *c);
-/* Stops or resumes reading. The end of the connection is still reported while paused. */
+/* Stops or resumes reading. The end of the connection is still reported while paused, but a
+ * close by the peer only without end_in_order. */
 void cn_pause(struct cn *c, int paused);
 /* Both close without a callback. cn_reset drops unsent bytes and sends a reset. */
 void cn_close(struct cn *c);
