The close of a source that was ordered to stop does not end its stream

What callers see: a stream without a length or chunks that is moved ends at its caller as complete when its source stops, between two events.

Cause: an engine that stops a run for a move closes its stream without its end. Where nothing frames the answer that is the close that ends a whole one.

Change: after an order to stop, the close of an unframed stream proves nothing. The reply tells: no such run, it was over before; a handle, it stopped, and goes on where its memory is; no reply, nobody knows, and the stream is not complete. An engine that was ordered to stop is not blamed, also where its reply was lost.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -49,7 +49,9 @@
 	int not_run;             /* the answer states that the request was not run */
 	int answered;            /* the head of a valid answer arrived */
 	enum hp_framing framing; /* of that answer */
-	enum tn_fault fault;     /* once it has ended: whose failure, if through a tunnel */
+	int stop_ordered;    /* for a move; it may have stopped, unless it replied that not */
+	int may_be_complete; /* its unframed stream was closed after an order to stop it */
+	enum tn_fault fault; /* once it has ended: whose failure, if through a tunnel */
 	struct sockaddr_in helper; /* that its tunnel leads through; no port: none */
 	int64_t sent_us, first_us;
 	struct evs evs;
@@ -315,7 +317,8 @@
 int att_on_head(struct hx *x);
 int att_on_body(struct hx *x, const char *p, size_t n);
 int att_is_stream(const struct attempt *att, const struct hx *x);
-/* Its exchange succeeded: forwards what is left of the stream. */
+/* Its stream is complete: ends that of the caller. head: of the answer; may be NULL once the
+ * caller has the head of its stream. */
 void att_stream_done(struct attempt *att, const struct hp_head *head);
 
 /* rq_end.c */
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -97,7 +97,7 @@
 
 	/* An engine that was ordered to stop its stream has not failed; if that counted as a
 	 * failure, healthy engines would get no work. */
-	if (!move_stops_source(r)) blame(att, err);
+	if (!att->stop_ordered && !move_stops_source(r)) blame(att, err);
 	log_broken(att, "may_have_run", err);
 	if (move_source_ended(r)) return;
 	r->runs++;
@@ -152,11 +152,18 @@
 		not_reached(att, -EHOSTUNREACH);
 }
 
-/* What ends the answer may come inside an event: then the engine broke off. */
-static int stream_error(const struct attempt *att, const struct hx *x)
+/* What ends the answer may come inside an event: then the engine broke off. A source that stops
+ * for a move closes its connection like one whose unframed answer is complete; the reply to the
+ * order tells which it was. */
+static int stream_error(struct attempt *att, const struct hx *x)
 {
-	if (!att_is_stream(att, x) || !evs_is_inside_event(&att->evs)) return 0;
-	met_add(MET_STREAMS_CUT_SHORT, 1);
+	if (!att_is_stream(att, x)) return 0;
+	if (evs_is_inside_event(&att->evs)) {
+		met_add(MET_STREAMS_CUT_SHORT, 1);
+		return -EPIPE;
+	}
+	if (att->framing != HP_BY_CLOSE || !att->stop_ordered) return 0;
+	att->may_be_complete = att->rq->head_sent;
 	return -EPIPE;
 }
 
--- a/src/relay/rq_move_copy.c
+++ b/src/relay/rq_move_copy.c
@@ -155,6 +155,7 @@
 {
 	struct move *m = &r->move;
 
+	if (status && status != 200 && !moved->handle[0]) r->attempt->stop_ordered = 0;
 	if (moved->handle[0]) {
 		g_strlcpy(m->handle, moved->handle, sizeof m->handle);
 		m->source_stopped = 1;
@@ -177,6 +178,8 @@
 	}
 	if (r->attempt->hx)
 		move_postpone(r, MOVE_RETRY_US);
+	else if (status == 404 && r->attempt->may_be_complete)
+		att_stream_done(r->attempt, NULL); /* the run was over before the order came */
 	else
 		move_fail(r, "the source stopped and its memory was not moved");
 }
@@ -223,6 +226,7 @@
 	else
 		m->body = g_string_new(NULL);
 	dl_write_move(out, m->source, r->in.id, m->target->address, final);
+	if (final) r->attempt->stop_ordered = 1;
 	m->ordered_us = clock_us();
 	m->hx = hx_new(r);
 	m->hx->on_body = on_order_body;
--- a/test/pw.h
+++ b/test/pw.h
@@ -177,12 +177,13 @@
 	int moving, max_moving; /* concurrent move orders: now, and the maximum so far */
 	/* A stream that stops for a move is closed, not reset. */
 	int stop_closes;
-	int draining;  /* its report states draining */
-	int unhealthy; /* its health check fails */
-	int room;      /* runs at once; more are rejected; 0: no limit */
-	int running;   /* runs now */
-	int checks;    /* health checks received */
-	int reports;   /* reports requested */
+	int stop_unanswered; /* it is carried out, and its reply is lost */
+	int draining;        /* its report states draining */
+	int unhealthy;       /* its health check fails */
+	int room;            /* runs at once; more are rejected; 0: no limit */
+	int running;         /* runs now */
+	int checks;          /* health checks received */
+	int reports;         /* reports requested */
 	int arrivals, moves, copies, drops;
 	const char *extra_fields; /* additional header lines of each answer, each ended by CRLF;
 				     or NULL */
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -87,7 +87,10 @@
 		end_stopped(s, stream);
 	}
 	json_object_put(o);
-	pw_server_answer(s, h, status, NULL, body);
+	if (last && s->stop_unanswered)
+		hs_abort(h);
+	else
+		pw_server_answer(s, h, status, NULL, body);
 }
 
 struct delayed_move {
--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -183,6 +183,20 @@
 	pw_end();
 }
 
+/* Whether it stopped is not known. */
+static void a_stream_whose_order_to_stop_was_not_answered_is_not_complete(void)
+{
+	struct pw_call *c = moved_stream();
+	struct pw_server *s = pw_run_of(c->id, 0)->server;
+
+	s->stop_unanswered = 1;
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_run_of(c->id, 0)->stopped);
+	CU_ASSERT(c->err != 0);
+	CU_ASSERT(has_whole_events(c, 120));
+	pw_end();
+}
+
 static int is_moving(void *arg)
 {
 	return ((struct pw_server *)arg)->moves > 0;
@@ -414,6 +428,8 @@
 	 a_stream_that_ends_inside_an_event_goes_on_from_its_replica},
 	{"a_source_that_stops_for_a_move_does_not_end_the_stream",
 	 a_source_that_stops_for_a_move_does_not_end_the_stream},
+	{"a_stream_whose_order_to_stop_was_not_answered_is_not_complete",
+	 a_stream_whose_order_to_stop_was_not_answered_is_not_complete},
 	{"a_stream_that_is_complete_before_its_source_is_stopped_ends",
 	 a_stream_that_is_complete_before_its_source_is_stopped_ends},
 	{"a_slow_reader_gets_the_whole_of_an_unframed_stream",
