An answer of the store without a body is no empty list

What could be seen: a store that closes a listing's connection before its body is asked for lists and watches thousands of times a second, and the instance logs list_read at revision 0.

--- a/test/pw.h
+++ b/test/pw.h
@@ -79,6 +79,7 @@
 	PW_STORE_DOWN,  /* resets each request */
 	PW_STORE_BUSY,  /* answers 503 */
 	PW_STORE_LOST,  /* carries out the request, resets instead of answering */
+	PW_STORE_CUT,   /* answers without a length, and closes after cut_bytes of the body */
 	PW_STORE_SILENT /* never answers */
 };
 struct pw_store {
@@ -88,6 +89,7 @@
 	int calls, watches, commits, listings;
 	int slow_answers; /* answers that were sent in parts */
 	int slow_bytes;   /* sent per 100 ms of an answer over 64 KB; 0: all at once */
+	int cut_bytes;    /* of PW_STORE_CUT */
 	int page;         /* items in one answer to a listing, sorted by key; 0: all */
 	uint64_t revision;
 	const char *era; /* of each answer, NULL: era_number */
--- a/test/pw_store.c
+++ b/test/pw_store.c
@@ -107,6 +107,18 @@
 		   pw_store.era ? pw_store.era : number);
 }
 
+static void answer_in_part(struct hs *h, int status, const char *json)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_printf(out, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n\r\n", status);
+	g_string_append_len(out, json, MIN((gssize)strlen(json), pw_store.cut_bytes));
+	hs_write(h, out->str, out->len);
+	g_string_free(out, TRUE);
+	h->keep = 0;
+	hs_finish(h);
+}
+
 static void answer(struct hs *h, int status, const char *json)
 {
 	char fields[128];
@@ -119,6 +131,10 @@
 		hs_abort(h);
 		return;
 	}
+	if (pw_store.mode == PW_STORE_CUT) {
+		answer_in_part(h, status, json);
+		return;
+	}
 	era_field(fields, sizeof fields);
 	hs_answer(h, status, fields, json, strlen(json));
 }
@@ -466,6 +482,7 @@
 {
 	switch (h->listener == &second ? pw_store.second_mode : pw_store.mode) {
 	case PW_STORE_OK:
+	case PW_STORE_CUT:
 	case PW_STORE_LOST: return 0;
 	case PW_STORE_DOWN: hs_abort(h); return 1;
 	case PW_STORE_BUSY: hs_answer(h, 503, NULL, "", 0); return 1;
--- a/test/test_lists.c
+++ b/test/test_lists.c
@@ -72,6 +72,37 @@
 	pw_end();
 }
 
+#define CUT_CALLS 45 /* two lists and a question, each again after 100 ms at the earliest */
+
+/* Without a length, the close of the connection ends an answer, wherever it comes: one without
+ * a body was read as an empty list, and the next call followed at once, thousands a second. */
+static void an_answer_of_the_store_that_is_cut_short_is_no_list(void)
+{
+	static const int cuts[] = {0, 1, 30};
+	struct pw_server *s;
+	struct pw_entry *e = pw_init_with(&s, 1);
+	int calls;
+	size_t i;
+
+	CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 200);
+	for (i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		pw_store.cut_bytes = cuts[i];
+		pw_store.mode = PW_STORE_CUT;
+		pw_store_compact(); /* watches begin with a listing again */
+		calls = pw_store.calls;
+		pw_run(1500);
+		CU_ASSERT(pw_store.calls - calls < CUT_CALLS);
+		CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 200);
+		pw_store.mode = PW_STORE_OK;
+		pw_run(1500);
+		CU_ASSERT_EQUAL(pw_status_of_key(e, "k1"), 200);
+	}
+	CU_ASSERT(!pw_log_has(e, "\"list_read\",\"list\":\"servers/\",\"era\":0"));
+	CU_ASSERT(!pw_log_has(e, "\"gone\""));
+	CU_ASSERT(!pw_log_has(e, "backend_lapsed"));
+	pw_end();
+}
+
 #define PAGE 50
 /* One confirms the configuration, two list a page each and one polls for changes, at most once
  * in 0.9 s. */
@@ -227,6 +258,8 @@
 }
 
 static const struct check list[] = {
+	{"an_answer_of_the_store_that_is_cut_short_is_no_list",
+	 an_answer_of_the_store_that_is_cut_short_is_no_list},
 	{"what_stands_still_costs_nothing_however_long_the_list",
 	 what_stands_still_costs_nothing_however_long_the_list},
 	{"a_long_list_is_had_from_the_own_data_centre",
