Refuse a value of the store whose end is not stated

What could be seen: half of a document counts as its new version, is handed on to all instances, and the whole one is never read, as its version is no newer. No report; found by looking for the cause of the cut streams in the product's own interface.

Cause: the same. libcurl takes the close of a connection for the end of a body without a length or chunks, and a document need not be JSON, so that half of it can't be told from the whole.

Change: a value counts only if its answer states where it ends; else the call has failed and is retried with the back-off of other failures. Reads and watches both. Elsewhere in src/link and src/node: a generation is over by its last event only; peers' messages carry their lengths; the plain answer of a service without a length can't be told, and stays open.

--- a/src/internal/kv.h
+++ b/src/internal/kv.h
@@ -26,6 +26,12 @@
 int kv_put(const char *key, const char *value, size_t len, uint64_t expect, uint64_t *version,
 	   struct err *e);
 
+/*
+ * Whether a header line tells where the body ends. A value without one ends with its
+ * connection, and half of it can't be told from the whole: it counts as a failed call.
+ */
+int kv_is_framing(const char *line, size_t n);
+
 /* Returns an exchange that completes once the version of key is above after, or after
  * watch_ms; without wait it completes at once. NULL when over budget. */
 struct mux_xfer *kv_watch(const char *key, uint64_t after, int wait);
--- a/src/link/kv_http.c
+++ b/src/link/kv_http.c
@@ -41,12 +41,26 @@
 struct answer {
 	GString *body;
 	uint64_t version;
+	int framed;
 };
 
+static int has_name(const char *line, size_t n, const char *name)
+{
+	size_t len = strlen(name);
+
+	return n > len && !strncasecmp(line, name, len) && line[len] == ':';
+}
+
+int kv_is_framing(const char *line, size_t n)
+{
+	return has_name(line, n, "Content-Length") || has_name(line, n, "Transfer-Encoding");
+}
+
 static size_t on_header(char *p, size_t size, size_t n, void *user)
 {
 	struct answer *a = user;
 
+	a->framed |= kv_is_framing(p, size * n);
 	if (size * n > 6 && !strncasecmp(p, "ETag:", 5)) {
 		p += 5;
 		while (*p == ' ' || *p == '"') p++;
@@ -62,6 +76,7 @@
 
 	a->body = g_string_new(NULL);
 	a->version = 0;
+	a->framed = 0;
 	curl_easy_setopt(c, CURLOPT_URL, url);
 	curl_easy_setopt(c, CURLOPT_PROXY, "");
 	curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
@@ -99,6 +114,11 @@
 	long status = perform(c, e);
 
 	curl_easy_cleanup(c);
+	if (status == 200 && !a.framed) {
+		met_add(MET_KV_ERRORS, 1);
+		status = err_set(e, -EIO, STEP_PLATFORM, cfg.address,
+				 "the length of the value is not stated");
+	}
 	if (status == 200) {
 		*version = a.version;
 		*len = a.body->len;
--- a/src/node/platform.c
+++ b/src/node/platform.c
@@ -31,6 +31,7 @@
 	int64_t next_start_us, backoff_us;
 	GString *body;
 	uint64_t version;
+	int framed; /* the answer states where it ends */
 	struct mux_xfer *xfer;
 };
 
@@ -54,6 +55,7 @@
 {
 	struct watch *w = x->user;
 
+	w->framed |= kv_is_framing(line, n);
 	if (n < 6 || strncasecmp(line, "ETag:", 5)) return;
 	line += 5;
 	while (*line == ' ' || *line == '"') line++;
@@ -79,7 +81,7 @@
 	struct watch *w = x->user;
 
 	if (w->next_start_us < clock_us()) w->next_start_us = clock_us();
-	if (rc == CURLE_OK && status == 200) {
+	if (rc == CURLE_OK && status == 200 && w->framed) {
 		/* The store returned an older version at once instead of waiting for a newer
 		 * one: back off, or the watch would become a busy loop. */
 		if (docs_update(w->doc, w->version, w->body->str, w->body->len))
@@ -101,6 +103,7 @@
 	if (!x) return;
 	g_string_truncate(w->body, 0);
 	w->version = 0;
+	w->framed = 0;
 	w->in_flight = 1;
 	x->user = w;
 	x->on_data = on_data;
--- a/src/standin/standin-kv.c
+++ b/src/standin/standin-kv.c
@@ -32,6 +32,7 @@
 	uint64_t nreads, nwrites, refused;
 	/* faults */
 	int down, hang, lose_answers, stale_reads;
+	int cut; /* a value is sent without its length, and its second half is missing */
 	int64_t slow_ms;
 } kv = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
@@ -75,6 +76,13 @@
 	return 1;
 }
 
+static void send_half(struct mg_connection *c, const char *data, size_t n, const char *head)
+{
+	mg_printf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n", head);
+	mg_write(c, data, n / 2);
+	mg_disable_keep_alive(c);
+}
+
 static int send_value(struct mg_connection *c, const struct entry *e)
 {
 	int stale = kv.stale_reads && e->previous;
@@ -86,7 +94,10 @@
 		   (unsigned long long)(stale ? e->previous_version : e->version));
 	copy = g_memdup2(stale ? e->previous : e->data, n + 1);
 	pthread_mutex_unlock(&kv.lock);
-	http_send(c, 200, "application/octet-stream", copy, n, head);
+	if (kv.cut)
+		send_half(c, copy, n, head);
+	else
+		http_send(c, 200, "application/octet-stream", copy, n, head);
 	g_free(copy);
 	pthread_mutex_lock(&kv.lock);
 	return 200;
@@ -230,6 +241,7 @@
 	kv.hang = (int)standin_int(o, "hang", kv.hang);
 	kv.lose_answers = (int)standin_int(o, "lose_answers", kv.lose_answers);
 	kv.stale_reads = (int)standin_int(o, "stale_reads", kv.stale_reads);
+	kv.cut = (int)standin_int(o, "cut", kv.cut);
 	kv.slow_ms = standin_int(o, "slow_ms", kv.slow_ms);
 	pthread_cond_broadcast(&kv.changed);
 	pthread_mutex_unlock(&kv.lock);
--- a/test/test_failure.c
+++ b/test/test_failure.c
@@ -170,6 +170,27 @@
 	stop(f);
 }
 
+static int has_retried(void *arg)
+{
+	struct fleet *f = arg;
+
+	return fleet_metric(f->admin[0], "saddlehead_platform_errors_total") >= 2;
+}
+
+/* The close of a connection ended the store's answer: half of a document counted as its new
+ * version, and the whole one was never read. */
+static void a_document_that_comes_in_part_is_read_again(void)
+{
+	struct fleet *f = fleet(1, 2, 0, NULL);
+
+	fleet_fault(f->kv, "{\"cut\":1}");
+	put_list(f, "dc1", f->engine[0], "leaving");
+	CU_ASSERT_EQUAL(await(has_retried, f), 0);
+	fleet_fault(f->kv, "{\"cut\":0}");
+	CU_ASSERT_EQUAL(await(seen_leaving, f), 0);
+	stop(f);
+}
+
 static const struct check list[] = {
 	{"a_cut_stream_goes_on_with_the_same_generation",
 	 a_cut_stream_goes_on_with_the_same_generation},
@@ -177,6 +198,8 @@
 	{"an_engine_that_dies_ends_the_stream_with_an_error",
 	 an_engine_that_dies_ends_the_stream_with_an_error},
 	{"a_whole_answer_survives_its_engine", a_whole_answer_survives_its_engine},
+	{"a_document_that_comes_in_part_is_read_again",
+	 a_document_that_comes_in_part_is_read_again},
 	{"a_leaving_engine_gets_no_new_work", a_leaving_engine_gets_no_new_work},
 };
 CHECK_MAIN(list)
