An unframed stream that ends before its first event is not complete

What callers saw: nothing yet; with an engine that closes an unframed answer behind its head they get a complete stream of no events.

Cause: the close of the connection is the end of such an answer, and no event was pending.

Change: a run that has begun makes an event, so that a close before the first one is a break, on the path of all others. An empty answer whose length or last chunk says so is passed on as it is: there the engine states it. A close between two later events stays open; nothing tells it from the end.

Test red before, passes now, one play each.

--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -152,13 +152,19 @@
 		not_reached(att, -EHOSTUNREACH);
 }
 
+/* A run that has begun makes an event: a close before the first one is no end of a stream. */
+static int is_missing(const struct attempt *att)
+{
+	return att->framing == HP_BY_CLOSE && !att->rq->seen.count;
+}
+
 /* What ends the answer may come inside an event: then the engine broke off. A source that stops
  * for a move closes its connection like one whose unframed answer is complete; the reply to the
  * order tells which it was. */
 static int stream_error(struct attempt *att, const struct hx *x)
 {
 	if (!att_is_stream(att, x)) return 0;
-	if (evs_is_inside_event(&att->evs)) {
+	if (evs_is_inside_event(&att->evs) || is_missing(att)) {
 		met_add(MET_STREAMS_CUT_SHORT, 1);
 		return -EPIPE;
 	}
--- a/test/pw.h
+++ b/test/pw.h
@@ -167,6 +167,7 @@
 	enum pw_mode mode;
 	enum pw_framing framing;
 	enum pw_break_end break_end;
+	int break_between; /* PW_BREAK ends a stream between two events, not inside one */
 	int engine;
 	int work_ms, event_ms, events, break_after;
 	int event_bytes; /* of padding in each event */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -116,7 +116,7 @@
 {
 	const struct pw_server *s = r->server;
 	int i, breaks = s->mode == PW_BREAK, last = breaks ? s->break_after : s->events;
-	size_t n = breaks ? sizeof part_of_event - 1 : 0;
+	size_t n = breaks && !s->break_between ? sizeof part_of_event - 1 : 0;
 
 	for (i = r->events + 1; i <= last; i++) {
 		GString *g = event(r, i);
@@ -161,7 +161,7 @@
 static void break_off(struct pw_run *r)
 {
 	if (r->server->break_end == PW_BY_END && is_first_event(r)) send_stream_head(r);
-	send_part(r, part_of_event, sizeof part_of_event - 1);
+	if (!r->server->break_between) send_part(r, part_of_event, sizeof part_of_event - 1);
 	if (r->server->break_end == PW_BY_END)
 		end_stream(r);
 	else
--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -87,6 +87,21 @@
 	for (i = 0; i < G_N_ELEMENTS(framings); i++) check_cut(framings[i], 0);
 }
 
+/* A run that has begun makes an event. */
+static void an_unframed_stream_without_an_event_is_not_complete(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	add_broken_engine(PW_UNFRAMED, 0)->break_between = 1;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", CHAT, 5000);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT_EQUAL(c->status, 502);
+	pw_end();
+}
+
 static void check_resumed(enum pw_framing f, int events)
 {
 	struct pw_server *s;
@@ -422,6 +437,8 @@
 	 a_stream_that_ends_inside_an_event_is_not_complete},
 	{"a_stream_that_ends_inside_its_first_event_is_not_complete",
 	 a_stream_that_ends_inside_its_first_event_is_not_complete},
+	{"an_unframed_stream_without_an_event_is_not_complete",
+	 an_unframed_stream_without_an_event_is_not_complete},
 	{"a_resumable_stream_that_ends_inside_an_event_goes_on",
 	 a_resumable_stream_that_ends_inside_an_event_goes_on},
 	{"a_stream_that_ends_inside_an_event_goes_on_from_its_replica",
