Log the software version of a request's server and the attempt that it resumes

Cause: no line names a version where a request is sent, nor the attempt that a taken up stream follows, so that the hypotheses (no choice looks at the version; a caller that takes a stream up is a new request; a late list) leave the same log.

Change: request_sent and request_ended say version and resumes. No decision changes.

--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -23,6 +23,8 @@
 	uint32_t prompt_tokens, output_max; /* 0: not stated */
 	uint32_t output_hint;     /* the caller's estimate of the output tokens; 0: none */
 	const char *resume_after; /* id of the last event received; NULL: none */
+	/* The attempt of the caller that brought the stream's first event; NULL: not stated. */
+	const char *resumes;
 };
 
 /* Returns 0, or -EINVAL if the deadline or the token counts are malformed, or the host or the
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -35,6 +35,8 @@
 	jlog_str(g, "service", r->service ? r->service->name : NULL);
 	jlog_str(g, "workspace", r->group ? r->group->name : NULL);
 	jlog_str(g, "backend", r->attempt ? r->attempt->be->id : NULL);
+	jlog_str(g, "version", r->attempt ? r->attempt->be->version : NULL);
+	jlog_str(g, "resumes", r->in.resumes);
 	if (r->attempt && r->attempt->helper.sin_port)
 		jlog_str(g, "via", mesh_helper_name(&r->attempt->helper));
 	jlog_int(g, "sends", r->sends);
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -67,6 +67,8 @@
 	jlog_str(g, "request", r->in.id);
 	jlog_str(g, "service", r->service->name);
 	jlog_str(g, "backend", att->be->id);
+	jlog_str(g, "version", att->be->version);
+	jlog_str(g, "resumes", r->in.resumes);
 	jlog_str(g, "backup", att->replica ? att->replica->id : NULL);
 	jlog_str(g, "copy", copy);
 	jlog_str(g, "after_event", r->seen.id[0] ? r->seen.id : NULL);
