A stream goes on only at the software version that brought its first event

Cause, of those within one answer: placing again after events, the replica, the target of a move and memory at the source each took any engine of the service that the roles of a rollout and the regions allowed. The version was known of each engine and used for rollouts alone.

Change: the first event binds a stream to the version of its engine (rq_version.c). One function allows a server by version, rollout and region, and every choice asks it; a replica and a moved memory go to engines of the run's version also before the first event; each send checks again. An entry without a version, or two entries of one incarnation that state different ones, make it unknown, and unknown fits to nothing but the incarnation itself. Where no engine of the version is ready the stream is cut, or refused as not run (version_gone).

--- a/src/base/fp.c
+++ b/src/base/fp.c
@@ -33,6 +33,21 @@
 	memcpy(f->byte, sum, sizeof f->byte);
 }
 
+uint64_t fp_short(const char *a, const char *b)
+{
+	GChecksum *c = g_checksum_new(G_CHECKSUM_SHA256);
+	guint8 sum[32];
+	gsize n = sizeof sum;
+	uint64_t key;
+
+	add_text(c, a);
+	add_text(c, b);
+	g_checksum_get_digest(c, sum, &n);
+	g_checksum_free(c);
+	memcpy(&key, sum, sizeof key);
+	return key ? key : 1;
+}
+
 int fp_equal(const struct fp *a, const struct fp *b)
 {
 	return !memcmp(a->byte, b->byte, sizeof a->byte);
--- a/src/fleet/be.c
+++ b/src/fleet/be.c
@@ -113,7 +113,8 @@
 	b->dc = g_strdup(i->dc);
 	b->address = g_strdup(i->address);
 	b->region = be_region_of(i->dc);
-	b->version = g_strdup(i->version ? i->version : "");
+	b->version = g_strdup("");
+	be_note_version(b, i->version);
 	b->sa = *sa;
 	b->room.own = BE_ROOM_UNKNOWN;
 	b->state_since_us = clock_us();
@@ -205,6 +206,7 @@
 	if (!b) return 0;
 	if (b->unreadable || b->state == BE_GONE) b->available_us = now;
 	b->slots = i->slots;
+	be_note_version(b, i->version);
 	if (i->incarnation_ms) b->incarnation_ms = i->incarnation_ms;
 	b->unreadable = 0;
 	b->lapsed_us = 0;
--- a/src/fleet/be_version.c
+++ b/src/fleet/be_version.c
@@ -1,6 +1,7 @@
-/* Blocked versions of services: their servers get no new work. */
+/* Software versions of servers, and the blocked ones: their servers get no new work. */
 #include "be.h"
 #include "clock.h"
+#include "fp.h"
 #include <string.h>
 
 static GHashTable *blocked; /* set of "service version" */
@@ -19,6 +20,27 @@
 	return found;
 }
 
+/* The software of an incarnation does not change. Entries that state two versions are of two
+ * incarnations that can't be told apart, or by another writer: which one runs is unknown. */
+void be_note_version(struct be *b, const char *version)
+{
+	if (!version || !*version || b->version_disputed || !strcmp(version, b->version))
+		return;
+	if (*b->version) {
+		b->version_disputed = 1;
+		b->version_key = 0;
+		return;
+	}
+	g_free(b->version);
+	b->version = g_strdup(version);
+	b->version_key = fp_short(b->service, version);
+}
+
+int be_is_same_version(const struct be *a, const struct be *b)
+{
+	return a == b || (a->version_key && a->version_key == b->version_key);
+}
+
 static void set_blocked(const char *service, const char *version, int on)
 {
 	char *name = make_name(service, version);
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -77,8 +77,11 @@
 	char *id;
 	int64_t incarnation_ms; /* start of this incarnation by its own clock; 0: unknown */
 	char *service, *dc, *address;
-	char *version;      /* of its software; empty: unknown */
-	const char *region; /* NULL: unknown */
+	char *version; /* of its software; empty: not stated */
+	/* Equal for servers of one service and version; 0: unknown, and equal to none. */
+	uint64_t version_key;
+	int version_disputed; /* entries of this incarnation stated two versions */
+	const char *region;   /* NULL: unknown */
 	struct sockaddr_in sa;
 	enum be_state state;
 	int leaving_reported; /* by its own answers or another instance; its entry may lag */
@@ -175,6 +178,11 @@
  * last report. */
 void be_set_suspect(struct be *b, const char *source);
 void be_apply_suspect(const char *id, int64_t incarnation_ms, const char *source);
+/* An entry of b states this version; NULL or empty: none. */
+void be_note_version(struct be *b, const char *version);
+/* Whether b runs the same software as a: the same incarnation, or one of a known version that
+ * is that of a. */
+int be_is_same_version(const struct be *a, const struct be *b);
 /* Blocks or unblocks a version: servers of a blocked version get no new work, and runs there
  * are moved elsewhere. */
 void be_block_version(const char *service, const char *version, int on);
--- a/src/internal/fp.h
+++ b/src/internal/fp.h
@@ -23,6 +23,8 @@
 };
 
 void fp_make(struct fp *f, const struct fp_parts *p);
+/* Eight bytes of a SHA-256 over two texts with their lengths, NULL counts as empty; never 0. */
+uint64_t fp_short(const char *a, const char *b);
 int fp_equal(const struct fp *a, const struct fp *b);
 /* Hash and equality functions for a GHashTable with struct fp keys. */
 unsigned fp_hash(const void *f);
--- a/src/internal/reason.h
+++ b/src/internal/reason.h
@@ -38,6 +38,7 @@
 	REF_DC_DRAINED,   /* all suitable servers are in drained data centres */
 	REF_RATE_LIMITED, /* its share of every suitable server's rate limit is used up */
 	REF_SLOW_READER,  /* the caller reads its answer too slowly and memory is short */
+	REF_VERSION_GONE, /* no server of the software version that began the stream is left */
 	REF_MAX
 };
 
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -88,6 +88,13 @@
 	RQ_WAIT_RATE,   /* a send slot at a server that limits its request rate */
 };
 
+/* Whether a stream may go on at one software version only. */
+enum rq_bound {
+	RQ_UNBOUND,      /* it has brought no event */
+	RQ_BOUND,        /* to version_key */
+	RQ_BOUND_UNKNOWN /* to one that its engine did not state */
+};
+
 struct rq {
 	struct hs *h;
 	struct conf *conf;
@@ -107,6 +114,8 @@
 	int64_t wait_began_us;       /* when it joined the queue; 0: it has not waited */
 	int64_t expected_wait_us;    /* expected wait at that time ... */
 	int64_t forecast_us;         /* ... and by the forecast alone, without past errors */
+	enum rq_bound bound;
+	uint64_t version_key;   /* of its service and version, if bound */
 	uint32_t rollout_roles; /* bits of enum ro_role: servers that it may go to at present */
 	int sends;              /* attempts started */
 	int retry_denied;       /* the retry budget denied it a retry */
@@ -195,6 +204,18 @@
 /* 0 (most urgent) to 9; workspaces weigh more than routes. */
 int rq_rank(const struct rq *r);
 
+/* rq_version.c */
+/* b brought the stream's first event. No effect once it is bound. */
+void rq_bind(struct rq *r, const struct be *b);
+/* Whether the version that r is bound to, a rollout (roles: see ro.h) and regions allow b.
+ * Every choice of a server asks this. */
+int rq_allows_server(const struct rq *r, const struct be *b, uint32_t roles);
+/* The same for the version alone, asked before each send: b may also be the incarnation that
+ * runs the stream. */
+int rq_may_start_at(const struct rq *r, const struct be *b);
+/* Whether an engine of the version that r is bound to is ready, usable at present or not. */
+int rq_has_engine_of_version(const struct rq *r);
+
 /* rq_pick.c */
 /* The place in the ring of servers where this instance starts its walk. */
 uint32_t rq_walk_start(void);
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -43,8 +43,7 @@
 {
 	int64_t in_us = be_usable_in(b, now), wait_us;
 
-	if (in_us == INT64_MAX || !ro_matches(b, r->rollout_roles) || !rq_region_allowed(r, b))
-		return INT64_MAX;
+	if (in_us == INT64_MAX || !rq_allows_server(r, b, r->rollout_roles)) return INT64_MAX;
 	wait_us = pace_wait_us(b, r->service, now);
 	return MAX(in_us, wait_us);
 }
@@ -81,6 +80,9 @@
 	const struct place_job *job;
 	const char *dc;          /* near candidates are in this data centre */
 	const struct be *except; /* or NULL */
+	/* Takes over the memory of a run there, so that the versions must be the same; or NULL.
+	 */
+	const struct be *memory_of;
 	int64_t now;
 	int last_resort; /* no server is usable: take those allowed as a last resort */
 	struct place_server s[PLACE_SERVERS_MAX];
@@ -97,9 +99,11 @@
 static int is_candidate(struct choice *c, struct be *b, struct place_server *s)
 {
 	if (b == c->except) return 0;
+	if (c->memory_of && !be_is_same_version(c->memory_of, b)) return 0;
 	if (c->last_resort)
-		return be_last_resort(b, c->now) && ro_matches(b, c->r->rollout_roles) &&
-		       rq_region_allowed(c->r, b) && !pace_wait_us(b, c->r->service, c->now);
+		return be_last_resort(b, c->now) &&
+		       rq_allows_server(c->r, b, c->r->rollout_roles) &&
+		       !pace_wait_us(b, c->r->service, c->now);
 	if (!s->usable) c->passed_over[pace_why(b, c->r->service, c->now)] = 1;
 	return s->usable;
 }
@@ -122,7 +126,7 @@
 
 /* Valid until the next call. */
 static struct choice *collect(struct rq *r, const struct place_job *job, const char *dc,
-			      const struct be *except)
+			      const struct be *except, const struct be *memory_of)
 {
 	static struct choice c;
 
@@ -130,6 +134,7 @@
 	c.job = job;
 	c.dc = dc;
 	c.except = except;
+	c.memory_of = memory_of;
 	c.now = clock_us();
 	c.n = c.full = c.last_resort = 0;
 	memset(c.passed_over, 0, sizeof c.passed_over);
@@ -171,7 +176,7 @@
 
 static struct be *pick(struct rq *r, const struct be *except)
 {
-	const struct choice *c = collect(r, &r->job, rq_cfg->data_centre, except);
+	const struct choice *c = collect(r, &r->job, rq_cfg->data_centre, except, NULL);
 
 	if (!r->service->engine) return chosen(c, place_call(c->s, c->n, g_random_int()));
 	r->job.rivals = concurrent_sends();
@@ -210,7 +215,7 @@
 	int i;
 
 	r->rollout_roles = ro_allowed(r->service->name, 0);
-	c = collect(r, &now, source->dc, source);
+	c = collect(r, &now, source->dc, source, source);
 	for (i = 0; i < c->n; i++)
 		if (!can_take_move(c->at[i])) c->s[i].usable = 0;
 	return chosen(c, place_move(c->s, c->n, &now, g_random_int()));
@@ -227,7 +232,7 @@
 
 	if (r->route->resumable || r->route->kind != CONF_STREAM) return NULL;
 	r->rollout_roles = ro_allowed(r->service->name, 0);
-	c = collect(r, &now, att->be->dc, att->be);
+	c = collect(r, &now, att->be->dc, att->be, att->be);
 	for (i = 0; i < c->n; i++)
 		if (c->at[i]->refused) c->s[i].usable = 0;
 	return chosen(c, place_replica(c->s, c->n, -1, &now, REPLICA_PERCENT, g_random_int()));
--- a/src/relay/rq_rate.c
+++ b/src/relay/rq_rate.c
@@ -27,8 +27,7 @@
 	struct send_slots *t = arg;
 	int64_t in_us = be_usable_in(b, t->now), wait_us;
 
-	if (in_us == INT64_MAX || !ro_matches(b, t->roles) || !rq_region_allowed(t->r, b))
-		return 1;
+	if (in_us == INT64_MAX || !rq_allows_server(t->r, b, t->roles)) return 1;
 	wait_us = pace_wait_us(b, t->r->service, t->now);
 	t->s[t->n].first_us = MAX(in_us, wait_us);
 	t->s[t->n].gap_us = pace_gap_us(b, t->r->service, t->now);
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -85,9 +85,11 @@
 struct attempt *att_start(struct rq *r, struct be *b, const struct be *copy_at,
 			  const char *copy)
 {
-	struct attempt *att = g_new0(struct attempt, 1);
+	struct attempt *att;
 	int rc;
 
+	if (!rq_may_start_at(r, b)) return NULL;
+	att = g_new0(struct attempt, 1);
 	att->rq = r;
 	att->be = be_ref(b);
 	att->from_copy = copy != NULL;
@@ -158,6 +160,10 @@
 		return;
 	}
 	if (!b && rq_wait_for_rate(r)) return;
+	if (!b && r->bound != RQ_UNBOUND && !rq_has_engine_of_version(r)) {
+		rq_refuse(r, REF_VERSION_GONE, 0, "no engine of the stream's version is left");
+		return;
+	}
 	if (!b) {
 		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
 			  "no usable backend server is known");
