A caller's next try goes on at the version that began its stream

Cause, of those over a caller's tries: nothing read which attempt brought the first event, so that a try that takes a stream up was a new request.

Change: as an attempt's first event leaves, the instance that carries it tells two others, drawn by the attempt from the hubs that all are linked with, which version its engine has; a try that names the attempt is bound by what the instance knows itself or by the first answer of the six that may have been told. An instance that starts again is told what it would have kept, and one that stops hands on what it keeps. What is not known is not guessed, with however many versions in sight: nobody knows, nobody answers within 0.2 s, or the attempt is not named: refused as not run, origin_unknown, with a time to come back only where the answer is missing. No engine of the version ready, while others of the service are: version_gone, at once. A route that splits its traffic goes on at the service that began the stream. Two statements of two versions for one attempt count as neither.

Bounded: 65,536 streams, each until 30 s after its deadline. The order of those drawn costs no message; one statement is 28 bytes (worked out) to each of two.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -69,6 +69,9 @@
 	"tunnels_served",
 	"path_checks",
 	"eras_unread",
+	"origins_told",
+	"origins_asked",
+	"origins_learnt",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
 	"waiting",
@@ -84,6 +87,7 @@
 	"drained_data_centres",
 	"path_lost",
 	"tunnels_open",
+	"origins_kept",
 };
 static const char *const hist_names[MET_HIST_MAX] = {
 	"first_token_seconds", "between_tokens_seconds",    "stall_seconds",
--- a/src/base/reason.c
+++ b/src/base/reason.c
@@ -36,6 +36,7 @@
 	[REF_DC_DRAINED] = {"data_centre_drained", 503},
 	[REF_RATE_LIMITED] = {"servers_paced", 503},
 	[REF_SLOW_READER] = {"reader_too_slow", 502},
+	[REF_ORIGIN_UNKNOWN] = {"origin_unknown", 503},
 	[REF_VERSION_GONE] = {"version_gone", 503},
 };
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,6 +13,7 @@
 #include "limit.h"
 #include "mesh.h"
 #include "met.h"
+#include "origins.h"
 #include "pace.h"
 #include "path.h"
 #include "quarantine.h"
@@ -210,6 +211,7 @@
 	leave_start();
 	limit_start();
 	ro_start(c);
+	og_start(c, rq_on_origin);
 	be_on_leaving = rq_on_leaving;
 	be_on_incarnation_end = rq_on_incarnation_end;
 	probe_on_report = rq_on_report;
@@ -272,6 +274,7 @@
 	front.closing = 1;
 	mesh_set_state(0, 1);
 	rq_drain(drain_began_us + cfg->grace_us - DRAIN_MARGIN_US);
+	og_hand_over();
 	met_set(MET_G_DRAINING, 1);
 	roster_leave();
 	g = jlog_begin("main", "draining");
--- a/src/fleet/be_version.c
+++ b/src/fleet/be_version.c
@@ -41,6 +41,30 @@
 	return a == b || (a->version_key && a->version_key == b->version_key);
 }
 
+static const struct be *find_version(const GPtrArray *list, uint64_t key)
+{
+	uint32_t i;
+
+	for (i = 0; list && i < list->len; i++) {
+		const struct be *b = g_ptr_array_index(list, i);
+
+		if (b->version_key == key) return b;
+	}
+	return NULL;
+}
+
+int be_service_has_version(const char *service, uint64_t key)
+{
+	return find_version(be_of_service(service), key) != NULL;
+}
+
+const char *be_version_name(uint64_t key)
+{
+	const struct be *b = find_version(be_all(), key);
+
+	return b ? b->version : NULL;
+}
+
 static void set_blocked(const char *service, const char *version, int on)
 {
 	char *name = make_name(service, version);
--- a/src/fleet/leave.c
+++ b/src/fleet/leave.c
@@ -82,8 +82,8 @@
 
 void leave_start(void)
 {
-	static const struct mesh_topic leaving = {MESH_LEAVING, apply_leaving, write_all},
-				       suspect = {MESH_SUSPECT, apply_suspect, NULL};
+	static const struct mesh_topic leaving = {MESH_LEAVING, apply_leaving, write_all, NULL},
+				       suspect = {MESH_SUSPECT, apply_suspect, NULL, NULL};
 
 	mesh_add_topic(&leaving);
 	mesh_add_topic(&suspect);
--- a/src/fleet/limit.c
+++ b/src/fleet/limit.c
@@ -243,8 +243,10 @@
 
 void limit_start(void)
 {
-	static const struct mesh_topic limits = {MESH_LIMITS, apply_limits, write_limited},
-				       brittle = {MESH_BRITTLE, apply_brittle, write_brittle};
+	static const struct mesh_topic limits = {MESH_LIMITS, apply_limits, write_limited,
+						 NULL},
+				       brittle = {MESH_BRITTLE, apply_brittle, write_brittle,
+						  NULL};
 	enum limit_kind k;
 
 	mesh_add_topic(&limits);
--- a/src/fleet/mesh_in.c
+++ b/src/fleet/mesh_in.c
@@ -205,6 +205,9 @@
 	case MESH_SUSPECT:
 	case MESH_LIMITS:
 	case MESH_BRITTLE:
+	case MESH_ORIGIN:
+	case MESH_ORIGIN_ASK:
+	case MESH_ORIGIN_ANSWER:
 	case MESH_ROLLOUT: break;
 	}
 	return mesh_handle_topic(in->from, a);
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -43,7 +43,7 @@
 	mesh_write_absent(out);
 	/* Orders precede verdicts, which complete what a starting instance waits for. */
 	mesh_write_orders(out);
-	mesh_write_topics(out);
+	mesh_write_topics(m, out);
 	mesh_write_verdicts(out);
 	if (!m->last_seen_us || m->hb.serving) {
 		quarantine_write_reports(out);
@@ -109,6 +109,13 @@
 	cn_write(&m->link, frame->str, frame->len);
 }
 
+void mesh_send_to(const char *ip, const GString *frame)
+{
+	struct member *m = mesh_member_find(ip);
+
+	if (m) mesh_send(m, frame);
+}
+
 void mesh_send_serving(const GString *frame)
 {
 	uint32_t i;
--- a/src/fleet/mesh_members.c
+++ b/src/fleet/mesh_members.c
@@ -111,7 +111,7 @@
 {
 	GString *out = g_string_new(NULL);
 
-	mesh_write_topics(out);
+	mesh_write_topics(m, out);
 	quarantine_write_reports(out);
 	mesh_write_all_loads(out);
 	mesh_send(m, out);
--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "mesh_impl.h"
 #include <saddlehead/roles.h>
+#include <string.h>
 
 /* Until heartbeats of the others have arrived, the largest possible number of them is assumed.
  */
@@ -47,6 +48,51 @@
 	return r;
 }
 
+/* Hubs are linked to everybody, whichever instance draws. */
+static int may_be_drawn(const struct member *m)
+{
+	return m->alive && m->hub && cn_is_open(&m->link) && !m->link.connecting;
+}
+
+static uint32_t draw_order(uint64_t key, const char *ip)
+{
+	return order_of(ip, (uint32_t)(key ^ key >> 32));
+}
+
+int mesh_draw(uint64_t key, const char **ip, int max)
+{
+	uint32_t i;
+	int n = 0, k;
+
+	mesh_self_hub(); /* computes the roles if they are out of date */
+	for (i = 0; i < mesh_members()->len; i++) {
+		const struct member *m = g_ptr_array_index(mesh_members(), i);
+		uint32_t order = draw_order(key, m->ip);
+
+		if (!may_be_drawn(m)) continue;
+		for (k = n; k > 0 && draw_order(key, ip[k - 1]) > order; k--)
+			if (k < max) ip[k] = ip[k - 1];
+		if (k < max) ip[k] = m->ip;
+		if (n < max) n++;
+	}
+	return n;
+}
+
+int mesh_draws(uint64_t key, const char *ip, int max)
+{
+	uint32_t i, order = draw_order(key, ip);
+	int before = 0;
+
+	mesh_self_hub();
+	for (i = 0; i < mesh_members()->len && before < max; i++) {
+		const struct member *m = g_ptr_array_index(mesh_members(), i);
+
+		if (!may_be_drawn(m) || !strcmp(m->ip, ip)) continue;
+		before += draw_order(key, m->ip) < order;
+	}
+	return before < max;
+}
+
 void mesh_rank_start(void)
 {
 	started_us = clock_us();
--- a/src/fleet/mesh_topic.c
+++ b/src/fleet/mesh_topic.c
@@ -13,12 +13,14 @@
 	topics[ntopics++] = t;
 }
 
-void mesh_write_topics(GString *out)
+void mesh_write_topics(const struct member *m, GString *out)
 {
 	int i;
 
-	for (i = 0; i < ntopics; i++)
+	for (i = 0; i < ntopics; i++) {
 		if (topics[i]->write) topics[i]->write(out);
+		if (topics[i]->write_for) topics[i]->write_for(m->ip, out);
+	}
 }
 
 int mesh_handle_topic(const struct member *m, const msgpack_object_array *a)
--- a/src/fleet/ro_mesh.c
+++ b/src/fleet/ro_mesh.c
@@ -179,7 +179,7 @@
 
 void ro_mesh_start(void)
 {
-	static const struct mesh_topic topic = {MESH_ROLLOUT, on_frame, write_all};
+	static const struct mesh_topic topic = {MESH_ROLLOUT, on_frame, write_all, NULL};
 
 	mesh_add_topic(&topic);
 }
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -183,6 +183,10 @@
 /* Whether b runs the same software as a: the same incarnation, or one of a known version that
  * is that of a. */
 int be_is_same_version(const struct be *a, const struct be *b);
+/* Whether a server of the service, gone ones included, is of the version with this key. */
+int be_service_has_version(const char *service, uint64_t key);
+/* The name of the version with this key, if a server of it is known; or NULL. */
+const char *be_version_name(uint64_t key);
 /* Blocks or unblocks a version: servers of a blocked version get no new work, and runs there
  * are moved elsewhere. */
 void be_block_version(const char *service, const char *version, int on);
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -120,6 +120,12 @@
 			 */
 };
 struct mesh_rank mesh_rank(const struct be *b);
+/* Draws instances by a key, in an order that all compute alike from those that they know:
+ * stores the addresses of up to max others that are linked with all, the first in the order
+ * first, and returns their number. The addresses are valid until the next turn of the loop. */
+int mesh_draw(uint64_t key, const char **ip, int max);
+/* Whether the instance at ip is, or would be if it were known, among the first max. */
+int mesh_draws(uint64_t key, const char *ip, int max);
 /* Sets whether a call of this instance to the store has been unanswered for long. */
 void mesh_set_store_late(int late);
 /* No fetch begins before until_us (monotonic): an answer of the store is arriving, which may
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -307,8 +307,8 @@
 void mesh_rank_start(void);
 
 /* mesh_topic.c */
-/* Writes the state of every topic for an instance to which a link came up. */
-void mesh_write_topics(GString *out);
+/* Writes the state of every topic for m, to which a link came up. */
+void mesh_write_topics(const struct member *m, GString *out);
 /* Handles a frame of some topic's type. 0 or -EBADMSG. */
 int mesh_handle_topic(const struct member *m, const msgpack_object_array *a);
 
--- a/src/internal/mesh_topic.h
+++ b/src/internal/mesh_topic.h
@@ -28,7 +28,10 @@
 	MESH_ROLLOUT,   /* state of a rollout, and outcomes of exchanges with the new version */
 	MESH_PING,      /* requests an immediate heartbeat */
 	MESH_TUNNEL,    /* requests a tunnel to a backend server on the same connection */
-	MESH_BRITTLE    /* rejections per second that backend servers bear */
+	MESH_BRITTLE,   /* rejections per second that backend servers bear */
+	MESH_ORIGIN,    /* which version began a stream */
+	MESH_ORIGIN_ASK,
+	MESH_ORIGIN_ANSWER
 };
 
 /* One kind of data that a module exchanges with the same module of other instances. */
@@ -39,6 +42,8 @@
 	/* Appends frames with the whole state, for an instance that started or was cut off;
 	 * NULL: none. */
 	void (*write)(GString *out);
+	/* The same for what concerns the instance at ip alone; NULL: none. */
+	void (*write_for)(const char *ip, GString *out);
 };
 /* To be called at start, before mesh_start. t is kept. */
 void mesh_add_topic(const struct mesh_topic *t);
@@ -58,6 +63,8 @@
 int64_t mesh_int(const msgpack_object *o);
 
 void mesh_send_all(const GString *frame);
+/* Sends to the instance at ip; nothing if no link to it is up. */
+void mesh_send_to(const char *ip, const GString *frame);
 /* Sends to all instances that receive caller traffic. */
 void mesh_send_serving(const GString *frame);
 /* Sends to these and to the hubs, some of which watch the store for all. */
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -52,6 +52,9 @@
 	MET_TUNNELS_SERVED,     /* requests for a tunnel from other instances */
 	MET_PATH_CHECKS,        /* checks whether a server is reached from here */
 	MET_ERAS_INVALID,       /* answers of the store with an era that is no number */
+	MET_ORIGINS_TOLD,       /* statements to others which version began a stream */
+	MET_ORIGINS_ASKED,      /* questions to others */
+	MET_ORIGINS_LEARNT, /* streams taken up whose version was known, here or to others */
 	MET_COUNT_MAX
 };
 
@@ -69,6 +72,7 @@
 	MET_G_DRAINED_DATA_CENTRES, /* data centres drained now */
 	MET_G_PATH_LOST,            /* 1 while no backend server is reached from here */
 	MET_G_TUNNELS,              /* open for other instances now */
+	MET_G_ORIGINS,              /* streams of which this instance keeps the version */
 	MET_GAUGE_MAX
 };
 
--- /dev/null
+++ b/src/internal/origins.h
@@ -0,0 +1,23 @@
+/* Where streams began (og_): which software version brought the first event of a caller's
+ * attempt. The instance that carries the stream keeps that, and tells two others, drawn by the
+ * attempt, before the event leaves. Whoever must know it asks those that may have been drawn.
+ */
+#ifndef SH_ORIGINS_H
+#define SH_ORIGINS_H
+#include "entry_cfg.h"
+#include <stdint.h>
+
+/* What another instance answered. version 0: it does not know. from: its name. */
+typedef void og_answered(uint64_t key, uint64_t version, int64_t age_us, const char *from);
+
+/* To be called once, before the mesh starts. Keeps a reference to c. */
+void og_start(const struct entry_cfg *c, og_answered *f);
+/* The stream with this key is of that version; for_us: how long its caller may come back. */
+void og_note(uint64_t key, uint64_t version, int64_t for_us);
+/* The version as far as it is known here, and how long ago it was stated; 0: unknown. */
+uint64_t og_find(uint64_t key, int64_t *age_us);
+/* Asks others; og_answered follows for each that answers. Returns the number asked. */
+int og_ask(uint64_t key);
+/* This instance stops: those that remain are told what it keeps. */
+void og_hand_over(void);
+#endif
--- a/src/internal/reason.h
+++ b/src/internal/reason.h
@@ -33,11 +33,12 @@
 	REF_CALLER_LEFT,
 	REF_CONFLICT,
 	REF_INTERNAL,
-	REF_CRASHES,      /* backend servers crashed while it ran; it is not sent again */
-	REF_SUSPECT,      /* it may have crashed servers, and others like it are in flight */
-	REF_DC_DRAINED,   /* all suitable servers are in drained data centres */
-	REF_RATE_LIMITED, /* its share of every suitable server's rate limit is used up */
-	REF_SLOW_READER,  /* the caller reads its answer too slowly and memory is short */
+	REF_CRASHES,        /* backend servers crashed while it ran; it is not sent again */
+	REF_SUSPECT,        /* it may have crashed servers, and others like it are in flight */
+	REF_DC_DRAINED,     /* all suitable servers are in drained data centres */
+	REF_RATE_LIMITED,   /* its share of every suitable server's rate limit is used up */
+	REF_SLOW_READER,    /* the caller reads its answer too slowly and memory is short */
+	REF_ORIGIN_UNKNOWN, /* nobody is known to know which version began the stream */
 	REF_VERSION_GONE, /* no server of the software version that began the stream is left */
 	REF_MAX
 };
--- a/src/internal/rq.h
+++ b/src/internal/rq.h
@@ -26,6 +26,8 @@
 /* A backend server reported its progress: finds streams here that have received less than it
  * has generated for them. */
 void rq_on_report(struct be *b, const struct dl_report *r);
+/* Another instance answered which version began the stream with this key; 0: not known. */
+void rq_on_origin(uint64_t key, uint64_t version, int64_t age_us, const char *from);
 /* A connection from here to b was refused. */
 void rq_on_refused(struct be *b);
 /* A check found whether b is reached. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -95,6 +95,13 @@
 	RQ_BOUND_UNKNOWN /* to one that its engine did not state */
 };
 
+/* Where a stream began, of a request that takes it up or may be taken up. */
+struct rq_origin {
+	uint64_t key; /* of the attempt that brought the first event; 0: not needed yet */
+	int asked, unanswered; /* other instances; unanswered: the request waits for them */
+	struct ev_timer timer;
+};
+
 struct rq {
 	struct hs *h;
 	struct conf *conf;
@@ -114,6 +121,7 @@
 	int64_t wait_began_us;       /* when it joined the queue; 0: it has not waited */
 	int64_t expected_wait_us;    /* expected wait at that time ... */
 	int64_t forecast_us;         /* ... and by the forecast alone, without past errors */
+	struct rq_origin origin;
 	enum rq_bound bound;
 	uint64_t version_key;   /* of its service and version, if bound */
 	uint32_t rollout_roles; /* bits of enum ro_role: servers that it may go to at present */
@@ -153,6 +161,8 @@
 int rq_retryable(const struct rq *r);
 
 /* rq_begin.c */
+/* Goes on with a request that has waited to learn its stream's version. */
+void rq_admit_resolved(struct rq *r);
 void rq_stop_holding(struct rq *r);
 /* Whether the configuration accepts the request's key; without workspaces no key is required.
  */
@@ -193,6 +203,8 @@
 /* rq_send.c */
 /* Chooses a backend server and sends the request, queues it, or refuses it. */
 void rq_place(struct rq *r);
+/* Refuses a request that takes up a stream of a version without engines. */
+void rq_refuse_version_gone(struct rq *r);
 /* Refuses a request whose servers are all in data centres that operators drain. */
 void rq_refuse_drained(struct rq *r);
 /* Sends to b. copy NULL: from the start, or after the last event received. NULL: no connection
@@ -210,12 +222,24 @@
 /* Whether the version that r is bound to, a rollout (roles: see ro.h) and regions allow b.
  * Every choice of a server asks this. */
 int rq_allows_server(const struct rq *r, const struct be *b, uint32_t roles);
-/* The same for the version alone, asked before each send: b may also be the incarnation that
+/* Whether r may use b though its entry is gone. Entries may lapse all together; where others of
+ * the service are listed, those of the stream's version were removed. */
+int rq_allows_last_resort(const struct rq *r, const struct be *b);
+/* Whether the version allows b, asked before each send: b may also be the incarnation that
  * runs the stream. */
 int rq_may_start_at(const struct rq *r, const struct be *b);
-/* Whether an engine of the version that r is bound to is ready, usable at present or not. */
+/* Whether an engine of the version that r is bound to is ready, usable at present or not; 1 for
+ * a request that is bound to none. */
 int rq_has_engine_of_version(const struct rq *r);
 
+/* rq_origin.c */
+/* 1 when r takes up a stream and waits to learn its version, or was refused; 0: it goes on. */
+int rq_resolve_origin(struct rq *r);
+/* b brings the first event of an attempt: binds the stream, and has it known elsewhere. */
+void rq_note_origin(struct rq *r, const struct be *b);
+/* The service of its route that has servers of the version that r is bound to; NULL: none. */
+const char *rq_bound_service(const struct rq *r);
+
 /* rq_pick.c */
 /* The place in the ring of servers where this instance starts its walk. */
 uint32_t rq_walk_start(void);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -68,6 +68,7 @@
 	move_reset(r);
 	ev_stop(&r->end_timer);
 	ev_stop(&r->silence_timer);
+	ev_stop(&r->origin.timer);
 	att_free(r->attempt);
 	att_free(r->next);
 	if (r->answer) g_string_free(r->answer, TRUE);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -127,7 +127,7 @@
 
 	if (out->len) {
 		note_event(r);
-		rq_bind(r, att->be);
+		if (!att->first_us) rq_note_origin(r, att->be);
 		forward(att, &x->hp.head, out->str, out->len);
 	}
 	g_string_free(out, TRUE);
--- a/src/relay/rq_begin.c
+++ b/src/relay/rq_begin.c
@@ -105,15 +105,21 @@
 /* 0, or refuses r. */
 static int choose_service(struct rq *r)
 {
-	const char *name = conf_pick(r->route, g_random_double());
+	const char *name = r->bound == RQ_UNBOUND ? conf_pick(r->route, g_random_double())
+						  : rq_bound_service(r);
 
 	r->service = name ? conf_service(r->conf, name) : NULL;
 	if (r->service) return 0;
+	if (r->bound != RQ_UNBOUND) {
+		rq_refuse(r, REF_VERSION_GONE, RETRY_LATER_US,
+			  "no engine of the stream's version is known");
+		return -ENOENT;
+	}
 	rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US, "the route's service is not configured");
 	return -ENOENT;
 }
 
-static void admit(struct rq *r)
+void rq_admit_resolved(struct rq *r)
 {
 	r->job.prompt = r->in.prompt_tokens;
 	r->job.growth =
@@ -129,6 +135,11 @@
 	rq_place(r);
 }
 
+static void admit(struct rq *r)
+{
+	if (!rq_resolve_origin(r)) rq_admit_resolved(r);
+}
+
 static void on_held_timer(struct ev_timer *t)
 {
 	if (!quarantine_ready()) {
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -101,7 +101,7 @@
 	if (b == c->except) return 0;
 	if (c->memory_of && !be_is_same_version(c->memory_of, b)) return 0;
 	if (c->last_resort)
-		return be_last_resort(b, c->now) &&
+		return be_last_resort(b, c->now) && rq_allows_last_resort(c->r, b) &&
 		       rq_allows_server(c->r, b, c->r->rollout_roles) &&
 		       !pace_wait_us(b, c->r->service, c->now);
 	if (!s->usable) c->passed_over[pace_why(b, c->r->service, c->now)] = 1;
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -141,6 +141,11 @@
 		  "its servers are in data centres that are drained");
 }
 
+void rq_refuse_version_gone(struct rq *r)
+{
+	rq_refuse(r, REF_VERSION_GONE, 0, "no engine of the stream's version is left");
+}
+
 void rq_place(struct rq *r)
 {
 	const struct be *last = r->attempt ? r->attempt->be : NULL;
@@ -154,16 +159,16 @@
 	if (!still_allowed(r) || rq_check_quarantine(r)) return;
 	b = rq_pick(r, last);
 	if (!b && last) b = rq_pick(r, NULL);
+	if (!b && !rq_has_engine_of_version(r)) {
+		rq_refuse_version_gone(r);
+		return;
+	}
 	if (rq_wait_for_memory(r, b)) return;
 	if (!b && be_only_drained(r->service->name)) {
 		rq_refuse_drained(r);
 		return;
 	}
 	if (!b && rq_wait_for_rate(r)) return;
-	if (!b && r->bound != RQ_UNBOUND && !rq_has_engine_of_version(r)) {
-		rq_refuse(r, REF_VERSION_GONE, 0, "no engine of the stream's version is left");
-		return;
-	}
 	if (!b) {
 		rq_refuse(r, REF_NO_ENGINE, RETRY_LATER_US,
 			  "no usable backend server is known");
--- a/src/relay/rq_version.c
+++ b/src/relay/rq_version.c
@@ -31,6 +31,23 @@
 	return fits(r, b) && ro_matches(b, roles_of(r, roles)) && rq_region_allowed(r, b);
 }
 
+static int has_ready_server(const char *service)
+{
+	const GPtrArray *list = be_of_service(service);
+	uint32_t i;
+
+	for (i = 0; list && i < list->len; i++)
+		if (((const struct be *)g_ptr_array_index(list, i))->state == BE_READY)
+			return 1;
+	return 0;
+}
+
+int rq_allows_last_resort(const struct rq *r, const struct be *b)
+{
+	if (b->state == BE_READY || r->bound == RQ_UNBOUND) return 1;
+	return !has_ready_server(r->service->name);
+}
+
 static void log_refused(const struct rq *r, const struct be *b)
 {
 	GString *g = jlog_begin("relay", "version_refused");
@@ -54,6 +71,7 @@
 	const GPtrArray *list = be_of_service(r->service->name);
 	uint32_t i;
 
+	if (r->bound == RQ_UNBOUND) return 1;
 	for (i = 0; list && i < list->len; i++) {
 		const struct be *b = g_ptr_array_index(list, i);
 
--- a/src/relay/rq_wait.c
+++ b/src/relay/rq_wait.c
@@ -63,6 +63,11 @@
 		rq_refuse_drained(r);
 		return;
 	}
+	if (!rq_has_engine_of_version(r)) {
+		rq_queue_leave(r);
+		rq_refuse_version_gone(r);
+		return;
+	}
 	if (wait_us == FORECAST_NEVER)
 		g_snprintf(detail, sizeof detail,
 			   "no engine will have room as far as is known");
