Soak: streams that end inside events, several versions, callers that take up

Two kinds of faults behind the drawn ones, so that old seeds draw what they drew: an engine frames its streams by chunks, a length or nothing and breaks off as a complete answer ends; engines of a new version join. Callers take up most of their broken streams at any instance. Checked: no stream holds events of two versions, in one answer or over its tries; a taken up stream has the events behind those that its caller had.

--- a/test/pw.h
+++ b/test/pw.h
@@ -151,6 +151,7 @@
 	char body_sum[32];
 	int64_t deadline_ms, began_us, ended_us;
 	int events, cancelled, finished, stopped;
+	enum pw_framing framing; /* that of its server at its start */
 	struct pw_server *server;
 	struct hs *h;
 	struct ev_timer timer;
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -87,7 +87,7 @@
 
 static void send_part(struct pw_run *r, const char *p, size_t n)
 {
-	if (r->server->framing == PW_CHUNKED)
+	if (r->framing == PW_CHUNKED)
 		send_chunk(r->h, p, n);
 	else
 		hs_write(r->h, p, n);
@@ -131,11 +131,11 @@
 {
 	char fields[128] = "Content-Type: text/event-stream\r\nConnection: close\r\n";
 
-	if (r->server->framing == PW_CHUNKED)
+	if (r->framing == PW_CHUNKED)
 		g_strlcpy(fields,
 			  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
 			  sizeof fields);
-	if (r->server->framing == PW_WITH_LENGTH)
+	if (r->framing == PW_WITH_LENGTH)
 		g_snprintf(fields, sizeof fields,
 			   "Content-Type: text/event-stream\r\nContent-Length: %zu\r\n",
 			   answer_bytes(r));
@@ -148,8 +148,8 @@
 	struct hs *h = r->h;
 
 	pw_run_finish(r);
-	if (r->server->framing == PW_CHUNKED) hs_write(h, "0\r\n\r\n", 5);
-	if (r->server->framing == PW_UNFRAMED) h->keep = 0;
+	if (r->framing == PW_CHUNKED) hs_write(h, "0\r\n\r\n", 5);
+	if (r->framing != PW_CHUNKED) h->keep = 0;
 	hs_finish(h);
 }
 
@@ -261,6 +261,7 @@
 	r->deadline_ms = atoi(deadline);
 	r->events = atoi(r->after);
 	r->server = s;
+	r->framing = s->framing;
 	r->h = h;
 	r->began_us = clock_us();
 	s->running++;
--- a/test/soak.c
+++ b/test/soak.c
@@ -54,6 +54,7 @@
 	s->next_port = RESTART_PORT;
 	if (kinds != SOAK_FIRST_KINDS) pw_entry_program = "test/entry_jump";
 	s->rand = g_rand_new_with_seed(seed);
+	s->take_up = g_rand_new_with_seed(seed + 4);
 	s->calls = g_ptr_array_new_with_free_func(g_free);
 	s->versions = g_array_new(FALSE, TRUE, sizeof(struct soak_version));
 	s->crashers = g_array_sized_new(FALSE, TRUE, sizeof(struct soak_crasher), 64);
--- a/test/soak.h
+++ b/test/soak.h
@@ -47,7 +47,9 @@
 	int key;         /* 0: the permanent key, else the serial of a key that gets revoked */
 	int64_t sent_us; /* when it was sent */
 	int64_t limit_ms;
-	int64_t disconnect_us; /* when its caller disconnects; 0: never */
+	int64_t disconnect_us;           /* when its caller disconnects; 0: never */
+	const struct soak_call *resumes; /* the attempt that began the stream; NULL: itself */
+	int after;                       /* the last event that its caller has */
 	int left;
 	int gave_up; /* no final answer long after its deadline */
 };
@@ -71,20 +73,28 @@
 	SOAK_DRAWN_KINDS, /* draw_one draws those above, so that old seeds draw the same */
 	SOAK_GROW = SOAK_DRAWN_KINDS, /* planned */
 	SOAK_SILENCE,
-	SOAK_CRASHER, /* a request that crashes servers */
-	SOAK_RESTART, /* a server crashes and restarts under its id */
-	SOAK_FOREIGN, /* list entries by another writer */
-	SOAK_SUSPEND, /* an entry's machine is suspended: clocks jump */
-	SOAK_NOTICE,  /* a server announces a state in its answers */
-	SOAK_PATH,    /* some entries lose their path to all servers */
-	SOAK_RETURN,  /* the store comes back from a copy */
+	SOAK_CRASHER,  /* a request that crashes servers */
+	SOAK_RESTART,  /* a server crashes and restarts under its id */
+	SOAK_FOREIGN,  /* list entries by another writer */
+	SOAK_SUSPEND,  /* an entry's machine is suspended: clocks jump */
+	SOAK_NOTICE,   /* a server announces a state in its answers */
+	SOAK_PATH,     /* some entries lose their path to all servers */
+	SOAK_RETURN,   /* the store comes back from a copy */
+	SOAK_ENDINGS,  /* an engine's streams end well inside an event, framed in some way */
+	SOAK_VERSIONS, /* planned: engines of another software version join */
 	SOAK_FAULT_KINDS
 };
 #define SOAK_FIRST_UNPLANNED SOAK_KILL
 
 /* Which kinds a seed draws: a recorded seed draws only the kinds that existed when it was
  * added. */
-enum soak_kinds { SOAK_FIRST_KINDS, SOAK_LATER_KINDS, SOAK_NOTICE_KINDS, SOAK_ALL_KINDS };
+enum soak_kinds {
+	SOAK_FIRST_KINDS,
+	SOAK_LATER_KINDS,
+	SOAK_NOTICE_KINDS,
+	SOAK_RECOVERY_KINDS,
+	SOAK_ALL_KINDS /* callers take up streams, too */
+};
 
 struct soak_fault {
 	enum soak_fault_kind kind;
@@ -111,6 +121,8 @@
 	enum soak_kinds kinds;
 	int notices_broken;
 	GRand *rand;
+	GRand *take_up; /* which streams are taken up, and where */
+	int releases;   /* versions beside the first */
 	int64_t began_us, end_us;
 	struct soak_entry entry[SOAK_ENTRIES];
 	struct soak_server server[SOAK_SERVERS];
@@ -138,6 +150,8 @@
 
 /* soak_server.c */
 struct soak_server *soak_add_server(struct soak *s, const char *service, int engine);
+struct soak_server *soak_add_server_of(struct soak *s, const char *service, int engine,
+				       const char *version);
 /* Crashes the server without notice and adds a replacement. */
 void soak_crash_now(struct soak *s, struct soak_server *v);
 /* A server leaves as announced, or crashes without notice. A replacement is added. */
@@ -182,11 +196,24 @@
 /* Ends all faults. */
 void soak_end_faults(struct soak *s);
 
+/* soak_stream.c: how streams end, which versions serve, and what callers take up. */
+void soak_endings_begin(struct soak *s, const struct soak_fault *f);
+void soak_release(struct soak *s);
+/* Takes up the stream of a call that has ended; NULL: it is not taken up. */
+struct soak_call *soak_take_up(struct soak *s, const struct soak_call *k);
+/* Number of streams with events of two versions. */
+int soak_check_versions(const struct soak *s);
+
 /* soak_caller.c */
 void soak_step_callers(struct soak *s);
 struct soak_call *soak_send(struct soak *s, enum soak_kind kind, int entry, int key);
+/* An attempt that takes up the stream of another one after that event. */
+struct soak_call *soak_resume(struct soak *s, const struct soak_call *first, int entry,
+			      int after);
 
 /* soak_check.c */
+/* The runs of an attempt in the order of their starts; NULL: none. Valid within soak_check. */
+const GPtrArray *soak_runs_of(const char *id);
 /* Whether no unplanned fault but SOAK_CRASHER was active in the period or shortly before. */
 int soak_was_calm(const struct soak *s, int64_t from_us, int64_t to_us);
 /* Records which configuration version is in force at each entry. */
--- a/test/soak_caller.c
+++ b/test/soak_caller.c
@@ -12,10 +12,11 @@
 static const char *const path[SOAK_KINDS] = {"/chat/", "/sum/", "/safe/", "/unsafe/"};
 static const char *const method[SOAK_KINDS] = {"POST", "POST", "GET", "POST"};
 
-struct soak_call *soak_send(struct soak *s, enum soak_kind kind, int entry, int key)
+static struct soak_call *send_with(struct soak *s, enum soak_kind kind, int entry, int key,
+				   const char *more)
 {
 	struct soak_call *k = g_new0(struct soak_call, 1);
-	char id[64], fields[512], secret[32] = "k1";
+	char id[64], fields[640], secret[32] = "k1";
 
 	if (key) g_snprintf(secret, sizeof secret, "r%d", key);
 	k->kind = kind;
@@ -27,8 +28,8 @@
 	g_snprintf(fields, sizeof fields,
 		   "X-Request-Id: %s\r\nX-Credential: %s\r\nX-Deadline-Ms: %d\r\nX-Model: m\r\n"
 		   "X-Token-Usage: 1000,400\r\nLength-Hint: 200\r\nX-Prompt-Prefix: "
-		   "aa:500,bb:500\r\n",
-		   id, secret, (int)k->limit_ms);
+		   "aa:500,bb:500\r\n%s",
+		   id, secret, (int)k->limit_ms, more);
 	k->c = pw_call(s->entry[entry].pw, method[kind], path[kind], fields,
 		       kind == SOAK_SAFE ? NULL : "a prompt");
 	g_strlcpy(k->c->id, id, sizeof k->c->id);
@@ -36,6 +37,25 @@
 	return k;
 }
 
+struct soak_call *soak_send(struct soak *s, enum soak_kind kind, int entry, int key)
+{
+	return send_with(s, kind, entry, key, "");
+}
+
+struct soak_call *soak_resume(struct soak *s, const struct soak_call *first, int entry,
+			      int after)
+{
+	char more[160];
+	struct soak_call *k;
+
+	g_snprintf(more, sizeof more, "Resumes: %s\r\nLast-Event-Id: %d\r\n", first->c->id,
+		   after);
+	k = send_with(s, first->kind, entry, first->key, more);
+	k->resumes = first;
+	k->after = after;
+	return k;
+}
+
 static struct soak_call *next_call(struct soak *s)
 {
 	enum soak_kind kind = g_rand_int_range(s->rand, 0, SOAK_KINDS);
@@ -72,7 +92,9 @@
 	}
 	if (k && !k->c->ended) give_up(k, now);
 	if (k && k->c->ended && !k->c->status && now < k->c->ended_us + PAUSE_US) return;
-	if (!k || k->c->ended) *slot = now < s->end_us ? next_call(s) : NULL;
+	if (k && !k->c->ended) return;
+	*slot = k && now < s->end_us ? soak_take_up(s, k) : NULL;
+	if (!*slot && now < s->end_us) *slot = next_call(s);
 }
 
 void soak_step_callers(struct soak *s)
--- a/test/soak_check.c
+++ b/test/soak_check.c
@@ -37,6 +37,11 @@
 	}
 }
 
+const GPtrArray *soak_runs_of(const char *id)
+{
+	return g_hash_table_lookup(runs, id);
+}
+
 static uint32_t count_runs(const char *id)
 {
 	GPtrArray *a = g_hash_table_lookup(runs, id);
@@ -59,7 +64,8 @@
 static int is_planned(const struct soak_fault *f)
 {
 	if (f->kind == SOAK_NOTICE) return soak_notice_of(f) != SOAK_NOTICE_BACKOFF;
-	return f->kind < SOAK_FIRST_UNPLANNED || f->kind == SOAK_GROW;
+	return f->kind < SOAK_FIRST_UNPLANNED || f->kind == SOAK_GROW ||
+	       f->kind == SOAK_VERSIONS;
 }
 
 /* Whether no unplanned fault but of this kind was active in the period or shortly before. */
@@ -138,7 +144,7 @@
 	GString *want = g_string_new(NULL);
 	int i, ok;
 
-	for (i = 1; i <= SOAK_EVENTS; i++)
+	for (i = k->after + 1; i <= SOAK_EVENTS; i++)
 		g_string_append_printf(want, "id: %d\ndata: %s-%d\n\n", i, k->c->id, i);
 	ok = g_str_has_prefix(want->str, k->c->body->str);
 	if (k->c->ended && !k->c->err && !k->left && !k->gave_up)
@@ -193,8 +199,9 @@
 static int not_cut_when_calm(const struct soak *s, const struct soak_call *k)
 {
 	enum soak_fault_kind but = k->kind <= SOAK_SUM ? SOAK_SILENCE : SOAK_FAULT_KINDS;
+	int64_t from_us = k->resumes ? k->resumes->sent_us : k->sent_us;
 
-	if (k->left || k->key || !calm_except(s, but, k->sent_us, k->c->ended_us)) return 1;
+	if (k->left || k->key || !calm_except(s, but, from_us, k->c->ended_us)) return 1;
 	if (k->c->status == 200 && !k->c->err) return 1;
 	if (refused_as_not_run(k->c->status)) return k->c->retry_after[0] != '\0';
 	return !k->c->status && !count_runs(k->c->id);
@@ -351,6 +358,7 @@
 		broken += check_call(s, g_ptr_array_index(s->calls, i));
 	for (i = 0; i < s->versions->len; i++)
 		broken += check_version(s, &g_array_index(s->versions, struct soak_version, i));
+	broken += soak_check_versions(s);
 	g_hash_table_destroy(runs);
 	for (i = 0; i < s->faults->len; i++)
 		broken += check_path(s, &g_array_index(s->faults, struct soak_fault, i));
--- a/test/soak_draw.c
+++ b/test/soak_draw.c
@@ -38,7 +38,9 @@
 						    "machine suspended",
 						    "a server says something",
 						    "no path to servers",
-						    "store back from a copy"};
+						    "store back from a copy",
+						    "streams end inside events",
+						    "another version joins"};
 
 const char *soak_fault_name(enum soak_fault_kind k)
 {
@@ -128,12 +130,26 @@
 	if (!g_rand_int_range(rand, 0, LATER_IN)) g_array_append_val(s->faults, back);
 }
 
+static void draw_streams(struct soak *s, GRand *rand, int64_t burst_us)
+{
+	int64_t at = burst_us + g_rand_int_range(rand, 0, BURST_US);
+	struct soak_fault endings = {SOAK_ENDINGS, at,
+				     at + g_rand_int_range(rand, SHORTEST_US, LONGEST_US),
+				     .victim = g_rand_int_range(rand, 0, 1 << 16),
+				     .variant = g_rand_int_range(rand, 0, 1 << 16)};
+
+	if (g_rand_boolean(rand)) g_array_append_val(s->faults, endings);
+	at = burst_us + g_rand_int_range(rand, 0, BURST_US);
+	if (g_rand_boolean(rand)) add(s, SOAK_VERSIONS, at, at, 0);
+}
+
 void soak_draw_faults(struct soak *s, int seconds)
 {
 	GRand *more = g_rand_new_with_seed(s->seed);   /* leaves s->rand's draws as they are */
 	GRand *later = g_rand_new_with_seed(~s->seed); /* nor those of more */
 	GRand *notices = g_rand_new_with_seed(s->seed + 1);  /* nor those of later */
 	GRand *recovery = g_rand_new_with_seed(s->seed + 2); /* nor those of notices */
+	GRand *streams = g_rand_new_with_seed(s->seed + 3);  /* nor those of recovery */
 	int64_t at;
 	int i, n, only_planned;
 
@@ -145,8 +161,11 @@
 		draw_more(s, more, s->began_us + at, only_planned);
 		if (s->kinds >= SOAK_LATER_KINDS) draw_later(s, later, s->began_us + at);
 		if (s->kinds >= SOAK_NOTICE_KINDS) draw_notices(s, notices, s->began_us + at);
-		if (s->kinds >= SOAK_ALL_KINDS) draw_recovery(s, recovery, s->began_us + at);
+		if (s->kinds >= SOAK_RECOVERY_KINDS)
+			draw_recovery(s, recovery, s->began_us + at);
+		if (s->kinds >= SOAK_ALL_KINDS) draw_streams(s, streams, s->began_us + at);
 	}
+	g_rand_free(streams);
 	g_rand_free(recovery);
 	g_rand_free(notices);
 	g_rand_free(later);
--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -151,6 +151,8 @@
 	case SOAK_NOTICE: soak_notice_begin(s, f); return;
 	case SOAK_PATH: lose_path(s, f); return;
 	case SOAK_RETURN: store_goes(s); return;
+	case SOAK_ENDINGS: soak_endings_begin(s, f); return;
+	case SOAK_VERSIONS: soak_release(s); return;
 	case SOAK_FAULT_KINDS: return;
 	}
 }
@@ -195,7 +197,9 @@
 {
 	if (v->crashed) return;
 	if (kind == SOAK_SERVER_LINK) proxy_set(v->link, PROXY_OK);
-	if (kind == SOAK_SERVER_MODE && v->notice != SOAK_NOTICE_BACKOFF) v->pw->mode = PW_OK;
+	if ((kind == SOAK_SERVER_MODE || kind == SOAK_ENDINGS) &&
+	    v->notice != SOAK_NOTICE_BACKOFF)
+		v->pw->mode = PW_OK;
 }
 
 /* Undoes this kind of fault for all its victims, when the last fault of the kind ends. */
--- a/test/soak_server.c
+++ b/test/soak_server.c
@@ -10,6 +10,12 @@
 #define SERVE_ON_US 2200000 /* a leaving server is listed for so long */
 
 struct soak_server *soak_add_server(struct soak *s, const char *service, int engine)
+{
+	return soak_add_server_of(s, service, engine, "v1");
+}
+
+struct soak_server *soak_add_server_of(struct soak *s, const char *service, int engine,
+				       const char *version)
 {
 	struct soak_server *v = &s->server[s->nservers];
 	struct sockaddr_in at, to;
@@ -17,6 +23,7 @@
 
 	memset(v, 0, sizeof *v);
 	v->pw = pw_server_new(service, engine);
+	g_strlcpy(v->pw->version, version, sizeof v->pw->version);
 	v->pw->events = SOAK_EVENTS;
 	v->pw->event_ms = EVENT_MS;
 	pw_address_of(pw_server_ip(), atoi(strchr(v->pw->address, ':') + 1), &to);
@@ -47,7 +54,8 @@
 
 void soak_replace(struct soak *s, const struct soak_server *v)
 {
-	if (s->nservers < SOAK_SERVERS) soak_add_server(s, v->pw->service, v->pw->engine);
+	if (s->nservers < SOAK_SERVERS)
+		soak_add_server_of(s, v->pw->service, v->pw->engine, v->pw->version);
 }
 
 static void crash(struct soak_server *v)
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -82,15 +82,23 @@
 /* Entries without a path to servers, and a store that comes back from a copy. */
 static void soak_seed_1201(void)
 {
-	CU_ASSERT_EQUAL(soak_run(1201, 15, SOAK_ALL_KINDS), 0);
+	CU_ASSERT_EQUAL(soak_run(1201, 15, SOAK_RECOVERY_KINDS), 0);
+}
+
+/* Streams that end well inside events, engines of several versions, and callers that take up
+ * their streams. */
+static void soak_seed_3002(void)
+{
+	CU_ASSERT_EQUAL(soak_run(3002, 15, SOAK_ALL_KINDS), 0);
 }
 
 static const struct check list[] = {
-	{"soak_seed_1", soak_seed_1},     {"soak_seed_4", soak_seed_4},
-	{"soak_seed_12", soak_seed_12},   {"soak_seed_1002", soak_seed_1002},
-	{"soak_seed_80", soak_seed_80},   {"soak_seed_301", soak_seed_301},
-	{"soak_seed_431", soak_seed_431}, {"soak_seed_440", soak_seed_440},
-	{"soak_seed_738", soak_seed_738}, {"soak_seed_724", soak_seed_724},
-	{"soak_seed_501", soak_seed_501}, {"soak_seed_1201", soak_seed_1201},
+	{"soak_seed_1", soak_seed_1},       {"soak_seed_4", soak_seed_4},
+	{"soak_seed_12", soak_seed_12},     {"soak_seed_1002", soak_seed_1002},
+	{"soak_seed_80", soak_seed_80},     {"soak_seed_301", soak_seed_301},
+	{"soak_seed_431", soak_seed_431},   {"soak_seed_440", soak_seed_440},
+	{"soak_seed_738", soak_seed_738},   {"soak_seed_724", soak_seed_724},
+	{"soak_seed_501", soak_seed_501},   {"soak_seed_1201", soak_seed_1201},
+	{"soak_seed_3002", soak_seed_3002},
 };
 CHECK_MAIN(list)
