Tests: a path that is reset reads as reset

Traced: both streams were unframed and ended 2 ms after two instances lost their path to all servers, in the mode that resets open connections. The stand-in for that shuts the socket down, which reads as a close in order by the engine, between two events: the one case that nothing tells from a whole answer. A path that resets does not do so.

--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -432,6 +432,26 @@
 	finish_tunnel(e);
 }
 
+static void an_unframed_stream_that_is_reset_is_not_complete(void)
+{
+	union sigval v = {.sival_int = PARTITION_VALUE(PARTITION_RESET, 0)};
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_entry_program = "test/entry_jump";
+	add_engine(PW_UNFRAMED)->events = 400;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", CHAT, 9000);
+	CU_ASSERT(pw_until(has_begun, c, 1000));
+	sigqueue(e->pid, SIGUSR1, v);
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(c->err != 0);
+	CU_ASSERT(has_whole_events(c, 400));
+	pw_end();
+	pw_entry_program = "saddlehead-entry";
+}
+
 static const struct check list[] = {
 	{"a_stream_that_ends_inside_an_event_is_not_complete",
 	 a_stream_that_ends_inside_an_event_is_not_complete},
@@ -459,6 +479,8 @@
 	 a_complete_stream_is_served_however_it_is_framed},
 	{"a_stream_through_another_instance_that_ends_inside_an_event_is_cut",
 	 a_stream_through_another_instance_that_ends_inside_an_event_is_cut},
+	{"an_unframed_stream_that_is_reset_is_not_complete",
+	 an_unframed_stream_that_is_reset_is_not_complete},
 	{"an_unframed_stream_whose_helper_is_killed_is_not_complete",
 	 an_unframed_stream_whose_helper_is_killed_is_not_complete},
 };
