Tests: versions stated twice, and others that do not answer

An entry that restates another version in one incarnation makes it unknown: a stream of the crashed v1 engine is cut rather than sent there.

--- a/test/test_versions.c
+++ b/test/test_versions.c
@@ -2,7 +2,7 @@
  * version that brought its first event, in one answer and over its caller's tries. */
 #include "check.h"
 #include "clock.h"
-#include "pw.h"
+#include "pw_peer.h"
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -233,6 +233,32 @@
 	pw_end();
 }
 
+/* Without a stated start two incarnations can't be told apart, and which one runs is unknown.
+ */
+static void an_engine_whose_entries_state_two_versions_continues_no_stream(void)
+{
+	struct pw_server *s[2];
+	int i;
+
+	begin();
+	s[0] = add_engine("v1");
+	s[1] = add_engine("v1.1");
+	start_instances(1);
+	begin_streams(SUM, 1);
+	g_strlcpy(s[1]->version, "v1", sizeof s[1]->version);
+	pw_server_list(s[1], "ready");
+	pw_run(200);
+	pw_server_crash(s[0]);
+	await_streams();
+	for (i = 0; i < STREAMS; i++) {
+		if (!pw_run_of(first[i]->id, 0)) continue;
+		if (pw_run_of(first[i]->id, 0)->server != s[0]) continue;
+		CU_ASSERT(first[i]->err != 0);
+		CU_ASSERT_EQUAL(pw_runs_of(first[i]->id), 1);
+	}
+	pw_end();
+}
+
 /* ---- over a caller's tries ---- */
 
 /* What became of streams that were taken up. */
@@ -492,6 +518,27 @@
 	pw_end();
 }
 
+/* An instance of an earlier release takes the question, and does not know what it asks. */
+static void a_stream_is_refused_soon_when_those_asked_do_not_answer(void)
+{
+	struct pw_call *c;
+
+	begin();
+	add_engine("v1");
+	start_instances(1);
+	pw_peer_new(e[0], 0);
+	pw_run(CONNECT_MS);
+	c = take_up(e[0], "begun-at-the-other", 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(c->retry_after[0] != '\0');
+	CU_ASSERT(c->ended_us - c->began_us < AT_ONCE_MS * 1000);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	CU_ASSERT(pw_metric(e[0], "saddlehead_origins_asked_total") == 1);
+	pw_peers_end();
+	pw_end();
+}
+
 /* Without the attempt that brought its first event nothing tells the stream's version. */
 static void a_stream_whose_first_attempt_is_not_named_is_refused(void)
 {
@@ -539,6 +586,8 @@
 	 a_replica_is_kept_at_an_engine_of_its_version},
 	{"an_engine_without_a_stated_version_continues_no_stream",
 	 an_engine_without_a_stated_version_continues_no_stream},
+	{"an_engine_whose_entries_state_two_versions_continues_no_stream",
+	 an_engine_whose_entries_state_two_versions_continues_no_stream},
 	{"a_stream_that_is_taken_up_at_another_instance_keeps_its_version",
 	 a_stream_that_is_taken_up_at_another_instance_keeps_its_version},
 	{"a_stream_that_is_taken_up_twice_keeps_its_version",
@@ -553,6 +602,8 @@
 	 a_stream_is_refused_at_once_after_all_instances_were_killed},
 	{"a_stream_is_refused_where_nobody_can_be_asked",
 	 a_stream_is_refused_where_nobody_can_be_asked},
+	{"a_stream_is_refused_soon_when_those_asked_do_not_answer",
+	 a_stream_is_refused_soon_when_those_asked_do_not_answer},
 	{"a_stream_whose_first_attempt_is_not_named_is_refused",
 	 a_stream_whose_first_attempt_is_not_named_is_refused},
 	{"all_streams_of_a_single_version_go_on", all_streams_of_a_single_version_go_on},
