Clamp the times that peers state, and refuse a stream whose attempt is disputed

Cause, by reading: a peer's age or time in ms was multiplied unchecked (signed overflow with a malformed frame); and where this instance had heard two versions for one attempt it asked others, of which one that heard a single version would have answered.

--- a/src/fleet/origins.c
+++ b/src/fleet/origins.c
@@ -13,7 +13,7 @@
  * changed meanwhile by so many. */
 #define ASKED_MAX 6
 #define MS_US 1000
-#define KEEP_MAX_US (INT64_C(3600) * 1000000) /* of one statement, whatever a peer claims */
+#define KEEP_MAX_MS (3600 * 1000) /* of one statement, whatever a peer claims */
 
 static struct origins *table;
 static const struct entry_cfg *cfg;
@@ -24,7 +24,8 @@
 	int64_t now = clock_us();
 
 	if (for_us <= 0) return;
-	origins_put(table, key, version, now - age_us, now + MIN(for_us, KEEP_MAX_US));
+	for_us = MIN(for_us, KEEP_MAX_MS * (int64_t)MS_US);
+	origins_put(table, key, version, now - age_us, now + for_us);
 	met_set(MET_G_ORIGINS, origins_count(table));
 }
 
@@ -62,13 +63,15 @@
 	if (o) tell(o);
 }
 
-uint64_t og_find(uint64_t key, int64_t *age_us)
+int og_find(uint64_t key, struct og_known *k)
 {
 	const struct origin *o = origins_get(table, key, clock_us());
 
-	if (!o) return 0;
-	*age_us = clock_us() - o->noted_us;
-	return o->version;
+	*k = (struct og_known){0};
+	if (!o) return -ENOENT;
+	k->version = o->version;
+	k->age_us = clock_us() - o->noted_us;
+	return 0;
 }
 
 int og_ask(uint64_t key)
@@ -106,6 +109,11 @@
 	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER ? o->via.u64 : 0;
 }
 
+static int64_t read_us(const msgpack_object *o)
+{
+	return CLAMP(mesh_int(o), 0, KEEP_MAX_MS) * MS_US;
+}
+
 static int on_statement(const char *from, const msgpack_object_array *a)
 {
 	uint64_t key;
@@ -114,15 +122,14 @@
 	if (a->size < 5) return -EBADMSG;
 	key = read_key(&a->ptr[1]);
 	if (!key) return -EBADMSG;
-	put(key, read_key(&a->ptr[2]), MAX(mesh_int(&a->ptr[3]), 0) * MS_US,
-	    mesh_int(&a->ptr[4]) * MS_US);
+	put(key, read_key(&a->ptr[2]), read_us(&a->ptr[3]), read_us(&a->ptr[4]));
 	return 0;
 }
 
 static int on_question(const char *from, const msgpack_object_array *a)
 {
 	char ip[ENTRY_TEXT_MAX + 1];
-	int64_t age_us = 0;
+	struct og_known k;
 	uint64_t key;
 	GString *out;
 	struct mesh_frame f;
@@ -131,11 +138,12 @@
 	(void)from;
 	if (a->size < 3 || mesh_text(&a->ptr[2], ip, sizeof ip)) return -EBADMSG;
 	key = read_key(&a->ptr[1]);
+	og_find(key, &k);
 	out = g_string_new(NULL);
 	p = mesh_frame_begin(&f, MESH_ORIGIN_ANSWER, 4);
 	msgpack_pack_uint64(p, key);
-	msgpack_pack_uint64(p, og_find(key, &age_us));
-	msgpack_pack_int64(p, age_us / MS_US);
+	msgpack_pack_uint64(p, k.version);
+	msgpack_pack_int64(p, k.age_us / MS_US);
 	mesh_frame_end(&f, out);
 	mesh_send_to(ip, out);
 	g_string_free(out, TRUE);
@@ -145,8 +153,7 @@
 static int on_answer(const char *from, const msgpack_object_array *a)
 {
 	if (a->size < 4) return -EBADMSG;
-	answered(read_key(&a->ptr[1]), read_key(&a->ptr[2]), mesh_int(&a->ptr[3]) * MS_US,
-		 from);
+	answered(read_key(&a->ptr[1]), read_key(&a->ptr[2]), read_us(&a->ptr[3]), from);
 	return 0;
 }
 
--- a/src/internal/origins.h
+++ b/src/internal/origins.h
@@ -14,8 +14,12 @@
 void og_start(const struct entry_cfg *c, og_answered *f);
 /* The stream with this key is of that version; for_us: how long its caller may come back. */
 void og_note(uint64_t key, uint64_t version, int64_t for_us);
-/* The version as far as it is known here, and how long ago it was stated; 0: unknown. */
-uint64_t og_find(uint64_t key, int64_t *age_us);
+struct og_known {
+	uint64_t version; /* 0: two versions were stated, so that neither counts */
+	int64_t age_us;   /* since it was last stated */
+};
+/* What is known here. Returns 0, or -ENOENT with a zero k. */
+int og_find(uint64_t key, struct og_known *k);
 /* Asks others; og_answered follows for each that answers. Returns the number asked. */
 int og_ask(uint64_t key);
 /* This instance stops: those that remain are told what it keeps. */
--- a/src/relay/rq_origin.c
+++ b/src/relay/rq_origin.c
@@ -82,8 +82,7 @@
 
 int rq_resolve_origin(struct rq *r)
 {
-	int64_t age_us = 0;
-	uint64_t version;
+	struct og_known k;
 
 	if (!takes_up(r)) return 0;
 	if (!r->in.resumes) {
@@ -91,13 +90,16 @@
 		return 1;
 	}
 	r->origin.key = key_of(r, r->in.resumes);
-	version = og_find(r->origin.key, &age_us);
-	if (version) {
-		bind_to(r, version, "this instance", age_us);
-		return 0;
+	if (og_find(r->origin.key, &k)) {
+		ask(r);
+		return 1;
+	}
+	if (!k.version) {
+		refuse(r, 0, "two versions began streams under the attempt's id");
+		return 1;
 	}
-	ask(r);
-	return 1;
+	bind_to(r, k.version, "this instance", k.age_us);
+	return 0;
 }
 
 static void apply_answer(struct rq *r, uint64_t version, int64_t age_us, const char *from)
