A bound stream does not try an engine again that refuses connections

What could be seen: a stream whose version's only engine had crashed made eight connections to it, some through other instances, before it was cut (log: sends 8, backend servers are not reached).

Cause: as a last resort any listed server may be used, which is meant for services of which nothing is usable; for a bound stream the candidates are the few of its version.

Change: for a bound stream the last resort is no engine that has refused a connection since its last answer; once its ejection is over it counts as any other. The stream is cut, or refused, as before; the check that follows a refusal is asynchronous, so that some tries may still go out.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -222,8 +222,9 @@
 /* Whether the version that r is bound to, a rollout (roles: see ro.h) and regions allow b.
  * Every choice of a server asks this. */
 int rq_allows_server(const struct rq *r, const struct be *b, uint32_t roles);
-/* Whether r may use b though its entry is gone. Entries may lapse all together; where others of
- * the service are listed, those of the stream's version were removed. */
+/* Whether r may use b when no server is usable. For a bound stream the few of its version may
+ * be gone while others serve: not one that refuses connections, nor one whose entry is gone
+ * while others of the service are listed, so that entries have not lapsed all together. */
 int rq_allows_last_resort(const struct rq *r, const struct be *b);
 /* Whether the version allows b, asked before each send: b may also be the incarnation that
  * runs the stream. */
--- a/src/relay/rq_version.c
+++ b/src/relay/rq_version.c
@@ -44,7 +44,8 @@
 
 int rq_allows_last_resort(const struct rq *r, const struct be *b)
 {
-	if (b->state == BE_READY || r->bound == RQ_UNBOUND) return 1;
+	if (r->bound == RQ_UNBOUND) return 1;
+	if (b->state == BE_READY) return !b->refused;
 	return !has_ready_server(r->service->name);
 }
 
