A stream stays at a slow engine when nothing else of its version may go on

What could be seen: a resumable stream whose engine leaves and pauses for more than a second is cut while its run goes on, where that engine is the last of its version.

Cause: a pause is answered by sending the stream elsewhere within the allowance; that the engine is given up for it was decided before it was known whether any other may have it.

--- a/src/relay/rq_origin.c
+++ b/src/relay/rq_origin.c
@@ -5,7 +5,6 @@
 #include "origins.h"
 #include "rq_impl.h"
 #include <stddef.h>
-#include <string.h>
 
 /* How long to wait for the others: several round trips between regions. */
 #define ANSWERS_US 200000
--- a/test/test_versions.c
+++ b/test/test_versions.c
@@ -168,6 +168,28 @@
 	pw_end();
 }
 
+/* The engine leaves and pauses: it gets no new work, and nothing else may go on. */
+static void a_stream_stays_at_the_last_engine_of_its_version(void)
+{
+	struct pw_server *s[2];
+	int i;
+
+	begin();
+	for (i = 0; i < 2; i++) s[i] = add_engine(i ? "v1.1" : "v1");
+	start_instances(INSTANCES);
+	begin_streams(SUM, INSTANCES);
+	pw_server_list(s[0], "draining");
+	pw_run(100);
+	s[0]->event_ms = 1300;
+	pw_run(1500);
+	s[0]->event_ms = EVENT_MS;
+	await_streams();
+	CU_ASSERT(count_begun_at("v1") > 0);
+	CU_ASSERT_EQUAL(count_mixed(), 0);
+	CU_ASSERT_EQUAL(count_complete(), count_begun());
+	pw_end();
+}
+
 static void a_stream_moves_to_an_engine_of_its_version(void)
 {
 	struct pw_server *s[6];
@@ -590,6 +612,8 @@
 	 a_stream_whose_engine_crashes_goes_on_at_its_version},
 	{"a_stream_is_cut_when_no_engine_of_its_version_is_left",
 	 a_stream_is_cut_when_no_engine_of_its_version_is_left},
+	{"a_stream_stays_at_the_last_engine_of_its_version",
+	 a_stream_stays_at_the_last_engine_of_its_version},
 	{"a_stream_moves_to_an_engine_of_its_version",
 	 a_stream_moves_to_an_engine_of_its_version},
 	{"a_replica_is_kept_at_an_engine_of_its_version",
