--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -67,9 +67,10 @@
 	mesh_self_hub(); /* computes the roles if they are out of date */
 	for (i = 0; i < mesh_members()->len; i++) {
 		const struct member *m = g_ptr_array_index(mesh_members(), i);
-		uint32_t order = draw_order(key, m->ip);
+		uint32_t order;
 
 		if (!may_be_drawn(m)) continue;
+		order = draw_order(key, m->ip);
 		for (k = n; k > 0 && draw_order(key, ip[k - 1]) > order; k--)
 			if (k < max) ip[k] = ip[k - 1];
 		if (k < max) ip[k] = m->ip;
