--- /dev/null
+++ b/test/test_take_up.c
@@ -0,0 +1,349 @@
+/* Engines of two software versions of one service side by side: a caller that takes its stream
+ * up goes on only at the version that brought its first event. */
+#include "check.h"
+#include "clock.h"
+#include "pw_peer.h"
+#include "versions.h"
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define AT_ONCE_MS 500 /* a refusal comes within it */
+
+/* What became of streams that were taken up. */
+struct taken_up {
+	int begun;     /* their first attempts had brought events */
+	int went_on;   /* completely */
+	int mixed;     /* at another version */
+	int final;     /* refused without a time to come back */
+	int late;      /* refused later than at once */
+	int ran;       /* refused as not run, and run */
+	int undefined; /* another status than success and the refusal that it has not run */
+};
+
+static struct pw_call *take_up(struct pw_entry *at, const char *resumes, int last)
+{
+	static int serial;
+	char id[32], fields[320];
+	struct pw_call *c;
+
+	g_snprintf(id, sizeof id, "again%d", ++serial);
+	g_snprintf(fields, sizeof fields,
+		   "X-Request-Id: %s\r\nX-Credential: k1\r\nX-Deadline-Ms: %d\r\n"
+		   "X-Model: m\r\nX-Token-Usage: 1000,400\r\nLast-Event-Id: %d\r\n%s%s%s",
+		   id, VS_DEADLINE_MS, last, resumes ? "Resumes: " : "", resumes ? resumes : "",
+		   resumes ? "\r\n" : "");
+	c = pw_call(at, "POST", VS_SUM, fields, "a prompt");
+	g_strlcpy(c->id, id, sizeof c->id);
+	return c;
+}
+
+/* The id of the last whole event that the caller received. */
+static int last_event(const struct pw_call *c)
+{
+	const char *p = c->body->str;
+	int last = 0;
+
+	while ((p = strstr(p, "id: "))) {
+		p += 4;
+		if (strstr(p, "\n\n")) last = atoi(p);
+	}
+	return last;
+}
+
+/* A machine that is busy turns some away for a moment, new streams as well: they come back when
+ * told to. */
+static struct pw_call *follow(struct pw_call *c, struct pw_entry *at, const char *resumes,
+			      int last)
+{
+	int tries;
+
+	CU_ASSERT(pw_call_wait(c, 6000));
+	for (tries = 0; tries < 3 && strstr(c->body->str, "service_busy"); tries++) {
+		pw_run((int)(g_ascii_strtod(c->retry_after, NULL) * 1000));
+		c = take_up(at, resumes, last);
+		CU_ASSERT(pw_call_wait(c, 6000));
+	}
+	return c;
+}
+
+static void check_taken_up(struct taken_up *t, const struct pw_call *c, const char *version)
+{
+	t->mixed += vs_runs_elsewhere(c, version) != 0;
+	if (c->status == 200) {
+		t->went_on += !c->err && last_event(c) == VS_EVENTS;
+		return;
+	}
+	t->undefined += c->status != 503;
+	t->final += !c->retry_after[0];
+	t->ran += pw_runs_of(c->id) != 0;
+	t->late += c->ended_us - c->began_us > AT_ONCE_MS * 1000;
+}
+
+/* The callers have left, or were cut off; they take their streams up at instances from the one
+ * given on, round after round. */
+static struct taken_up take_up_all(int from, int rounds)
+{
+	struct taken_up t = {0};
+	struct pw_call *c[VS_STREAMS];
+	int i, round, last[VS_STREAMS];
+
+	for (i = 0; i < VS_STREAMS; i++) {
+		last[i] = last_event(vs_first[i]);
+		t.begun += last[i] > 0;
+	}
+	CU_ASSERT(t.begun >= VS_STREAMS / 2);
+	for (round = 0; round < rounds; round++) {
+		for (i = 0; i < VS_STREAMS; i++) {
+			int at = from + (i + round) % (VS_INSTANCES - from);
+
+			c[i] = last[i] ? take_up(vs_entry[at], vs_first[i]->id, last[i]) : NULL;
+		}
+		if (round == rounds - 1) break;
+		pw_run(VS_BEGUN_MS);
+		for (i = 0; i < VS_STREAMS; i++) {
+			if (!c[i]) continue;
+			last[i] = MAX(last[i], last_event(c[i]));
+			t.mixed += vs_runs_elsewhere(c[i], vs_version_of(vs_first[i])) != 0;
+			pw_call_cancel(c[i]);
+		}
+	}
+	for (i = 0; i < VS_STREAMS; i++) {
+		int at = from + (i + rounds - 1) % (VS_INSTANCES - from);
+
+		if (!c[i]) continue;
+		c[i] = follow(c[i], vs_entry[at], vs_first[i]->id, last[i]);
+		check_taken_up(&t, c[i], vs_version_of(vs_first[i]));
+	}
+	return t;
+}
+
+static void start_with_two_versions(struct pw_server **s, int n)
+{
+	int i;
+
+	vs_begin();
+	for (i = 0; i < n; i++) s[i] = vs_add_engine(i % 2 ? "v1.1" : "v1");
+	vs_start(VS_INSTANCES);
+	vs_begin_streams(VS_SUM, VS_INSTANCES);
+	CU_ASSERT(vs_count_begun_at("v1") > 0 && vs_count_begun_at("v1.1") > 0);
+}
+
+static void cancel_all(void)
+{
+	int i;
+
+	for (i = 0; i < VS_STREAMS; i++) pw_call_cancel(vs_first[i]);
+}
+
+static void kill_instances(int n)
+{
+	int i, status;
+
+	for (i = 0; i < n; i++) pw_entry_kill(vs_entry[i], SIGKILL);
+	pw_run(100);
+	for (i = 0; i < n; i++) CU_ASSERT(pw_entry_ended(vs_entry[i], &status));
+}
+
+static void a_stream_that_is_taken_up_at_another_instance_keeps_its_version(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+
+	start_with_two_versions(s, 4);
+	cancel_all();
+	t = take_up_all(0, 1);
+	CU_ASSERT_EQUAL(t.mixed, 0);
+	CU_ASSERT_EQUAL(t.went_on, t.begun);
+	pw_end();
+}
+
+static void a_stream_that_is_taken_up_twice_keeps_its_version(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+
+	start_with_two_versions(s, 4);
+	cancel_all();
+	t = take_up_all(0, 2);
+	CU_ASSERT_EQUAL(t.mixed, 0);
+	CU_ASSERT_EQUAL(t.went_on, t.begun);
+	pw_end();
+}
+
+static void a_stream_whose_instance_is_killed_keeps_its_version(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+
+	start_with_two_versions(s, 4);
+	kill_instances(1);
+	cancel_all();
+	t = take_up_all(1, 1);
+	CU_ASSERT_EQUAL(t.mixed, 0);
+	CU_ASSERT_EQUAL(t.went_on, t.begun);
+	pw_end();
+}
+
+/* Each instance stops and starts again, one after the other: none of those that knew lives. */
+static void a_stream_outlives_a_rolling_restart_of_all_instances(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+	int i;
+
+	start_with_two_versions(s, 4);
+	cancel_all();
+	for (i = 0; i < VS_INSTANCES; i++) {
+		pw_entry_kill(vs_entry[i], SIGTERM);
+		pw_entry_wait(vs_entry[i], 12000);
+		pw_entry_restart(vs_entry[i]);
+		CU_ASSERT(pw_entry_until_ready(vs_entry[i]));
+		pw_run(VS_CONNECT_MS);
+	}
+	t = take_up_all(0, 1);
+	CU_ASSERT_EQUAL(t.mixed, 0);
+	CU_ASSERT_EQUAL(t.went_on, t.begun);
+	pw_end();
+}
+
+static void a_stream_is_refused_at_once_when_its_version_is_gone(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+	int i, at_v11;
+
+	start_with_two_versions(s, 4);
+	at_v11 = vs_count_begun_at("v1.1");
+	cancel_all();
+	for (i = 0; i < 4; i += 2) pw_server_unlist(s[i]);
+	for (i = 0; i < 4; i += 2) pw_server_crash(s[i]);
+	pw_run(300);
+	t = take_up_all(0, 1);
+	CU_ASSERT_EQUAL(t.mixed, 0);
+	CU_ASSERT_EQUAL(t.went_on, at_v11);
+	CU_ASSERT_EQUAL(t.final, t.begun - at_v11);
+	CU_ASSERT_EQUAL(t.late + t.ran + t.undefined, 0);
+	pw_end();
+}
+
+/* Nobody knows which version began the streams, and it is not guessed. */
+static void a_stream_is_refused_at_once_after_all_instances_were_killed(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+	int i;
+
+	start_with_two_versions(s, 4);
+	cancel_all();
+	kill_instances(VS_INSTANCES);
+	for (i = 0; i < VS_INSTANCES; i++) pw_entry_restart(vs_entry[i]);
+	for (i = 0; i < VS_INSTANCES; i++) CU_ASSERT(pw_entry_until_ready(vs_entry[i]));
+	pw_run(VS_CONNECT_MS);
+	t = take_up_all(0, 1);
+	CU_ASSERT_EQUAL(t.mixed + t.went_on, 0);
+	CU_ASSERT_EQUAL(t.final, t.begun);
+	CU_ASSERT_EQUAL(t.late + t.ran + t.undefined, 0);
+	pw_end();
+}
+
+/* The others don't answer: what they know can't be asked. */
+static void a_stream_is_refused_where_nobody_can_be_asked(void)
+{
+	struct pw_server *s[4];
+	struct taken_up t;
+	int i;
+
+	start_with_two_versions(s, 4);
+	cancel_all();
+	kill_instances(VS_INSTANCES - 1);
+	pw_entry_kill(vs_entry[VS_INSTANCES - 1], SIGKILL);
+	pw_run(100);
+	pw_entry_restart(vs_entry[VS_INSTANCES - 1]);
+	CU_ASSERT(pw_entry_until_ready(vs_entry[VS_INSTANCES - 1]));
+	t = take_up_all(VS_INSTANCES - 1, 1);
+	CU_ASSERT_EQUAL(t.mixed, 0);
+	CU_ASSERT_EQUAL(t.late + t.ran + t.undefined, 0);
+	for (i = 0; i < VS_INSTANCES - 1; i++) pw_entry_restart(vs_entry[i]);
+	pw_end();
+}
+
+/* An instance of an earlier release takes the question, and does not know what it asks. */
+static void a_stream_is_refused_soon_when_those_asked_do_not_answer(void)
+{
+	struct pw_call *c;
+
+	vs_begin();
+	vs_add_engine("v1");
+	vs_start(1);
+	pw_peer_new(vs_entry[0], 0);
+	pw_run(VS_CONNECT_MS);
+	c = take_up(vs_entry[0], "begun-at-the-other", 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(c->retry_after[0] != '\0');
+	CU_ASSERT(c->ended_us - c->began_us < AT_ONCE_MS * 1000);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	CU_ASSERT(pw_metric(vs_entry[0], "saddlehead_origins_asked_total") == 1);
+	pw_peers_end();
+	pw_end();
+}
+
+/* Without the attempt that brought its first event nothing tells the stream's version. */
+static void a_stream_whose_first_attempt_is_not_named_is_refused(void)
+{
+	struct pw_server *s[4];
+	struct pw_call *c;
+
+	start_with_two_versions(s, 4);
+	cancel_all();
+	c = take_up(vs_entry[0], NULL, 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	c = take_up(vs_entry[0], "nobody-sent-this", 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	pw_end();
+}
+
+static void all_streams_of_a_single_version_go_on(void)
+{
+	struct taken_up t;
+	int i;
+
+	vs_begin();
+	for (i = 0; i < 3; i++) vs_add_engine("v1");
+	vs_start(VS_INSTANCES);
+	vs_begin_streams(VS_SUM, VS_INSTANCES);
+	kill_instances(1);
+	cancel_all();
+	t = take_up_all(1, 1);
+	CU_ASSERT_EQUAL(t.went_on, t.begun);
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"a_stream_that_is_taken_up_at_another_instance_keeps_its_version",
+	 a_stream_that_is_taken_up_at_another_instance_keeps_its_version},
+	{"a_stream_that_is_taken_up_twice_keeps_its_version",
+	 a_stream_that_is_taken_up_twice_keeps_its_version},
+	{"a_stream_whose_instance_is_killed_keeps_its_version",
+	 a_stream_whose_instance_is_killed_keeps_its_version},
+	{"a_stream_outlives_a_rolling_restart_of_all_instances",
+	 a_stream_outlives_a_rolling_restart_of_all_instances},
+	{"a_stream_is_refused_at_once_when_its_version_is_gone",
+	 a_stream_is_refused_at_once_when_its_version_is_gone},
+	{"a_stream_is_refused_at_once_after_all_instances_were_killed",
+	 a_stream_is_refused_at_once_after_all_instances_were_killed},
+	{"a_stream_is_refused_where_nobody_can_be_asked",
+	 a_stream_is_refused_where_nobody_can_be_asked},
+	{"a_stream_is_refused_soon_when_those_asked_do_not_answer",
+	 a_stream_is_refused_soon_when_those_asked_do_not_answer},
+	{"a_stream_whose_first_attempt_is_not_named_is_refused",
+	 a_stream_whose_first_attempt_is_not_named_is_refused},
+	{"all_streams_of_a_single_version_go_on", all_streams_of_a_single_version_go_on},
+};
+
+CHECK_MAIN(list)
