Tests: what is known of many streams is told in parts

What could be seen: an instance that comes up where its peers keep some ten thousand streams is told all of them in one write, ahead of verdicts and heartbeats. A link that has more than 256 KB queued is given up and opened again, for the same write: with a narrow link the two never get past it. An instance that stops does so with all it has, a frame and a system call each, and may lose the links that say that it stops.

Two tests with 20,000 statements: 700 KB without a heartbeat between them, where a link may queue 256 KB.

--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -209,6 +209,27 @@
 	send_frame(me, &f);
 }
 
+#define KEEP_MS 60000
+
+void pw_peer_state_origins(struct pw_peer *me, int n)
+{
+	GString *out = g_string_new(NULL);
+	int i;
+
+	for (i = 1; i <= n; i++) {
+		struct frame f;
+		msgpack_packer *p = begin(&f, MESH_ORIGIN, 5);
+
+		msgpack_pack_uint64(p, UINT64_MAX - (uint64_t)i);
+		msgpack_pack_uint64(p, UINT64_MAX);
+		msgpack_pack_int(p, 0);
+		msgpack_pack_int(p, KEEP_MS);
+		finish(&f, out);
+	}
+	cn_write(&me->link->cn, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
 /* ---- connections ---- */
 
 static void close_cn(struct pw_peer_cn *c)
@@ -279,6 +300,14 @@
 
 	if (me->heartbeat_us) me->gap_us = MAX(me->gap_us, now - me->heartbeat_us);
 	me->heartbeat_us = now;
+	me->origin_bytes = 0;
+}
+
+static void on_origin(struct pw_peer *me, uint32_t len)
+{
+	me->origins++;
+	me->origin_bytes += sizeof len + len;
+	me->most_origin_bytes = MAX(me->most_origin_bytes, me->origin_bytes);
 }
 
 static void on_read_pause_over(struct ev_timer *t)
@@ -331,6 +360,7 @@
 	case FETCH: answer(c->peer, c); return;
 	case MESH_TUNNEL: c->peer->tunnel_requests++; return;
 	case MESH_LEAVING: c->peer->leavings++; return;
+	case MESH_ORIGIN: on_origin(c->peer, len); return;
 	case MESH_VERDICTS: c->peer->verdicts += len >= MIN_VERDICT_BYTES; return;
 	}
 }
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -18,14 +18,17 @@
 	int store_up;        /* it announces that the store answers it */
 	int path; /* enum mesh_path that it announces; 0, as earlier releases, by default */
 	int mute; /* sends nothing on its link, and leaves it open */
-	int wants_copy;                  /* requests a copy from the entry until it has one */
-	int copy_requests;               /* requests for a copy received from the entry */
-	int copies;                      /* complete copies received */
-	int verdicts;                    /* frames received that name quarantined requests */
-	int tunnel_requests;             /* requests for a tunnel received */
-	int leavings;                    /* frames received that name a leaving server */
-	int64_t heartbeat_us;            /* when the last heartbeat was received */
-	int64_t gap_us;                  /* longest time between two heartbeats so far */
+	int wants_copy;      /* requests a copy from the entry until it has one */
+	int copy_requests;   /* requests for a copy received from the entry */
+	int copies;          /* complete copies received */
+	int verdicts;        /* frames received that name quarantined requests */
+	int tunnel_requests; /* requests for a tunnel received */
+	int leavings;        /* frames received that name a leaving server */
+	int origins;         /* frames received that name a stream's version */
+	size_t origin_bytes, most_origin_bytes; /* of these since a heartbeat: now, and the
+						   maximum so far */
+	int64_t heartbeat_us;                   /* when the last heartbeat was received */
+	int64_t gap_us;                         /* longest time between two heartbeats so far */
 	int64_t entry_clock_us;          /* the entry's clock in its last heartbeat; 0: none */
 	struct pw_peer_cn *link, *fetch; /* to the entry; fetch: for one request */
 	GPtrArray *in;                   /* of struct pw_peer_cn, from the entry */
@@ -50,6 +53,8 @@
 			  int ran_ms);
 /* Reports that this incarnation of a backend server is leaving. */
 void pw_peer_report_leaving(struct pw_peer *p, const char *server, int64_t incarnation_ms);
+/* States the version of so many streams, to be kept for a minute. */
+void pw_peer_state_origins(struct pw_peer *p, int n);
 /* Sends the verdict that this request is quarantined. */
 void pw_peer_send_verdict(struct pw_peer *p, const struct fp *fp);
 /* Drops all further data on the connections that the entry has open to it; new ones work. */
--- a/test/test_take_up.c
+++ b/test/test_take_up.c
@@ -289,6 +289,62 @@
 	pw_end();
 }
 
+#define MANY_STREAMS 20000
+#define LINK_BYTES (256 << 10) /* queued for an instance before its link is given up */
+
+static int keeps_many(void *e)
+{
+	return pw_metric(e, "saddlehead_origins_kept") == MANY_STREAMS;
+}
+
+static int has_many(void *peer)
+{
+	return ((struct pw_peer *)peer)->origins >= MANY_STREAMS;
+}
+
+/* More at once than its link may queue would have the link given up, and opened again for the
+ * same. */
+static void what_is_known_of_many_streams_is_told_in_parts(void)
+{
+	struct pw_peer *teller, *joins;
+
+	vs_begin();
+	vs_add_engine("v1");
+	vs_start(1);
+	teller = pw_peer_new(vs_entry[0], 0);
+	pw_run(VS_CONNECT_MS);
+	pw_peer_state_origins(teller, MANY_STREAMS);
+	CU_ASSERT(pw_until(keeps_many, vs_entry[0], 3000));
+	joins = pw_peer_new(vs_entry[0], 0);
+	CU_ASSERT(pw_until(has_many, joins, 5000));
+	CU_ASSERT(joins->most_origin_bytes < LINK_BYTES);
+	CU_ASSERT_EQUAL(pw_metric(vs_entry[0], "saddlehead_peer_dropped_total"), 0);
+	pw_peers_end();
+	pw_end();
+}
+
+/* The instance stops: both that are drawn are told all of it meanwhile. */
+static void an_instance_that_stops_tells_of_many_streams_in_parts(void)
+{
+	struct pw_peer *p[2];
+	int i;
+
+	vs_begin();
+	vs_add_engine("v1");
+	vs_start(1);
+	for (i = 0; i < 2; i++) p[i] = pw_peer_new(vs_entry[0], 0);
+	pw_run(VS_CONNECT_MS);
+	pw_peer_state_origins(p[0], MANY_STREAMS);
+	CU_ASSERT(pw_until(keeps_many, vs_entry[0], 3000));
+	pw_entry_kill(vs_entry[0], SIGTERM);
+	for (i = 0; i < 2; i++) {
+		CU_ASSERT(pw_until(has_many, p[i], 5000));
+		CU_ASSERT(p[i]->most_origin_bytes < LINK_BYTES);
+	}
+	pw_peers_end();
+	pw_end();
+}
+
 /* Without the attempt that brought its first event nothing tells the stream's version. */
 static void a_stream_whose_first_attempt_is_not_named_is_refused(void)
 {
@@ -341,6 +397,10 @@
 	 a_stream_is_refused_where_nobody_can_be_asked},
 	{"a_stream_is_refused_soon_when_those_asked_do_not_answer",
 	 a_stream_is_refused_soon_when_those_asked_do_not_answer},
+	{"what_is_known_of_many_streams_is_told_in_parts",
+	 what_is_known_of_many_streams_is_told_in_parts},
+	{"an_instance_that_stops_tells_of_many_streams_in_parts",
+	 an_instance_that_stops_tells_of_many_streams_in_parts},
 	{"a_stream_whose_first_attempt_is_not_named_is_refused",
 	 a_stream_whose_first_attempt_is_not_named_is_refused},
 	{"all_streams_of_a_single_version_go_on", all_streams_of_a_single_version_go_on},
