Tell another instance of many streams part by part

An instance that comes up where others keep some ten thousand streams loses its links to them again and again; one that stops may lose those by which it says so.

Cause: the whole table was written at each link that comes up, and sent frame by frame at a stop, whatever the link had queued. The table was bounded in number, what is sent of it was not.

Change: parts of 1,024 places, newest first, a tenth of a second apart, each only once the link has sent all before; the first with the link's other state, as before. A process that stops waits for the last part within its grace.

Ruled out: to tell the newest alone, as after a rolling restart the older ones would be unknown; a larger limit of a link, as the same comes at twice the streams.

The test of visits asks for more than the one that it replaces: parts, their number, and places used anew meanwhile.

--- a/include/saddlehead/origin.h
+++ b/include/saddlehead/origin.h
@@ -26,8 +26,11 @@
 		int64_t expires_us);
 /* NULL: unknown, or expired. Valid until the next origins_put. */
 const struct origin *origins_get(const struct origins *t, uint64_t key, int64_t now_us);
-/* Calls f for all that have not expired, the one stated longest ago first. */
-void origins_each(const struct origins *t, int64_t now_us,
+#define ORIGIN_NEWEST UINT64_MAX
+/* Visits up to most places of the table, from the one before *place on, the last statement
+ * first: start with ORIGIN_NEWEST. Calls f for streams that have not expired. Returns whether
+ * more places follow, and stores in *place where to go on, whatever was stated meanwhile. */
+int origins_visit(const struct origins *t, uint64_t *place, uint32_t most, int64_t now_us,
 		  void (*f)(const struct origin *o, void *arg), void *arg);
 uint32_t origins_count(const struct origins *t);
 /* Streams forgotten before their time, as the table was full. */
--- a/src/core/origin.c
+++ b/src/core/origin.c
@@ -5,8 +5,9 @@
 
 struct origins {
 	GHashTable *index; /* key -> struct origin in at */
-	struct origin *at; /* ORIGIN_MAX places; key 0: empty */
-	uint32_t oldest, used;
+	struct origin *at; /* place n is at[n % ORIGIN_MAX]; key 0: empty */
+	uint64_t first;    /* the oldest place in use */
+	uint32_t used;     /* places from first on */
 	uint64_t dropped;
 };
 
@@ -32,15 +33,20 @@
 	o->key = 0;
 }
 
+static struct origin *at_place(const struct origins *t, uint64_t place)
+{
+	return &t->at[place % ORIGIN_MAX];
+}
+
 static void pop(struct origins *t)
 {
-	t->oldest = (t->oldest + 1) % ORIGIN_MAX;
+	t->first++;
 	t->used--;
 }
 
 static void drop_oldest(struct origins *t, int64_t now_us)
 {
-	struct origin *o = &t->at[t->oldest];
+	struct origin *o = at_place(t, t->first);
 
 	if (o->key) {
 		t->dropped += o->expires_us > now_us;
@@ -52,7 +58,7 @@
 static void drop_expired(struct origins *t, int64_t now_us)
 {
 	while (t->used) {
-		const struct origin *o = &t->at[t->oldest];
+		const struct origin *o = at_place(t, t->first);
 
 		if (o->key && o->expires_us > now_us) return;
 		drop_oldest(t, now_us);
@@ -61,7 +67,7 @@
 
 static struct origin *push(struct origins *t, const struct origin *o)
 {
-	struct origin *place = &t->at[(t->oldest + t->used) % ORIGIN_MAX];
+	struct origin *place = at_place(t, t->first + t->used);
 
 	*place = *o;
 	t->used++;
@@ -95,16 +101,18 @@
 	return o && o->expires_us > now_us ? o : NULL;
 }
 
-void origins_each(const struct origins *t, int64_t now_us,
+int origins_visit(const struct origins *t, uint64_t *place, uint32_t most, int64_t now_us,
 		  void (*f)(const struct origin *o, void *arg), void *arg)
 {
-	uint32_t i;
+	uint64_t p = MIN(*place, t->first + t->used);
 
-	for (i = 0; i < t->used; i++) {
-		const struct origin *o = &t->at[(t->oldest + i) % ORIGIN_MAX];
+	for (; most && p > t->first; most--) {
+		const struct origin *o = at_place(t, --p);
 
 		if (o->key && o->expires_us > now_us) f(o, arg);
 	}
+	*place = p;
+	return p > t->first;
 }
 
 uint32_t origins_count(const struct origins *t)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -290,7 +290,8 @@
 	lapsed = drain_began_us + ttl_us() * TTL_OVERRUN;
 	last = drain_began_us + cfg->grace_us - DRAIN_MARGIN_US;
 	if (now >= last) return 1;
-	return now >= lapsed && !rq_open_count() && !mesh_count_tunnels();
+	if (rq_open_count() || mesh_count_tunnels() || og_is_telling()) return 0;
+	return now >= lapsed;
 }
 
 void entry_stop(void)
--- a/src/fleet/mesh_link.c
+++ b/src/fleet/mesh_link.c
@@ -116,6 +116,14 @@
 	if (m) mesh_send(m, frame);
 }
 
+ssize_t mesh_queued_to(const char *ip)
+{
+	const struct member *m = mesh_member_find(ip);
+
+	if (!m || !cn_is_open(&m->link) || m->link.connecting) return -ENOTCONN;
+	return (ssize_t)cn_pending(&m->link);
+}
+
 void mesh_send_serving(const GString *frame)
 {
 	uint32_t i;
--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -13,14 +13,19 @@
 
 static int64_t started_us;
 
-/* Called for each cold server at each choice: builds no string. */
-static uint32_t order_of(const char *ip, uint32_t server)
+static uint32_t mix(uint32_t a, uint32_t b)
 {
-	uint32_t x = (g_str_hash(ip) ^ server) * MULTIPLIER;
+	uint32_t x = (a ^ b) * MULTIPLIER;
 
 	return (x ^ x >> 15) * MULTIPLIER;
 }
 
+/* Called for each cold server at each choice: builds no string. */
+static uint32_t order_of(const char *ip, uint32_t server)
+{
+	return mix(g_str_hash(ip), server);
+}
+
 /* In a small fleet all instances receive callers, and one whose heartbeats are missing may
  * still serve them. */
 static int is_sharer(const struct member *m)
@@ -54,9 +59,14 @@
 	return m->alive && m->hub && cn_is_open(&m->link) && !m->link.connecting;
 }
 
+static uint32_t fold(uint64_t key)
+{
+	return (uint32_t)(key ^ key >> 32);
+}
+
 static uint32_t draw_order(uint64_t key, const char *ip)
 {
-	return order_of(ip, (uint32_t)(key ^ key >> 32));
+	return order_of(ip, fold(key));
 }
 
 int mesh_draw(uint64_t key, const char **ip, int max)
@@ -79,18 +89,27 @@
 	return n;
 }
 
-int mesh_draws(uint64_t key, const char *ip, int max)
+void mesh_rivals_of(const char *ip, struct mesh_rivals *r)
 {
-	uint32_t i, order = draw_order(key, ip);
-	int before = 0;
+	uint32_t i;
 
 	mesh_self_hub();
-	for (i = 0; i < mesh_members()->len && before < max; i++) {
+	r->self = g_str_hash(ip);
+	r->n = 0;
+	for (i = 0; i < mesh_members()->len && r->n < MESH_HUBS_MAX; i++) {
 		const struct member *m = g_ptr_array_index(mesh_members(), i);
 
-		if (!may_be_drawn(m) || !strcmp(m->ip, ip)) continue;
-		before += draw_order(key, m->ip) < order;
+		if (may_be_drawn(m) && strcmp(m->ip, ip)) r->other[r->n++] = g_str_hash(m->ip);
 	}
+}
+
+int mesh_draws(uint64_t key, const struct mesh_rivals *r, int max)
+{
+	uint32_t order = mix(r->self, fold(key));
+	int i, before = 0;
+
+	for (i = 0; i < r->n && before < max; i++)
+		before += mix(r->other[i], fold(key)) < order;
 	return before < max;
 }
 
--- a/src/fleet/origins.c
+++ b/src/fleet/origins.c
@@ -1,11 +1,13 @@
 /* Tells and asks other instances which version began a stream (origins.h). */
 #include "origins.h"
 #include "clock.h"
+#include "ev.h"
 #include "mesh.h"
 #include "mesh_topic.h"
 #include "met.h"
 #include <errno.h>
 #include <saddlehead/origin.h>
+#include <string.h>
 
 /* Instances told of each stream, besides the one that carries it: one may die with that one. */
 #define KEEPERS 2
@@ -14,10 +16,22 @@
 #define ASKED_MAX 6
 #define MS_US 1000
 #define KEEP_MAX_MS (3600 * 1000) /* of one statement, whatever a peer claims */
+/* Places of the table from which another instance is told at once: at most 35 KB, so that
+ * heartbeats get through a narrow link, which is given up with 256 KB queued. */
+#define PART_PLACES 1024
+#define PART_GAP_US 100000 /* between two parts */
+
+/* An instance that is told of all streams that it would have been told of. */
+struct recipient {
+	char ip[ENTRY_TEXT_MAX + 1];
+	uint64_t place; /* where the next part begins */
+};
 
 static struct origins *table;
 static const struct entry_cfg *cfg;
 static og_answered *answered;
+static GArray *recipients; /* of struct recipient */
+static struct ev_timer part_timer;
 
 static void put(uint64_t key, uint64_t version, int64_t age_us, int64_t for_us)
 {
@@ -91,15 +105,100 @@
 	return n;
 }
 
-static void hand_over(const struct origin *o, void *arg)
+/* ---- parts of the table, for one instance ---- */
+
+struct part {
+	struct mesh_rivals rivals;
+	GString *out;
+};
+
+static void write_if_keeper(const struct origin *o, void *arg)
+{
+	const struct part *p = arg;
+
+	if (mesh_draws(o->key, &p->rivals, KEEPERS)) write_statement(p->out, o);
+}
+
+/* Returns whether another part follows. */
+static int write_part(struct recipient *r, GString *out)
+{
+	struct part p = {.out = out};
+
+	mesh_rivals_of(r->ip, &p.rivals);
+	return origins_visit(table, &r->place, PART_PLACES, clock_us(), write_if_keeper, &p);
+}
+
+/* Returns whether another part follows. */
+static int send_part(struct recipient *r)
 {
-	(void)arg;
-	tell(o);
+	ssize_t queued = mesh_queued_to(r->ip);
+	GString *out;
+	int more;
+
+	if (queued < 0) return 0; /* once a link is up again, it is told from the start */
+	if (queued > 0) return 1;
+	out = g_string_new(NULL);
+	more = write_part(r, out);
+	if (out->len) mesh_send_to(r->ip, out);
+	g_string_free(out, TRUE);
+	return more;
+}
+
+static void send_parts(struct ev_timer *t)
+{
+	uint32_t i;
+
+	for (i = recipients->len; i-- > 0;)
+		if (!send_part(&g_array_index(recipients, struct recipient, i)))
+			g_array_remove_index_fast(recipients, i);
+	if (recipients->len) ev_in(t, PART_GAP_US);
+}
+
+static void forget_recipient(const char *ip)
+{
+	uint32_t i;
+
+	for (i = recipients->len; i-- > 0;)
+		if (!strcmp(g_array_index(recipients, struct recipient, i).ip, ip))
+			g_array_remove_index_fast(recipients, i);
+}
+
+static struct recipient recipient_new(const char *ip)
+{
+	struct recipient r = {.place = ORIGIN_NEWEST};
+
+	g_strlcpy(r.ip, ip, sizeof r.ip);
+	return r;
+}
+
+/* An instance that started again has lost what it was told. */
+static void write_for(const char *ip, GString *out)
+{
+	struct recipient r = recipient_new(ip);
+
+	forget_recipient(ip);
+	if (!write_part(&r, out)) return;
+	g_array_append_val(recipients, r);
+	if (!part_timer.armed) ev_in(&part_timer, PART_GAP_US);
 }
 
 void og_hand_over(void)
 {
-	origins_each(table, clock_us(), hand_over, NULL);
+	const char *ip[MESH_HUBS_MAX];
+	int i, n = mesh_draw(0, ip, MESH_HUBS_MAX);
+
+	for (i = 0; i < n; i++) {
+		struct recipient r = recipient_new(ip[i]);
+
+		forget_recipient(ip[i]);
+		g_array_append_val(recipients, r);
+	}
+	if (n) ev_in(&part_timer, 0);
+}
+
+int og_is_telling(void)
+{
+	return recipients->len > 0;
 }
 
 /* ---- frames of others ---- */
@@ -157,26 +256,6 @@
 	return 0;
 }
 
-struct recipient {
-	const char *ip;
-	GString *out;
-};
-
-static void write_if_keeper(const struct origin *o, void *arg)
-{
-	const struct recipient *r = arg;
-
-	if (mesh_draws(o->key, r->ip, KEEPERS)) write_statement(r->out, o);
-}
-
-/* An instance that started again has lost what it was told. */
-static void write_for(const char *ip, GString *out)
-{
-	struct recipient r = {ip, out};
-
-	origins_each(table, clock_us(), write_if_keeper, &r);
-}
-
 void og_start(const struct entry_cfg *c, og_answered *f)
 {
 	static const struct mesh_topic statement = {MESH_ORIGIN, on_statement, NULL, write_for},
@@ -186,6 +265,8 @@
 	cfg = c;
 	answered = f;
 	table = origins_new();
+	recipients = g_array_new(FALSE, FALSE, sizeof(struct recipient));
+	part_timer.fire = send_parts;
 	mesh_add_topic(&statement);
 	mesh_add_topic(&question);
 	mesh_add_topic(&answer);
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -6,8 +6,11 @@
 #include "be.h"
 #include "cache.h"
 #include "entry_cfg.h"
+#include <saddlehead/roles.h>
 #include <stdint.h>
 
+#define MESH_HUBS_MAX (ROLES_ACTIVE + ROLES_SPARE)
+
 /* 0 or a negative errno. */
 int mesh_start(const struct entry_cfg *c);
 /* Sets the state of this instance that its heartbeats report. */
@@ -124,8 +127,14 @@
  * stores the addresses of up to max others that are linked with all, the first in the order
  * first, and returns their number. The addresses are valid until the next turn of the loop. */
 int mesh_draw(uint64_t key, const char **ip, int max);
-/* Whether the instance at ip is, or would be if it were known, among the first max. */
-int mesh_draws(uint64_t key, const char *ip, int max);
+/* One instance, known or not, and those that it is drawn against. */
+struct mesh_rivals {
+	uint32_t self, other[MESH_HUBS_MAX]; /* hashes of addresses */
+	int n;
+};
+void mesh_rivals_of(const char *ip, struct mesh_rivals *r);
+/* Whether it is among the first max that the key draws. */
+int mesh_draws(uint64_t key, const struct mesh_rivals *r, int max);
 /* Sets whether a call of this instance to the store has been unanswered for long. */
 void mesh_set_store_late(int late);
 /* No fetch begins before until_us (monotonic): an answer of the store is arriving, which may
--- a/src/internal/mesh_topic.h
+++ b/src/internal/mesh_topic.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <msgpack.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 enum mesh_type {
 	MESH_HEARTBEAT = 1,
@@ -42,7 +43,8 @@
 	/* Appends frames with the whole state, for an instance that started or was cut off;
 	 * NULL: none. */
 	void (*write)(GString *out);
-	/* The same for what concerns the instance at ip alone; NULL: none. */
+	/* The same for what concerns the instance at ip alone; NULL: none. Of a long state it
+	 * writes the first part, and sends the rest itself. */
 	void (*write_for)(const char *ip, GString *out);
 };
 /* To be called at start, before mesh_start. t is kept. */
@@ -65,6 +67,8 @@
 void mesh_send_all(const GString *frame);
 /* Sends to the instance at ip; nothing if no link to it is up. */
 void mesh_send_to(const char *ip, const GString *frame);
+/* Bytes that the link to it has queued, or -ENOTCONN. A link with much queued is given up. */
+ssize_t mesh_queued_to(const char *ip);
 /* Sends to all instances that receive caller traffic. */
 void mesh_send_serving(const GString *frame);
 /* Sends to these and to the hubs, some of which watch the store for all. */
--- a/src/internal/origins.h
+++ b/src/internal/origins.h
@@ -24,4 +24,6 @@
 int og_ask(uint64_t key);
 /* This instance stops: those that remain are told what it keeps. */
 void og_hand_over(void);
+/* Whether some instance is still being told of streams, part by part. */
+int og_is_telling(void);
 #endif
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -300,11 +300,16 @@
 
 	if (me->heartbeat_us) me->gap_us = MAX(me->gap_us, now - me->heartbeat_us);
 	me->heartbeat_us = now;
-	me->origin_bytes = 0;
 }
 
+#define ORIGIN_PAUSE_US 20000
+
 static void on_origin(struct pw_peer *me, uint32_t len)
 {
+	int64_t now = clock_us();
+
+	if (now - me->origin_us >= ORIGIN_PAUSE_US) me->origin_bytes = 0;
+	me->origin_us = now;
 	me->origins++;
 	me->origin_bytes += sizeof len + len;
 	me->most_origin_bytes = MAX(me->most_origin_bytes, me->origin_bytes);
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -25,10 +25,11 @@
 	int tunnel_requests; /* requests for a tunnel received */
 	int leavings;        /* frames received that name a leaving server */
 	int origins;         /* frames received that name a stream's version */
-	size_t origin_bytes, most_origin_bytes; /* of these since a heartbeat: now, and the
-						   maximum so far */
-	int64_t heartbeat_us;                   /* when the last heartbeat was received */
-	int64_t gap_us;                         /* longest time between two heartbeats so far */
+	/* Bytes of these without a pause of ORIGIN_PAUSE_US: now, and the maximum so far. */
+	size_t origin_bytes, most_origin_bytes;
+	int64_t origin_us;               /* when the last one was received */
+	int64_t heartbeat_us;            /* when the last heartbeat was received */
+	int64_t gap_us;                  /* longest time between two heartbeats so far */
 	int64_t entry_clock_us;          /* the entry's clock in its last heartbeat; 0: none */
 	struct pw_peer_cn *link, *fetch; /* to the entry; fetch: for one request */
 	GPtrArray *in;                   /* of struct pw_peer_cn, from the entry */
--- a/test/test_origin.c
+++ b/test/test_origin.c
@@ -86,16 +86,53 @@
 	*(int *)n += o->version == 1;
 }
 
-static void each_visits_what_is_kept(void)
+static void a_visit_calls_for_what_is_kept(void)
 {
 	struct origins *t = origins_new();
+	uint64_t place = ORIGIN_NEWEST;
 	int n = 0;
 
 	origins_put(t, 1, 1, 0, 10 * S);
 	origins_put(t, 2, 1, 0, 20 * S);
 	origins_put(t, 2, 1, 1, 20 * S);
-	origins_each(t, 15 * S, count, &n);
+	CU_ASSERT_EQUAL(origins_visit(t, &place, 10, 15 * S, count, &n), 0);
 	CU_ASSERT_EQUAL(n, 1);
+	CU_ASSERT_EQUAL(origins_visit(t, &place, 10, 15 * S, count, &n), 0);
+	CU_ASSERT_EQUAL(n, 1);
+	origins_free(t);
+}
+
+#define STREAMS 100
+
+/* What is stated between two parts is newer than all that is left. */
+static void a_visit_in_parts_misses_nothing(void)
+{
+	struct origins *t = origins_new();
+	uint64_t key, place = ORIGIN_NEWEST;
+	int n = 0, parts = 1;
+
+	for (key = 1; key <= STREAMS; key++) origins_put(t, key, 1, 0, 10 * S);
+	while (origins_visit(t, &place, 7, 0, count, &n)) {
+		origins_put(t, STREAMS + (uint64_t)parts++, 1, 0, 10 * S);
+		CU_ASSERT(parts <= STREAMS);
+	}
+	CU_ASSERT_EQUAL(n, STREAMS);
+	CU_ASSERT_EQUAL(parts, (STREAMS + 6) / 7);
+	origins_free(t);
+}
+
+/* The places that a visit was to go on at have been used anew. */
+static void a_visit_of_what_was_forgotten_ends(void)
+{
+	struct origins *t = origins_new();
+	uint64_t key, place = ORIGIN_NEWEST;
+	int n = 0;
+
+	for (key = 1; key <= STREAMS; key++) origins_put(t, key, 1, 0, 10 * S);
+	CU_ASSERT_EQUAL(origins_visit(t, &place, 7, 0, count, &n), 1);
+	for (key = 1; key <= ORIGIN_MAX; key++) origins_put(t, STREAMS + key, 1, 0, 10 * S);
+	CU_ASSERT_EQUAL(origins_visit(t, &place, 7, 0, count, &n), 0);
+	CU_ASSERT_EQUAL(n, 7);
 	origins_free(t);
 }
 
@@ -107,7 +144,9 @@
 	{"a_full_table_forgets_the_one_stated_longest_ago",
 	 a_full_table_forgets_the_one_stated_longest_ago},
 	{"what_has_expired_makes_room", what_has_expired_makes_room},
-	{"each_visits_what_is_kept", each_visits_what_is_kept},
+	{"a_visit_calls_for_what_is_kept", a_visit_calls_for_what_is_kept},
+	{"a_visit_in_parts_misses_nothing", a_visit_in_parts_misses_nothing},
+	{"a_visit_of_what_was_forgotten_ends", a_visit_of_what_was_forgotten_ends},
 };
 
 CHECK_MAIN(list)
