--- a/test/pw.h
+++ b/test/pw.h
@@ -279,6 +279,7 @@
 	int tokens;            /* memory of an engine */
 	int link_mbps;         /* link over which engines move it */
 	int no_replicas;       /* engines keep no replicas */
+	int split;             /* /sum/ is shared by llm and llm2, which is added */
 	int cold_per_s;        /* rate limit of a server of app in its first second; 0: none */
 	const char *keys;      /* JSON list of w1's API keys */
 	const char *regions; /* JSON list of allowed regions of /chat/ and /safe/; NULL: any */
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -17,6 +17,22 @@
 		service, more);
 }
 
+static void service(GString *s, const char *name)
+{
+	g_string_append_printf(
+		s,
+		"{\"name\":\"%s\",\"healthCheckPath\":\"/health\",\"maxConnections\":100,"
+		"\"engine\":{\"slots\":48,\"kvCacheTokens\":%d,\"kvTokenBytes\":131072,"
+		"\"linkMbps\":%d.0,\"moves\":true,\"backups\":%s,\"handleS\":5.0}},",
+		name, pw_conf.tokens, pw_conf.link_mbps,
+		pw_conf.no_replicas ? "false" : "true");
+}
+
+#define SUM ",\"maxAttempts\":2,\"streamResumption\":true"
+#define SPLIT                                                                          \
+	",\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1},{\"service\":\"llm2\"," \
+	"\"weight\":1}]"
+
 GString *pw_conf_text(void)
 {
 	GString *s = g_string_new(NULL);
@@ -32,7 +48,7 @@
 	g_snprintf(chat, sizeof chat, ",\"maxAttempts\":3%s", regions);
 	g_string_printf(s, "{\"version\":%d,\"routes\":[", pw_conf.version);
 	route(s, "chat", "streaming", "llm", 1, chat);
-	route(s, "sum", "streaming", "llm", 0, ",\"maxAttempts\":2,\"streamResumption\":true");
+	route(s, "sum", "streaming", "llm", 0, pw_conf.split ? SUM SPLIT : SUM);
 	route(s, "safe", "safe", pw_conf.safe_service, 2, safe);
 	/* several attempts allowed: only its kind prevents a second run */
 	route(s, "unsafe", "unsafe", "app", 2, ",\"maxAttempts\":3");
@@ -41,12 +57,11 @@
 		g_snprintf(name, sizeof name, "extra%d", i);
 		route(s, name, "safe", "app", 2, ",\"maxAttempts\":2");
 	}
+	g_string_append(s, "],\"services\":[");
+	service(s, "llm");
+	if (pw_conf.split) service(s, "llm2");
 	g_string_append_printf(
 		s,
-		"],\"services\":[{\"name\":\"llm\",\"healthCheckPath\":\"/"
-		"health\",\"maxConnections\":100,"
-		"\"engine\":{\"slots\":48,\"kvCacheTokens\":%d,\"kvTokenBytes\":131072,"
-		"\"linkMbps\":%d.0,\"moves\":true,\"backups\":%s,\"handleS\":5.0}},"
 		"{\"name\":\"app\",\"maxConnections\":100%s},{\"name\":\"app2\","
 		"\"maxConnections\":100}],"
 		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
@@ -54,8 +69,7 @@
 		"\"idleTimeoutMs\":5000},\"tenants\":[{\"name\":\"w1\",\"apiKeys\":%s,"
 		"\"priority\":1},"
 		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
-		pw_conf.tokens, pw_conf.link_mbps, pw_conf.no_replicas ? "false" : "true", cold,
-		pw_conf.keys);
+		cold, pw_conf.keys);
 	return s;
 }
 
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -209,6 +209,25 @@
 	send_frame(me, &f);
 }
 
+/* The version's name is in none of the entry's lists. */
+static void answer_origin(struct pw_peer *me, const char *p, uint32_t len)
+{
+	struct frame f;
+	msgpack_unpacked u;
+	size_t off = 0;
+	msgpack_packer *out;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, p, len, &off) == MSGPACK_UNPACK_SUCCESS) {
+		out = begin(&f, MESH_ORIGIN_ANSWER, 4);
+		msgpack_pack_object(out, u.data.via.array.ptr[1]);
+		msgpack_pack_uint64(out, me->origin);
+		msgpack_pack_int(out, 0);
+		send_frame(me, &f);
+	}
+	msgpack_unpacked_destroy(&u);
+}
+
 #define KEEP_MS 60000
 
 void pw_peer_state_origins(struct pw_peer *me, int n)
@@ -366,6 +385,9 @@
 	case MESH_TUNNEL: c->peer->tunnel_requests++; return;
 	case MESH_LEAVING: c->peer->leavings++; return;
 	case MESH_ORIGIN: on_origin(c->peer, len); return;
+	case MESH_ORIGIN_ASK:
+		if (c->peer->origin) answer_origin(c->peer, p, len);
+		return;
 	case MESH_VERDICTS: c->peer->verdicts += len >= MIN_VERDICT_BYTES; return;
 	}
 }
--- a/test/test_take_up.c
+++ b/test/test_take_up.c
@@ -1,15 +1,11 @@
 /* Engines of two software versions of one service side by side: a caller that takes its stream
  * up goes on only at the version that brought its first event. */
 #include "check.h"
-#include "clock.h"
-#include "pw_peer.h"
 #include "versions.h"
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define AT_ONCE_MS 500 /* a refusal comes within it */
-
 /* What became of streams that were taken up. */
 struct taken_up {
 	int begun;     /* their first attempts had brought events */
@@ -21,23 +17,6 @@
 	int undefined; /* another status than success and the refusal that it has not run */
 };
 
-static struct pw_call *take_up(struct pw_entry *at, const char *resumes, int last)
-{
-	static int serial;
-	char id[32], fields[320];
-	struct pw_call *c;
-
-	g_snprintf(id, sizeof id, "again%d", ++serial);
-	g_snprintf(fields, sizeof fields,
-		   "X-Request-Id: %s\r\nX-Credential: k1\r\nX-Deadline-Ms: %d\r\n"
-		   "X-Model: m\r\nX-Token-Usage: 1000,400\r\nLast-Event-Id: %d\r\n%s%s%s",
-		   id, VS_DEADLINE_MS, last, resumes ? "Resumes: " : "", resumes ? resumes : "",
-		   resumes ? "\r\n" : "");
-	c = pw_call(at, "POST", VS_SUM, fields, "a prompt");
-	g_strlcpy(c->id, id, sizeof c->id);
-	return c;
-}
-
 /* The id of the last whole event that the caller received. */
 static int last_event(const struct pw_call *c)
 {
@@ -61,7 +40,7 @@
 	CU_ASSERT(pw_call_wait(c, 6000));
 	for (tries = 0; tries < 3 && strstr(c->body->str, "service_busy"); tries++) {
 		pw_run((int)(g_ascii_strtod(c->retry_after, NULL) * 1000));
-		c = take_up(at, resumes, last);
+		c = vs_take_up(at, resumes, last);
 		CU_ASSERT(pw_call_wait(c, 6000));
 	}
 	return c;
@@ -77,7 +56,7 @@
 	t->undefined += c->status != 503;
 	t->final += !c->retry_after[0];
 	t->ran += pw_runs_of(c->id) != 0;
-	t->late += c->ended_us - c->began_us > AT_ONCE_MS * 1000;
+	t->late += c->ended_us - c->began_us > VS_AT_ONCE_MS * 1000;
 }
 
 /* The callers have left, or were cut off; they take their streams up at instances from the one
@@ -97,7 +76,8 @@
 		for (i = 0; i < VS_STREAMS; i++) {
 			int at = from + (i + round) % (VS_INSTANCES - from);
 
-			c[i] = last[i] ? take_up(vs_entry[at], vs_first[i]->id, last[i]) : NULL;
+			c[i] = last[i] ? vs_take_up(vs_entry[at], vs_first[i]->id, last[i])
+				       : NULL;
 		}
 		if (round == rounds - 1) break;
 		pw_run(VS_BEGUN_MS);
@@ -268,80 +248,42 @@
 	pw_end();
 }
 
-/* An instance of an earlier release takes the question, and does not know what it asks. */
-static void a_stream_is_refused_soon_when_those_asked_do_not_answer(void)
+/* Engines of two services have the same version, and are drawn by the route's weights. */
+static void a_stream_of_a_split_route_keeps_its_service(void)
 {
-	struct pw_call *c;
-
-	vs_begin();
-	vs_add_engine("v1");
-	vs_start(1);
-	pw_peer_new(vs_entry[0], 0);
-	pw_run(VS_CONNECT_MS);
-	c = take_up(vs_entry[0], "begun-at-the-other", 5);
-	CU_ASSERT(pw_call_wait(c, 2000));
-	CU_ASSERT_EQUAL(c->status, 503);
-	CU_ASSERT(c->retry_after[0] != '\0');
-	CU_ASSERT(c->ended_us - c->began_us < AT_ONCE_MS * 1000);
-	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
-	CU_ASSERT(pw_metric(vs_entry[0], "saddlehead_origins_asked_total") == 1);
-	pw_peers_end();
-	pw_end();
-}
-
-#define MANY_STREAMS 20000
-#define LINK_BYTES (256 << 10) /* queued for an instance before its link is given up */
-
-static int keeps_many(void *e)
-{
-	return pw_metric(e, "saddlehead_origins_kept") == MANY_STREAMS;
-}
-
-static int has_many(void *peer)
-{
-	return ((struct pw_peer *)peer)->origins >= MANY_STREAMS;
-}
-
-/* More at once than its link may queue would have the link given up, and opened again for the
- * same. */
-static void what_is_known_of_many_streams_is_told_in_parts(void)
-{
-	struct pw_peer *teller, *joins;
+	struct pw_call *c[VS_STREAMS];
+	struct pw_server *s[4];
+	int i, begun = 0, went_on = 0;
 
 	vs_begin();
-	vs_add_engine("v1");
-	vs_start(1);
-	teller = pw_peer_new(vs_entry[0], 0);
-	pw_run(VS_CONNECT_MS);
-	pw_peer_state_origins(teller, MANY_STREAMS);
-	CU_ASSERT(pw_until(keeps_many, vs_entry[0], 3000));
-	joins = pw_peer_new(vs_entry[0], 0);
-	CU_ASSERT(pw_until(has_many, joins, 5000));
-	CU_ASSERT(joins->most_origin_bytes < LINK_BYTES);
-	CU_ASSERT_EQUAL(pw_metric(vs_entry[0], "saddlehead_peer_dropped_total"), 0);
-	pw_peers_end();
-	pw_end();
-}
+	pw_conf.split = 1;
+	pw_conf_write();
+	for (i = 0; i < 4; i++) s[i] = vs_add_engine_of(i % 2 ? "llm2" : "llm", "v1");
+	vs_start(VS_INSTANCES);
+	vs_begin_streams(VS_SUM, VS_INSTANCES);
+	cancel_all();
+	CU_ASSERT(s[0]->arrivals + s[2]->arrivals > 0);
+	CU_ASSERT(s[1]->arrivals + s[3]->arrivals > 0);
+	for (i = 0; i < VS_STREAMS; i++) {
+		int last = last_event(vs_first[i]);
 
-/* The instance stops: both that are drawn are told all of it meanwhile. */
-static void an_instance_that_stops_tells_of_many_streams_in_parts(void)
-{
-	struct pw_peer *p[2];
-	int i;
+		c[i] = last ? vs_take_up(vs_entry[(i + 1) % VS_INSTANCES], vs_first[i]->id,
+					 last)
+			    : NULL;
+	}
+	for (i = 0; i < VS_STREAMS; i++) {
+		const struct pw_run *r, *first = pw_run_of(vs_first[i]->id, 0);
 
-	vs_begin();
-	vs_add_engine("v1");
-	vs_start(1);
-	for (i = 0; i < 2; i++) p[i] = pw_peer_new(vs_entry[0], 0);
-	pw_run(VS_CONNECT_MS);
-	pw_peer_state_origins(p[0], MANY_STREAMS);
-	CU_ASSERT(pw_until(keeps_many, vs_entry[0], 3000));
-	pw_entry_kill(vs_entry[0], SIGTERM);
-	for (i = 0; i < 2; i++) {
-		CU_ASSERT(pw_until(has_many, p[i], 5000));
-		CU_ASSERT(p[i]->most_origin_bytes < LINK_BYTES);
+		if (!c[i]) continue;
+		begun++;
+		c[i] = follow(c[i], vs_entry[(i + 1) % VS_INSTANCES], vs_first[i]->id,
+			      last_event(vs_first[i]));
+		went_on += c[i]->status == 200 && !c[i]->err;
+		r = pw_run_of(c[i]->id, 0);
+		CU_ASSERT(r && !strcmp(r->server->service, first->server->service));
 	}
-	pw_peers_end();
+	CU_ASSERT(begun >= VS_STREAMS / 2);
+	CU_ASSERT_EQUAL(went_on, begun);
 	pw_end();
 }
 
@@ -353,11 +295,11 @@
 
 	start_with_two_versions(s, 4);
 	cancel_all();
-	c = take_up(vs_entry[0], NULL, 5);
+	c = vs_take_up(vs_entry[0], NULL, 5);
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 503);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
-	c = take_up(vs_entry[0], "nobody-sent-this", 5);
+	c = vs_take_up(vs_entry[0], "nobody-sent-this", 5);
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 503);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
@@ -395,12 +337,8 @@
 	 a_stream_is_refused_at_once_after_all_instances_were_killed},
 	{"a_stream_is_refused_where_nobody_can_be_asked",
 	 a_stream_is_refused_where_nobody_can_be_asked},
-	{"a_stream_is_refused_soon_when_those_asked_do_not_answer",
-	 a_stream_is_refused_soon_when_those_asked_do_not_answer},
-	{"what_is_known_of_many_streams_is_told_in_parts",
-	 what_is_known_of_many_streams_is_told_in_parts},
-	{"an_instance_that_stops_tells_of_many_streams_in_parts",
-	 an_instance_that_stops_tells_of_many_streams_in_parts},
+	{"a_stream_of_a_split_route_keeps_its_service",
+	 a_stream_of_a_split_route_keeps_its_service},
 	{"a_stream_whose_first_attempt_is_not_named_is_refused",
 	 a_stream_whose_first_attempt_is_not_named_is_refused},
 	{"all_streams_of_a_single_version_go_on", all_streams_of_a_single_version_go_on},
--- a/test/versions.c
+++ b/test/versions.c
@@ -17,7 +17,12 @@
 
 struct pw_server *vs_add_engine(const char *version)
 {
-	struct pw_server *s = pw_server_new("llm", 1);
+	return vs_add_engine_of("llm", version);
+}
+
+struct pw_server *vs_add_engine_of(const char *service, const char *version)
+{
+	struct pw_server *s = pw_server_new(service, 1);
 
 	g_strlcpy(s->version, version, sizeof s->version);
 	s->events = VS_EVENTS;
@@ -84,6 +89,23 @@
 	return n;
 }
 
+struct pw_call *vs_take_up(struct pw_entry *at, const char *resumes, int last)
+{
+	static int serial;
+	char id[32], fields[320];
+	struct pw_call *c;
+
+	g_snprintf(id, sizeof id, "again%d", ++serial);
+	g_snprintf(fields, sizeof fields,
+		   "X-Request-Id: %s\r\nX-Credential: k1\r\nX-Deadline-Ms: %d\r\n"
+		   "X-Model: m\r\nX-Token-Usage: 1000,400\r\nLast-Event-Id: %d\r\n%s%s%s",
+		   id, VS_DEADLINE_MS, last, resumes ? "Resumes: " : "", resumes ? resumes : "",
+		   resumes ? "\r\n" : "");
+	c = pw_call(at, "POST", VS_SUM, fields, "a prompt");
+	g_strlcpy(c->id, id, sizeof c->id);
+	return c;
+}
+
 void vs_await(void)
 {
 	int i;
--- a/test/versions.h
+++ b/test/versions.h
@@ -11,6 +11,7 @@
 #define VS_CHAT "/chat/" /* not resumable */
 #define VS_SUM "/sum/"   /* resumable */
 #define VS_DEADLINE_MS 9000
+#define VS_AT_ONCE_MS 500 /* a refusal comes within it */
 #define VS_CONNECT_MS 900 /* instances connect to each other */
 #define VS_BEGUN_MS 300   /* until each stream has brought some events */
 
@@ -19,10 +20,14 @@
 
 void vs_begin(void);
 struct pw_server *vs_add_engine(const char *version);
+struct pw_server *vs_add_engine_of(const char *service, const char *version);
 /* Starts so many instances, and waits until they are connected. */
 void vs_start(int n);
 /* Begins the streams at the first instances in turn, and waits for their first events. */
 void vs_begin_streams(const char *path, int instances);
+/* A caller takes a stream up behind the event last; resumes: the attempt that it names, or
+ * NULL. */
+struct pw_call *vs_take_up(struct pw_entry *at, const char *resumes, int last);
 void vs_await(void);
 /* The version of the engine that brought the attempt's first event; NULL: none did. */
 const char *vs_version_of(const struct pw_call *c);
