One refusal reason for each way in which a stream's origin is not known

What operators saw: origin_unknown for four cases, of which only the detail of a log line told whether callers should return, name their attempt, or give up; and origins_learnt counted what was known here, too, so that it did not tell what questions are good for.

Change: origin_unknown, origin_unanswered, origin_unnamed and origin_disputed; origins_known and origins_learnt. Statuses and times to come back are as before.

--- a/src/base/met.c
+++ b/src/base/met.c
@@ -71,6 +71,7 @@
 	"eras_unread",
 	"origins_told",
 	"origins_asked",
+	"origins_known",
 	"origins_learnt",
 };
 static const char *const gauge_names[MET_GAUGE_MAX] = {
--- a/src/base/reason.c
+++ b/src/base/reason.c
@@ -37,6 +37,9 @@
 	[REF_RATE_LIMITED] = {"servers_paced", 503},
 	[REF_SLOW_READER] = {"reader_too_slow", 502},
 	[REF_ORIGIN_UNKNOWN] = {"origin_unknown", 503},
+	[REF_ORIGIN_UNANSWERED] = {"origin_unanswered", 503},
+	[REF_ORIGIN_UNNAMED] = {"origin_unnamed", 503},
+	[REF_ORIGIN_DISPUTED] = {"origin_disputed", 503},
 	[REF_VERSION_GONE] = {"version_gone", 503},
 };
 
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -54,7 +54,8 @@
 	MET_ERAS_INVALID,       /* answers of the store with an era that is no number */
 	MET_ORIGINS_TOLD,       /* statements to others which version began a stream */
 	MET_ORIGINS_ASKED,      /* questions to others */
-	MET_ORIGINS_LEARNT, /* streams taken up whose version was known, here or to others */
+	MET_ORIGINS_KNOWN,      /* streams taken up whose version was known here */
+	MET_ORIGINS_LEARNT,     /* ... and to another instance */
 	MET_COUNT_MAX
 };
 
--- a/src/relay/rq_origin.c
+++ b/src/relay/rq_origin.c
@@ -50,21 +50,26 @@
 	r->version_key = version;
 	r->origin.unanswered = 0;
 	ev_stop(&r->origin.timer);
-	met_add(MET_ORIGINS_LEARNT, 1);
 	log_bound(r, from, age_us);
 }
 
-/* retry_us: 0 where all that may know have answered. */
-static void refuse(struct rq *r, int64_t retry_us, const char *detail)
+/* Nobody will know later. */
+static void refuse_finally(struct rq *r, enum refusal why, const char *detail)
+{
+	ev_stop(&r->origin.timer);
+	rq_refuse(r, why, 0, detail);
+}
+
+static void refuse_for_now(struct rq *r, const char *detail)
 {
 	r->origin.unanswered = 0;
-	rq_refuse(r, REF_ORIGIN_UNKNOWN, retry_us, detail);
+	rq_refuse(r, REF_ORIGIN_UNANSWERED, RETRY_SOON_US, detail);
 }
 
 static void on_timer(struct ev_timer *t)
 {
-	refuse((struct rq *)((char *)t - offsetof(struct rq, origin.timer)), RETRY_SOON_US,
-	       "those that may know which version began the stream do not answer");
+	refuse_for_now((struct rq *)((char *)t - offsetof(struct rq, origin.timer)),
+		       "those that may know which version began the stream do not answer");
 }
 
 static void ask(struct rq *r)
@@ -72,7 +77,7 @@
 	r->origin.asked = og_ask(r->origin.key);
 	r->origin.unanswered = r->origin.asked;
 	if (!r->origin.asked) {
-		refuse(r, RETRY_SOON_US, "nobody can be asked which version began the stream");
+		refuse_for_now(r, "nobody can be asked which version began the stream");
 		return;
 	}
 	r->origin.timer.fire = on_timer;
@@ -85,7 +90,8 @@
 
 	if (!takes_up(r)) return 0;
 	if (!r->in.resumes) {
-		refuse(r, 0, "the attempt that began the stream is not named");
+		refuse_finally(r, REF_ORIGIN_UNNAMED,
+			       "the attempt that began the stream is not named");
 		return 1;
 	}
 	r->origin.key = key_of(r, r->in.resumes);
@@ -94,9 +100,11 @@
 		return 1;
 	}
 	if (!k.version) {
-		refuse(r, 0, "two versions began streams under the attempt's id");
+		refuse_finally(r, REF_ORIGIN_DISPUTED,
+			       "two versions began streams under the attempt's id");
 		return 1;
 	}
+	met_add(MET_ORIGINS_KNOWN, 1);
 	bind_to(r, k.version, "this instance", k.age_us);
 	return 0;
 }
@@ -104,11 +112,12 @@
 static void apply_answer(struct rq *r, uint64_t version, int64_t age_us, const char *from)
 {
 	if (version) {
+		met_add(MET_ORIGINS_LEARNT, 1);
 		bind_to(r, version, from, age_us);
 		rq_admit_resolved(r);
 	} else if (!--r->origin.unanswered) {
-		ev_stop(&r->origin.timer);
-		refuse(r, 0, "nobody knows which version began the stream");
+		refuse_finally(r, REF_ORIGIN_UNKNOWN,
+			       "nobody knows which version began the stream");
 	}
 }
 
--- a/test/test_keepers.c
+++ b/test/test_keepers.c
@@ -21,6 +21,7 @@
 	CU_ASSERT(c->retry_after[0] != '\0');
 	CU_ASSERT(c->ended_us - c->began_us < VS_AT_ONCE_MS * 1000);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	CU_ASSERT(strstr(c->body->str, "origin_unanswered") != NULL);
 	CU_ASSERT(pw_metric(vs_entry[0], "saddlehead_origins_asked_total") == 1);
 	pw_peers_end();
 	pw_end();
--- a/test/test_take_up.c
+++ b/test/test_take_up.c
@@ -299,10 +299,12 @@
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 503);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	CU_ASSERT(strstr(c->body->str, "origin_unnamed") != NULL);
 	c = vs_take_up(vs_entry[0], "nobody-sent-this", 5);
 	CU_ASSERT(pw_call_wait(c, 2000));
 	CU_ASSERT_EQUAL(c->status, 503);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	CU_ASSERT(strstr(c->body->str, "origin_unknown") != NULL);
 	pw_end();
 }
 
