Test: an attempt's id under which two versions began streams

The fourth case of an origin that is not known: refused as not run, at once and without a time to come back.

--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -230,21 +230,33 @@
 
 #define KEEP_MS 60000
 
+static void write_origin(GString *out, uint64_t key, uint64_t version)
+{
+	struct frame f;
+	msgpack_packer *p = begin(&f, MESH_ORIGIN, 5);
+
+	msgpack_pack_uint64(p, key);
+	msgpack_pack_uint64(p, version);
+	msgpack_pack_int(p, 0);
+	msgpack_pack_int(p, KEEP_MS);
+	finish(&f, out);
+}
+
+void pw_peer_state_origin(struct pw_peer *me, const char *attempt, uint64_t version)
+{
+	GString *out = g_string_new(NULL);
+
+	write_origin(out, fp_short("w1", attempt), version);
+	cn_write(&me->link->cn, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
 void pw_peer_state_origins(struct pw_peer *me, int n)
 {
 	GString *out = g_string_new(NULL);
 	int i;
 
-	for (i = 1; i <= n; i++) {
-		struct frame f;
-		msgpack_packer *p = begin(&f, MESH_ORIGIN, 5);
-
-		msgpack_pack_uint64(p, UINT64_MAX - (uint64_t)i);
-		msgpack_pack_uint64(p, UINT64_MAX);
-		msgpack_pack_int(p, 0);
-		msgpack_pack_int(p, KEEP_MS);
-		finish(&f, out);
-	}
+	for (i = 1; i <= n; i++) write_origin(out, UINT64_MAX - (uint64_t)i, UINT64_MAX);
 	cn_write(&me->link->cn, out->str, out->len);
 	g_string_free(out, TRUE);
 }
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -55,7 +55,9 @@
 			  int ran_ms);
 /* Reports that this incarnation of a backend server is leaving. */
 void pw_peer_report_leaving(struct pw_peer *p, const char *server, int64_t incarnation_ms);
-/* States the version of so many streams, to be kept for a minute. */
+/* States the version that began a stream of workspace w1, to be kept for a minute. */
+void pw_peer_state_origin(struct pw_peer *p, const char *attempt, uint64_t version);
+/* The same of so many streams. */
 void pw_peer_state_origins(struct pw_peer *p, int n);
 /* Sends the verdict that this request is quarantined. */
 void pw_peer_send_verdict(struct pw_peer *p, const struct fp *fp);
--- a/test/test_keepers.c
+++ b/test/test_keepers.c
@@ -48,6 +48,30 @@
 	pw_end();
 }
 
+/* An attempt's id was used twice, and which of the two streams is meant is not known. */
+static void a_stream_whose_attempt_began_at_two_versions_is_refused(void)
+{
+	struct pw_peer *p;
+	struct pw_call *c;
+
+	vs_begin();
+	vs_add_engine("v1");
+	vs_start(1);
+	p = pw_peer_new(vs_entry[0], 0);
+	pw_run(VS_CONNECT_MS);
+	pw_peer_state_origin(p, "begun-twice", 1);
+	pw_peer_state_origin(p, "begun-twice", 2);
+	pw_run(100);
+	c = vs_take_up(vs_entry[0], "begun-twice", 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(strstr(c->body->str, "origin_disputed") != NULL);
+	CU_ASSERT(!c->retry_after[0]);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	pw_peers_end();
+	pw_end();
+}
+
 #define MANY_STREAMS 20000
 #define LINK_BYTES (256 << 10) /* queued for an instance before its link is given up */
 
@@ -109,6 +133,8 @@
 	 a_stream_is_refused_soon_when_those_asked_do_not_answer},
 	{"a_stream_of_a_version_that_is_not_listed_here_is_refused_for_now",
 	 a_stream_of_a_version_that_is_not_listed_here_is_refused_for_now},
+	{"a_stream_whose_attempt_began_at_two_versions_is_refused",
+	 a_stream_whose_attempt_began_at_two_versions_is_refused},
 	{"what_is_known_of_many_streams_is_told_in_parts",
 	 what_is_known_of_many_streams_is_told_in_parts},
 	{"an_instance_that_stops_tells_of_many_streams_in_parts",
