Refuse at once a stream of a version that a rollout blocks

What callers would see: a stream that began at a canary and is taken up after the rollback gets 503 with a time to come back, again and again until its caller's deadline, as long as the version's engines run.

Cause: whether an engine of the version is left was asked of its state alone; a blocked version's engines are ready, and get nothing while the order stands.

Change: a blocked version counts as gone: 503 version_gone, at once, without a time to come back. A stream that runs there when it is blocked stays, as before.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -229,8 +229,8 @@
 /* Whether the version allows b, asked before each send: b may also be the incarnation that
  * runs the stream. */
 int rq_may_start_at(const struct rq *r, const struct be *b);
-/* Whether an engine of the version that r is bound to is ready, usable at present or not; 1 for
- * a request that is bound to none. */
+/* Whether an engine of the version that r is bound to is ready and not blocked, usable at
+ * present or not; 1 for a request that is bound to none. */
 int rq_has_engine_of_version(const struct rq *r);
 
 /* rq_origin.c */
--- a/src/relay/rq_version.c
+++ b/src/relay/rq_version.c
@@ -76,7 +76,7 @@
 	for (i = 0; list && i < list->len; i++) {
 		const struct be *b = g_ptr_array_index(list, i);
 
-		if (b->state == BE_READY && fits(r, b)) return 1;
+		if (b->state == BE_READY && !b->blocked_us && fits(r, b)) return 1;
 	}
 	return 0;
 }
--- a/test/test_keepers.c
+++ b/test/test_keepers.c
@@ -72,6 +72,41 @@
 	pw_end();
 }
 
+static int is_blocked(void *e)
+{
+	return pw_log_has(e, "\"rolled_back\"");
+}
+
+/* Its engines serve on, and get nothing as long as the order stands. */
+static void a_stream_of_a_version_that_was_rolled_back_is_refused_at_once(void)
+{
+	struct pw_peer *p;
+	struct pw_call *c;
+
+	vs_begin();
+	pw_store_put("op/rollout/llm",
+		     "{\"service\":\"llm\",\"targetVersion\":\"v2\",\"durationS\":5}");
+	pw_store_put("status/rollout/llm", "{\"service\":\"llm\",\"targetVersion\":\"v2\","
+					   "\"state\":\"rolled_back\"}");
+	vs_add_engine("v1");
+	vs_add_engine("v2");
+	vs_start(1);
+	CU_ASSERT(pw_until(is_blocked, vs_entry[0], 3000));
+	p = pw_peer_new(vs_entry[0], 0);
+	pw_run(VS_CONNECT_MS);
+	pw_peer_state_origin(p, "begun-at-v2", fp_short("llm", "v2"));
+	pw_run(100);
+	c = vs_take_up(vs_entry[0], "begun-at-v2", 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(strstr(c->body->str, "version_gone") != NULL);
+	CU_ASSERT(!c->retry_after[0]);
+	CU_ASSERT(c->ended_us - c->began_us < VS_AT_ONCE_MS * 1000);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	pw_peers_end();
+	pw_end();
+}
+
 #define MANY_STREAMS 20000
 #define LINK_BYTES (256 << 10) /* queued for an instance before its link is given up */
 
@@ -135,6 +170,8 @@
 	 a_stream_of_a_version_that_is_not_listed_here_is_refused_for_now},
 	{"a_stream_whose_attempt_began_at_two_versions_is_refused",
 	 a_stream_whose_attempt_began_at_two_versions_is_refused},
+	{"a_stream_of_a_version_that_was_rolled_back_is_refused_at_once",
+	 a_stream_of_a_version_that_was_rolled_back_is_refused_at_once},
 	{"what_is_known_of_many_streams_is_told_in_parts",
 	 what_is_known_of_many_streams_is_told_in_parts},
 	{"an_instance_that_stops_tells_of_many_streams_in_parts",
