--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -1,5 +1,5 @@
-/* An order of the instances that receive caller traffic, different for each backend server: all
- * instances compute the same one. */
+/* Orders of instances that all compute alike: of those that receive caller traffic, different
+ * for each backend server, and of the hubs, different for each key. */
 #include "clock.h"
 #include "mesh_impl.h"
 #include <saddlehead/roles.h>
--- a/src/internal/met.h
+++ b/src/internal/met.h
@@ -55,7 +55,7 @@
 	MET_ORIGINS_TOLD,       /* statements to others which version began a stream */
 	MET_ORIGINS_ASKED,      /* questions to others */
 	MET_ORIGINS_KNOWN,      /* streams taken up whose version was known here */
-	MET_ORIGINS_LEARNT,     /* ... and to another instance */
+	MET_ORIGINS_LEARNT,     /* streams taken up whose version another instance knew */
 	MET_COUNT_MAX
 };
 
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -152,8 +152,9 @@
 		not_reached(att, -EHOSTUNREACH);
 }
 
-/* A run that has begun makes an event: a close before the first one is no end of a stream. */
-static int is_missing(const struct attempt *att)
+/* A run that has begun makes an event, so that a close before the first one ends no stream. A
+ * length or a last chunk states that the answer is empty. */
+static int closed_before_first_event(const struct attempt *att)
 {
 	return att->framing == HP_BY_CLOSE && !att->rq->seen.count;
 }
@@ -164,7 +165,7 @@
 static int stream_error(struct attempt *att, const struct hx *x)
 {
 	if (!att_is_stream(att, x)) return 0;
-	if (evs_is_inside_event(&att->evs) || is_missing(att)) {
+	if (evs_is_inside_event(&att->evs) || closed_before_first_event(att)) {
 		met_add(MET_STREAMS_CUT_SHORT, 1);
 		return -EPIPE;
 	}
