Nobody knows a stream's origin only if all that may know were asked

What callers would see: a stream that they take up at an instance which is linked with a part of the others, as after a cut or right after a start, is refused without a time to come back, though one that is out of reach knows its version.

Cause: all that were asked counted as all that may know.

Change: while a hub is out of reach the refusal says when to come back, about as long as links take to be up again. An instance that said that it stops has handed on what it kept, and of a process that is gone (its port refuses connections) nothing is left to ask: neither counts.

a_stream_is_refused_for_now_while_one_that_may_know_is_cut_off fails before (2 of 2) and passes 3 of 3; a_stream_is_refused_finally_when_all_that_live_do_not_know passes on both. test_take_up, test_versions, test_mesh, test_life and test_standby pass, one play each.

--- a/src/fleet/mesh_rank.c
+++ b/src/fleet/mesh_rank.c
@@ -89,6 +89,22 @@
 	return n;
 }
 
+static int is_missing(const struct member *m)
+{
+	if (may_be_drawn(m) || m->refused || m->hb.draining) return 0;
+	return m->hub || m->was_hub;
+}
+
+int mesh_misses_hub(void)
+{
+	uint32_t i;
+
+	mesh_self_hub();
+	for (i = 0; i < mesh_members()->len; i++)
+		if (is_missing(g_ptr_array_index(mesh_members(), i))) return 1;
+	return 0;
+}
+
 void mesh_rivals_of(const char *ip, struct mesh_rivals *r)
 {
 	uint32_t i;
--- a/src/fleet/mesh_roles.c
+++ b/src/fleet/mesh_roles.c
@@ -79,6 +79,7 @@
 {
 	m->active = p->active;
 	m->hub = p->hub;
+	if (m->alive) m->was_hub = p->hub;
 }
 
 static void apply_roles(void)
--- a/src/fleet/origins.c
+++ b/src/fleet/origins.c
@@ -105,6 +105,11 @@
 	return n;
 }
 
+int og_can_ask_all(void)
+{
+	return !mesh_misses_hub();
+}
+
 /* ---- parts of the table, for one instance ---- */
 
 struct part {
--- a/src/internal/mesh.h
+++ b/src/internal/mesh.h
@@ -127,6 +127,9 @@
  * stores the addresses of up to max others that are linked with all, the first in the order
  * first, and returns their number. The addresses are valid until the next turn of the loop. */
 int mesh_draw(uint64_t key, const char **ip, int max);
+/* Whether an instance that others may have drawn is out of reach and may come back as it was:
+ * one that has stopped, or whose process is gone, does not. */
+int mesh_misses_hub(void);
 /* One instance, known or not, and those that it is drawn against. */
 struct mesh_rivals {
 	uint32_t self, other[MESH_HUBS_MAX]; /* hashes of addresses */
--- a/src/internal/mesh_impl.h
+++ b/src/internal/mesh_impl.h
@@ -58,6 +58,7 @@
 	int64_t alive_us;     /* when it last became alive */
 	int link_mbps;        /* reported by itself or another instance; 0: not reported */
 	int active, hub;      /* roles as this instance computes them */
+	int was_hub;          /* its role when it was last alive */
 	int64_t candidate_us; /* since when it has been waited for; 0: it has not */
 	struct cn link;       /* to the member; only this instance writes on it */
 	int64_t next_connect_us;
--- a/src/internal/origins.h
+++ b/src/internal/origins.h
@@ -22,6 +22,8 @@
 int og_find(uint64_t key, struct og_known *k);
 /* Asks others; og_answered follows for each that answers. Returns the number asked. */
 int og_ask(uint64_t key);
+/* Whether all that may know a stream can be asked at present. */
+int og_can_ask_all(void);
 /* This instance stops: those that remain are told what it keeps. */
 void og_hand_over(void);
 /* Whether some instance is still being told of streams, part by part. */
--- a/src/internal/reason.h
+++ b/src/internal/reason.h
@@ -39,7 +39,7 @@
 	REF_RATE_LIMITED,   /* its share of every suitable server's rate limit is used up */
 	REF_SLOW_READER,    /* the caller reads its answer too slowly and memory is short */
 	REF_ORIGIN_UNKNOWN, /* all that may know say that they don't: which version began it */
-	REF_ORIGIN_UNANSWERED, /* of those that may know some don't answer, or none is linked */
+	REF_ORIGIN_UNANSWERED, /* of those that may know some don't answer, or can't be asked */
 	REF_ORIGIN_UNNAMED,    /* the caller did not name the attempt that began the stream */
 	REF_ORIGIN_DISPUTED,   /* two versions began streams under that attempt's id */
 	REF_VERSION_GONE, /* no server of the software version that began the stream is left */
--- a/src/relay/rq_origin.c
+++ b/src/relay/rq_origin.c
@@ -6,6 +6,8 @@
 #include "rq_impl.h"
 #include <stddef.h>
 
+/* An instance that was cut off is linked again about this long after its path is back. */
+#define RETRY_REACH_US 1000000
 /* How long to wait for the others: several round trips between regions. */
 #define ANSWERS_US 200000
 /* After the stream's deadline its caller does not come back; clocks and answers are late by
@@ -60,15 +62,28 @@
 	rq_refuse(r, why, 0, detail);
 }
 
-static void refuse_for_now(struct rq *r, const char *detail)
+static void refuse_for_now(struct rq *r, int64_t retry_us, const char *detail)
 {
 	r->origin.unanswered = 0;
-	rq_refuse(r, REF_ORIGIN_UNANSWERED, RETRY_SOON_US, detail);
+	ev_stop(&r->origin.timer);
+	rq_refuse(r, REF_ORIGIN_UNANSWERED, retry_us, detail);
+}
+
+static void refuse_unknown(struct rq *r)
+{
+	if (og_can_ask_all())
+		refuse_finally(r, REF_ORIGIN_UNKNOWN,
+			       "nobody knows which version began the stream");
+	else
+		refuse_for_now(r, RETRY_REACH_US,
+			       "some that may know which version began the stream are out of "
+			       "reach");
 }
 
 static void on_timer(struct ev_timer *t)
 {
 	refuse_for_now((struct rq *)((char *)t - offsetof(struct rq, origin.timer)),
+		       RETRY_SOON_US,
 		       "those that may know which version began the stream do not answer");
 }
 
@@ -77,7 +92,8 @@
 	r->origin.asked = og_ask(r->origin.key);
 	r->origin.unanswered = r->origin.asked;
 	if (!r->origin.asked) {
-		refuse_for_now(r, "nobody can be asked which version began the stream");
+		refuse_for_now(r, RETRY_SOON_US,
+			       "nobody can be asked which version began the stream");
 		return;
 	}
 	r->origin.timer.fire = on_timer;
@@ -115,10 +131,9 @@
 		met_add(MET_ORIGINS_LEARNT, 1);
 		bind_to(r, version, from, age_us);
 		rq_admit_resolved(r);
-	} else if (!--r->origin.unanswered) {
-		refuse_finally(r, REF_ORIGIN_UNKNOWN,
-			       "nobody knows which version began the stream");
+		return;
 	}
+	if (!--r->origin.unanswered) refuse_unknown(r);
 }
 
 void rq_on_origin(uint64_t key, uint64_t version, int64_t age_us, const char *from)
--- a/test/pw_peer.c
+++ b/test/pw_peer.c
@@ -398,7 +398,7 @@
 	case MESH_LEAVING: c->peer->leavings++; return;
 	case MESH_ORIGIN: on_origin(c->peer, len); return;
 	case MESH_ORIGIN_ASK:
-		if (c->peer->origin) answer_origin(c->peer, p, len);
+		if (c->peer->origin || c->peer->knows_no_origin) answer_origin(c->peer, p, len);
 		return;
 	case MESH_VERDICTS: c->peer->verdicts += len >= MIN_VERDICT_BYTES; return;
 	}
--- a/test/pw_peer.h
+++ b/test/pw_peer.h
@@ -25,7 +25,8 @@
 	int tunnel_requests; /* requests for a tunnel received */
 	int leavings;        /* frames received that name a leaving server */
 	int origins;         /* frames received that name a stream's version */
-	uint64_t origin;     /* answers questions with this version; 0: not at all */
+	uint64_t origin;     /* answers questions with this version ... */
+	int knows_no_origin; /* ... or that it does not know; neither: not at all */
 	/* Bytes of these without a pause of ORIGIN_PAUSE_US: now, and the maximum so far. */
 	size_t origin_bytes, most_origin_bytes;
 	int64_t origin_us;               /* when the last one was received */
--- a/test/test_keepers.c
+++ b/test/test_keepers.c
@@ -48,6 +48,62 @@
 	pw_end();
 }
 
+#define DEAD_MS 2500 /* until an instance that sends nothing counts as dead */
+
+/* Of two others one answers that it does not know, and the other is lost in some way. */
+static struct pw_call *ask_without(void (*lose)(struct pw_peer *p))
+{
+	struct pw_peer *p[2];
+	struct pw_call *c;
+	int i;
+
+	vs_begin();
+	vs_add_engine("v1");
+	vs_start(1);
+	for (i = 0; i < 2; i++) {
+		p[i] = pw_peer_new(vs_entry[0], 0);
+		p[i]->knows_no_origin = 1;
+	}
+	pw_run(VS_CONNECT_MS);
+	lose(p[1]);
+	pw_run(DEAD_MS);
+	c = vs_take_up(vs_entry[0], "begun-at-the-other", 5);
+	CU_ASSERT(pw_call_wait(c, 2000));
+	CU_ASSERT_EQUAL(c->status, 503);
+	CU_ASSERT(c->ended_us - c->began_us < VS_AT_ONCE_MS * 1000);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 0);
+	CU_ASSERT(pw_metric(vs_entry[0], "saddlehead_origins_asked_total") == 1);
+	return c;
+}
+
+static void cut_off(struct pw_peer *p)
+{
+	p->mute = 1;
+	pw_peer_silence(p);
+}
+
+/* It may know, and may be in reach again before the caller's time is over. */
+static void a_stream_is_refused_for_now_while_one_that_may_know_is_cut_off(void)
+{
+	struct pw_call *c = ask_without(cut_off);
+
+	CU_ASSERT(strstr(c->body->str, "origin_unanswered") != NULL);
+	CU_ASSERT(c->retry_after[0] != '\0');
+	pw_peers_end();
+	pw_end();
+}
+
+/* Its process is gone, and what it knew with it. */
+static void a_stream_is_refused_finally_when_all_that_live_do_not_know(void)
+{
+	struct pw_call *c = ask_without(pw_peer_stop);
+
+	CU_ASSERT(strstr(c->body->str, "origin_unknown") != NULL);
+	CU_ASSERT(!c->retry_after[0]);
+	pw_peers_end();
+	pw_end();
+}
+
 /* An attempt's id was used twice, and which of the two streams is meant is not known. */
 static void a_stream_whose_attempt_began_at_two_versions_is_refused(void)
 {
@@ -168,6 +224,10 @@
 	 a_stream_is_refused_soon_when_those_asked_do_not_answer},
 	{"a_stream_of_a_version_that_is_not_listed_here_is_refused_for_now",
 	 a_stream_of_a_version_that_is_not_listed_here_is_refused_for_now},
+	{"a_stream_is_refused_for_now_while_one_that_may_know_is_cut_off",
+	 a_stream_is_refused_for_now_while_one_that_may_know_is_cut_off},
+	{"a_stream_is_refused_finally_when_all_that_live_do_not_know",
+	 a_stream_is_refused_finally_when_all_that_live_do_not_know},
 	{"a_stream_whose_attempt_began_at_two_versions_is_refused",
 	 a_stream_whose_attempt_began_at_two_versions_is_refused},
 	{"a_stream_of_a_version_that_was_rolled_back_is_refused_at_once",
