--- a/src/fleet/origins.c
+++ b/src/fleet/origins.c
@@ -21,7 +21,8 @@
 #define PART_PLACES 1024
 #define PART_GAP_US 100000 /* between two parts */
 
-/* An instance that is told of all streams that it would have been told of. */
+/* An instance that has started, or that remains when this one stops: it is sent the streams
+ * that it should keep, part by part. */
 struct recipient {
 	char ip[ENTRY_TEXT_MAX + 1];
 	uint64_t place; /* where the next part begins */
