--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -492,13 +492,19 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble: %s" % ("yes" if trouble else "no"))
     net = Net(record)
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, task.cancel)
     try:
         await net.store.start()
         status = await asyncio.wait_for(main(net, trouble), seconds)
     except asyncio.TimeoutError:
         record("the run took too long")
         status = 2
-    except OSError as e:
+    except asyncio.CancelledError:
+        record("the run was ended from outside")
+        status = 2
+    except Exception as e:  # anything else shows nothing of the rule
         record("the run could not go on: %r" % e)
         status = 2
     finally:
