--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,12 +7,12 @@
 import random
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import stand
 
 ENGINES = 7                 # one of them (srv_grey: share 0.14) fails at a time ...
 FAILS = 0.45                # ... x = 0.45 of its requests with its own 500 ...
-GREY_AFTER_S, GREY_S = 1.2, 6.5  # ... for 6.5 s, from soon after connections fall silent
+GREY_AFTER_S, GREY_S = 0.2, 6.5  # ... for 6.5 s, from when connections have fallen silent
 EVENTS, EVENT_S = 15, 0.1
 STREAMS, EACH_S = 1000, 0.025
 SILENT_AT_S = (2.0, 12.0, 22.0)  # half of the open connections (reset_conns: x = 0.5)
@@ -68,10 +68,12 @@
             writer.write(stand.plain(500, server.ok(run), b"internal error\n"))
             return
         last = stand.field(run.fields, "Last-Event-Id")
+        run.tokens, run.events = 100 + 4 * int(last or 0), int(last or 0)
         writer.write(stand.head(200, server.ok(run) + [
             ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
         for i in range(int(last or 0) + 1, EVENTS + 1):
             await asyncio.sleep(EVENT_S)
+            run.tokens, run.events = run.tokens + 4, i
             event = b"id: %d\ndata: piece %d of %s\n\n" % (i, i, run.id.encode())
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
--- a/review/lib/stand.py
+++ b/review/stand.py
@@ -16,7 +16,7 @@
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 FRONT, READY, CONTROL, DIRECTORY, PEERS = 8740, 8749, 8748, 8746, 7200
 STORE_PORT, SERVER_PORT = 8742, 8080
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 412: "Precondition Failed",
@@ -225,6 +225,7 @@
         self.server, self.method, self.target = server, method, target
         self.fields, self.body = fields, body
         self.id = field(fields, "X-Request-Id")
+        self.tokens, self.events = 0, 0     # in memory, and made
 
 
 class Server:
@@ -236,8 +237,9 @@
         self.id = "i-%010x" % random.randrange(1 << 40)
         self.ip = net.take_ip()
         self.listed = listed   # the address in its entry, if a proxy stands before it
-        self.runs = []
-        self.last_sent = None
+        self.runs, self.working = [], []
+        self.leaving = False
+        self.open = set()      # transports of its connections
 
     async def start(self):
         self.server = await serve(self.ip, SERVER_PORT, self.connection)
@@ -254,9 +256,23 @@
 
     def ok(self, run):
         return [("X-Request-Id", run.id),
-                ("X-Response-Signature", "%s.%s" % (self.id, run.id)), ("Versions", "1")]
+                ("X-Response-Signature", "%s.%s" % (self.id, run.id)), ("Versions", "1")] + (
+                    [("Connection", "close")] if self.leaving else [])
 
     async def connection(self, reader, writer):
+        self.open.add(writer.transport)
+        try:
+            await self.serve_requests(reader, writer)
+        finally:
+            self.open.discard(writer.transport)
+
+    def end(self):
+        """Ends like a process: all connections are reset, and new ones are refused."""
+        self.server.close()
+        for transport in list(self.open):
+            transport.abort()
+
+    async def serve_requests(self, reader, writer):
         while True:
             h = await read_head(reader)
             if not h:
@@ -265,13 +281,11 @@
             length = int(field(h[1], "Content-Length") or 0)
             body = await reader.readexactly(length) if length else b""
             if target == "/health":
-                writer.write(plain(200, [("X-Instance-Id", self.id)], b"ok"))
+                writer.write(plain(503 if self.leaving else 200,
+                                   [("X-Instance-Id", self.id)], b""))
             elif target == "/-/report":
-                writer.write(plain(200, [("Content-Type", "application/json")], json.dumps(
-                    {"stage": "both", "models": [], "busy": False, "sequence": 1,
-                     "queuedRequests": 0, "runningRequests": 0, "kvUsed": 0,
-                     "kvTotal": 34414, "handles": 0, "state": "ready",
-                     "runs": []}).encode()))
+                writer.write(plain(200, [("Content-Type", "application/json")],
+                                   json.dumps(self.report()).encode()))
             elif target.startswith("/-/"):
                 writer.write(plain(404, [], b""))
             else:
@@ -280,6 +294,15 @@
             if (field(h[1], "Connection") or "").lower() == "close":
                 return
 
+    def report(self):
+        return {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
+                "busy": False, "sequence": 1, "queuedRequests": 0,
+                "runningRequests": len(self.working),
+                "kvUsed": sum(r.tokens for r in self.working), "kvTotal": 34414,
+                "handles": 0, "state": "draining" if self.leaving else "ready",
+                "runs": [[r.id, r.tokens, r.events, int(field(r.fields, "Priority") or 5)]
+                         for r in self.working]}
+
     async def request(self, run, reader, writer):
         wanted = field(run.fields, "X-Target-Instance")
         if wanted and wanted != self.id:
@@ -291,7 +314,11 @@
         self.runs.append(run)
         self.net.record("server %s runs %s %s %s (after event: %s)" % (
             self.id, run.id, run.method, run.target, field(run.fields, "Last-Event-Id")))
-        await self.behave(run, reader, writer)
+        self.working.append(run)
+        try:
+            await self.behave(run, reader, writer)
+        finally:
+            self.working.remove(run)
 
 
 # ---- entry processes ----
@@ -455,7 +482,7 @@
          "protocol": "h1", "tls": False}
     if engine:
         s["engine"] = {"slots": 48, "kvCacheTokens": 34414, "kvTokenBytes": 131072,
-                       "linkMbps": 19000.0, "moves": True, "backups": True, "stride": 4,
+                       "linkMbps": 19000.0, "moves": False, "backups": False, "stride": 4,
                        "most": 12, "pin_ms": 4000.0, "holdMs": 2000.0, "handleS": 5.0,
                        "models": [{"name": "m"}]}
     return s
