--- a/review/stand.py
+++ b/review/stand.py
@@ -284,7 +284,7 @@
             self.open.discard(writer.transport)
 
     def end(self):
-        """Ends like a process: all connections are reset, and new ones are refused."""
+        """Ends like a process: all connections are closed, and new ones are refused."""
         self.server.close()
         for transport in list(self.open):
             transport.abort()
