Relay: an answer that does not continue a stream is not written into it

What callers saw: a stream with streamResumption lost its engine after some events, the engine that was to continue it answered 500, and the whole 500 (status line, fields, body) came where the next chunk was due.

Cause: answer_done() passes a complete plain answer on as the request's own, and did not ask whether the caller has the head and events of an earlier engine's stream. Statuses below 500 went the same way at the first try, even with attempts left. Refusals, failures and running copies already asked.

Change: once the caller has a part of a stream, a plain answer counts as a run that failed. It is tried elsewhere within maxAttempts and the retry budget; otherwise the caller's connection is reset, as for any stream that is lost. exchange_broke tells it apart: not_continued, with the status.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -51,7 +51,8 @@
 	int beyond_room;         /* sent though its server may have no room: room_is_beyond */
 	int not_run;             /* the answer states that the request was not run */
 	int answered;            /* the head of a valid answer arrived */
-	enum hp_framing framing; /* of that answer */
+	int status;              /* of that answer ... */
+	enum hp_framing framing; /* ... and what ends it */
 	int stop_ordered;    /* for a move; it may have stopped, unless it replied that not */
 	int absences;        /* orders in a row that its engine answered without the run */
 	int may_be_complete; /* its unframed stream was closed after an order to stop it */
@@ -187,7 +188,7 @@
 void rq_refuse(struct rq *r, enum refusal why, int64_t retry_us, const char *detail);
 /* The request may have run: the answer promises nothing about that. */
 void rq_fail(struct rq *r, enum refusal why, const char *detail);
-/* Sends a complete plain answer. */
+/* Sends a complete plain answer to a caller who has received nothing yet. */
 void rq_answer(struct rq *r, const struct hp_head *head);
 /* Ends the caller's stream after its last event. */
 void rq_stream_end(struct rq *r);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -69,6 +69,7 @@
 	if (success(x) && !a.intact) return -EBADMSG;
 	if (promises_not_run(x->hp.head.status)) return -EPROTO;
 	att->answered = 1;
+	att->status = x->hp.head.status;
 	att->framing = x->hp.framing;
 	if (att == r->next) {
 		if (!att_is_stream(att, x)) return -EPROTO;
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -38,6 +38,7 @@
 	log_segments(att->rq, g);
 	jlog_str(g, "backend", att->be->id);
 	jlog_str(g, "why", why);
+	if (att->answered) jlog_int(g, "status", att->status);
 	if (att->helper.sin_port) jlog_str(g, "via", mesh_helper_name(&att->helper));
 	jlog_int(g, "error", err);
 	jlog_int(g, "after_ms", (clock_us() - att->sent_us) / 1000);
@@ -141,24 +142,39 @@
 		"the backend server broke off");
 }
 
+/* The caller has a part of the stream: any other answer would stand in the middle of it. */
+static void not_continued(struct attempt *att)
+{
+	struct rq *r = att->rq;
+
+	log_broken(att, "not_continued", 0);
+	if (rq_may_run_again(r, 0))
+		place_again(r, RETRY_ENGINE_STATUS);
+	else
+		rq_fail(r, REF_STREAM_LOST, "a later backend server did not continue it");
+}
+
 static void answer_done(struct attempt *att, const struct hp_head *head)
 {
 	struct rq *r = att->rq;
+	int failed = head->status >= 500;
 
 	att_note_success(att, head->status / 100 == 2);
-	att_report_outcome(att, head->status < 500 ? RO_OK : RO_FAILED);
-	if (head->status < 500) {
+	att_report_outcome(att, failed ? RO_FAILED : RO_OK);
+	if (failed)
+		be_answered_error(att->be);
+	else
 		be_succeeded(att->be, clock_us() - att->sent_us);
-		if (head->status / 100 == 2) giveup_note_answer(r);
-		rq_answer(r, head);
+	if (failed || r->head_sent) r->runs++;
+	if (r->head_sent) {
+		not_continued(att);
 		return;
 	}
-	be_answered_error(att->be);
-	r->runs++;
-	if (rq_may_run_again(r, 0)) {
+	if (failed && rq_may_run_again(r, 0)) {
 		place_again(r, RETRY_ENGINE_STATUS);
 		return;
 	}
+	if (head->status / 100 == 2) giveup_note_answer(r);
 	rq_answer(r, head);
 }
 
--- a/test/pw.c
+++ b/test/pw.c
@@ -98,6 +98,7 @@
 				   .tokens = 34000,
 				   .link_mbps = 19000,
 				   .attempts = 2,
+				   .resume_attempts = 2,
 				   .target_latency_ms = 500,
 				   .keys = "[\"k1\"]",
 				   .safe_service = "app"};
--- a/test/pw.h
+++ b/test/pw.h
@@ -200,6 +200,8 @@
 	int stop_unanswered; /* it is carried out, and its reply is lost */
 	int draining;        /* its report states draining */
 	int unhealthy;       /* its health check fails */
+	int resume_status;   /* of a plain answer to a run that is to continue a stream; 0: it
+				continues it */
 	int room;            /* runs at once; more are rejected; 0: no limit */
 	int running;         /* runs now */
 	int checks;          /* health checks received */
@@ -300,7 +302,9 @@
 /* Routes on host test.example: /chat/ (stream, not resumable), /sum/ (stream, resumable),
  * /safe/, /unsafe/ (keyed), /open/ (needs no key). Key "k1" belongs to workspace "w1". */
 struct pw_conf {
-	int version, timeout_ms, extra_routes, attempts;
+	int version, timeout_ms, extra_routes;
+	int attempts;          /* of /safe/ */
+	int resume_attempts;   /* of /sum/ */
 	int target_latency_ms; /* latency objective of each route */
 	int tokens;            /* memory of an engine */
 	int link_mbps;         /* link over which engines move it */
@@ -347,6 +351,8 @@
 int pw_call_wait(struct pw_call *c, int ms);
 /* Whether the call ended well and its body is events 1..n, each once and in order. */
 int pw_stream_complete(const struct pw_call *c, int n);
+/* Whether its body is whole events 1, 2, ..., n at most, each once and in order. */
+int pw_has_whole_events(const struct pw_call *c, int n);
 /* Sends bytes unchanged on one connection; returns what was received until it closed or ms
  * passed. Free with g_free. */
 char *pw_raw(struct pw_entry *e, const char *bytes, size_t n, int ms, int *closed);
--- a/test/pw_caller.c
+++ b/test/pw_caller.c
@@ -166,6 +166,19 @@
 	return same && c->ended && !c->err && c->status == 200;
 }
 
+int pw_has_whole_events(const struct pw_call *c, int n)
+{
+	GString *want = g_string_new(NULL);
+	int i, ok;
+
+	for (i = 1; i <= n; i++)
+		g_string_append_printf(want, "id: %d\ndata: %s-%d\n\n", i, c->id, i);
+	ok = g_str_has_prefix(want->str, c->body->str);
+	ok = ok && (!c->body->len || g_str_has_suffix(c->body->str, "\n\n"));
+	g_string_free(want, TRUE);
+	return ok;
+}
+
 struct raw {
 	struct cn cn;
 	GString *in;
--- a/test/pw_conf.c
+++ b/test/pw_conf.c
@@ -28,7 +28,6 @@
 		pw_conf.no_replicas ? "false" : "true");
 }
 
-#define SUM ",\"maxAttempts\":2,\"streamResumption\":true"
 #define SPLIT                                                                          \
 	",\"trafficSplit\":[{\"service\":\"llm\",\"weight\":1},{\"service\":\"llm2\"," \
 	"\"weight\":1}]"
@@ -36,7 +35,7 @@
 GString *pw_conf_text(void)
 {
 	GString *s = g_string_new(NULL);
-	char safe[160], chat[160], name[32], cold[64] = "", regions[96] = "";
+	char safe[160], chat[160], sum[160], name[32], cold[64] = "", regions[96] = "";
 	int i;
 
 	if (pw_conf.cold_per_s)
@@ -46,10 +45,12 @@
 		g_snprintf(regions, sizeof regions, ",\"allowedRegions\":%s", pw_conf.regions);
 	g_snprintf(safe, sizeof safe, ",\"maxAttempts\":%d%s", pw_conf.attempts, regions);
 	g_snprintf(chat, sizeof chat, ",\"maxAttempts\":3%s", regions);
+	g_snprintf(sum, sizeof sum, ",\"maxAttempts\":%d,\"streamResumption\":true%s",
+		   pw_conf.resume_attempts, pw_conf.split ? SPLIT : "");
 	g_string_printf(s, "{\"version\":%d,", pw_conf.version);
 	g_string_append(s, "\"routes\":[");
 	route(s, "chat", "streaming", "llm", 1, chat);
-	route(s, "sum", "streaming", "llm", 0, pw_conf.split ? SUM SPLIT : SUM);
+	route(s, "sum", "streaming", "llm", 0, sum);
 	route(s, "safe", "safe", pw_conf.safe_service, 2, safe);
 	/* several attempts allowed: only its kind prevents a second run */
 	route(s, "unsafe", "unsafe", "app", 2, ",\"maxAttempts\":3");
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -128,11 +128,28 @@
 	end_plain(r);
 }
 
+static int is_refused_resumption(const struct pw_run *r)
+{
+	return r->server->resume_status && r->after[0];
+}
+
+static int plain_status(const struct pw_run *r)
+{
+	if (is_refused_resumption(r)) return r->server->resume_status;
+	return r->server->mode == PW_ERROR ? 500 : 200;
+}
+
+static int is_cut(const struct pw_run *r)
+{
+	if (is_refused_resumption(r)) return 0;
+	return r->server->mode == PW_CUT_CLOSE || r->server->mode == PW_BREAK;
+}
+
 static void plain_answer(struct pw_run *r)
 {
 	struct hs *h = r->h;
 	char text[128], more[64];
-	int cut = r->server->mode == PW_CUT_CLOSE || r->server->mode == PW_BREAK;
+	int cut = is_cut(r);
 
 	g_snprintf(text, sizeof text, "answer to %s",
 		   r->server->mode == PW_WRONG_ID ? "another" : r->id);
@@ -140,7 +157,7 @@
 		g_snprintf(more, sizeof more, "Connection: close\r\n");
 	else
 		g_snprintf(more, sizeof more, "Content-Length: %zu\r\n", strlen(text));
-	send_head(r, r->server->mode == PW_ERROR ? 500 : 200, more);
+	send_head(r, plain_status(r), more);
 	hs_write(h, text, cut ? 6 : strlen(text));
 	if (r->server->mode == PW_EXTRA) {
 		send_head(r, 200, "Content-Length: 5\r\n");
@@ -308,7 +325,7 @@
 	case PW_ENDLESS_LENGTH: send_endless(r); return;
 	default: break;
 	}
-	if (r->server->engine && r->server->mode != PW_ERROR)
+	if (r->server->engine && r->server->mode != PW_ERROR && !is_refused_resumption(r))
 		send_event(r);
 	else if (r->server->answer_bytes)
 		large_answer(r);
--- /dev/null
+++ b/test/test_continue.c
@@ -0,0 +1,130 @@
+/* Streams that an engine breaks off and a later one is to continue, when the later one answers
+ * with something else. Its answer must not reach a caller who has a part of the stream. */
+#include "check.h"
+#include "pw.h"
+#include <errno.h>
+#include <string.h>
+
+#define EVENTS 30
+#define EVENT_MS 10
+#define BROKEN_AFTER 10 /* events */
+#define LOG_MS 300      /* until a line is written */
+#define CHAT "/chat/"   /* not resumable */
+#define SUM "/sum/"     /* resumable */
+
+static struct pw_server *add_engine(void)
+{
+	struct pw_server *s = pw_server_add("llm", 1);
+
+	s->events = EVENTS;
+	s->event_ms = EVENT_MS;
+	return s;
+}
+
+/* It loses each stream after BROKEN_AFTER events, and answers a resumption with this status. */
+static struct pw_server *add_failing_engine(enum pw_mode mode, int resume_status)
+{
+	struct pw_server *s = add_engine();
+
+	s->mode = mode;
+	s->break_after = BROKEN_AFTER;
+	s->resume_status = resume_status;
+	return s;
+}
+
+/* The caller can tell that its stream is broken, and has nothing that is not of the stream. */
+static void check_broken_off(struct pw_call *c, int events)
+{
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT_EQUAL(c->status, 200);
+	CU_ASSERT(c->err != 0);
+	CU_ASSERT_NOT_EQUAL(c->err, -EBADMSG);
+	CU_ASSERT(pw_has_whole_events(c, events));
+}
+
+static void check_not_continued(enum pw_mode mode, int resume_status)
+{
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) add_failing_engine(mode, resume_status);
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", SUM, 5000);
+	check_broken_off(c, BROKEN_AFTER);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	pw_run(LOG_MS);
+	CU_ASSERT(pw_log_has(e, "\"why\":\"not_continued\""));
+	CU_ASSERT(pw_log_has(e, "\"outcome\":\"broken_off\""));
+	pw_end();
+}
+
+/* The 500 of the engine that was to continue a stream was written into the stream, where a
+ * chunk was due. */
+static void an_error_of_a_later_engine_is_not_written_into_a_stream(void)
+{
+	check_not_continued(PW_BREAK, 500);
+	check_not_continued(PW_SILENT, 500);
+}
+
+/* So were statuses below 500. */
+static void a_refusal_of_a_later_engine_is_not_written_into_a_stream(void)
+{
+	check_not_continued(PW_BREAK, 404);
+	check_not_continued(PW_SILENT, 404);
+}
+
+static int has_run(void *arg)
+{
+	return pw_runs_of(((struct pw_call *)arg)->id) >= 1;
+}
+
+static int has_second_run(void *arg)
+{
+	return pw_runs_of(((struct pw_call *)arg)->id) >= 2;
+}
+
+/* The second engine answers with this status; by then the first one has recovered. */
+static void check_third_run(int resume_status)
+{
+	struct pw_server *first;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	pw_conf.resume_attempts = 3;
+	pw_conf.version++;
+	pw_conf_write();
+	first = add_failing_engine(PW_BREAK, resume_status);
+	first->work_ms = 300;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", SUM, 5000);
+	CU_ASSERT(pw_until(has_run, c, 1000));
+	add_failing_engine(PW_BREAK, resume_status)->work_ms = 200;
+	CU_ASSERT(pw_until(has_second_run, c, 2000));
+	first->mode = PW_OK;
+	first->resume_status = 0;
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(pw_stream_complete(c, EVENTS));
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 3);
+	pw_end();
+}
+
+/* An answer below 500 ended the request at once, even with attempts left. */
+static void a_stream_that_a_later_engine_refuses_has_its_other_attempts(void)
+{
+	check_third_run(500);
+	check_third_run(404);
+}
+
+static const struct check list[] = {
+	{"an_error_of_a_later_engine_is_not_written_into_a_stream",
+	 an_error_of_a_later_engine_is_not_written_into_a_stream},
+	{"a_refusal_of_a_later_engine_is_not_written_into_a_stream",
+	 a_refusal_of_a_later_engine_is_not_written_into_a_stream},
+	{"a_stream_that_a_later_engine_refuses_has_its_other_attempts",
+	 a_stream_that_a_later_engine_refuses_has_its_other_attempts},
+};
+
+CHECK_MAIN(list)
--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -35,20 +35,6 @@
 	return s;
 }
 
-/* Whether the caller got whole events only, as many as these at most. */
-static int has_whole_events(const struct pw_call *c, int most)
-{
-	GString *want = g_string_new(NULL);
-	int i, ok;
-
-	for (i = 1; i <= most; i++)
-		g_string_append_printf(want, "id: %d\ndata: %s-%d\n\n", i, c->id, i);
-	ok = g_str_has_prefix(want->str, c->body->str);
-	ok = ok && (!c->body->len || g_str_has_suffix(c->body->str, "\n\n"));
-	g_string_free(want, TRUE);
-	return ok;
-}
-
 static void check_cut(enum pw_framing f, int events)
 {
 	struct pw_entry *e;
@@ -63,7 +49,7 @@
 	if (events) {
 		CU_ASSERT_EQUAL(c->status, 200);
 		CU_ASSERT(c->err != 0);
-		CU_ASSERT(has_whole_events(c, events));
+		CU_ASSERT(pw_has_whole_events(c, events));
 	} else {
 		CU_ASSERT_EQUAL(c->status, 502);
 		CU_ASSERT_PTR_NULL(strstr(c->body->str, "id: 99"));
@@ -208,7 +194,7 @@
 	CU_ASSERT(pw_call_wait(c, 4000));
 	CU_ASSERT(pw_run_of(c->id, 0)->stopped);
 	CU_ASSERT(c->err != 0);
-	CU_ASSERT(has_whole_events(c, 120));
+	CU_ASSERT(pw_has_whole_events(c, 120));
 	pw_end();
 }
 
@@ -412,7 +398,7 @@
 		CU_ASSERT(pw_call_wait(c, 3000));
 		CU_ASSERT_EQUAL(c->status, 200);
 		CU_ASSERT(c->err != 0);
-		CU_ASSERT(has_whole_events(c, 10));
+		CU_ASSERT(pw_has_whole_events(c, 10));
 		finish_tunnel(e);
 	}
 }
@@ -428,7 +414,7 @@
 	pw_entry_kill(e[1], SIGKILL);
 	CU_ASSERT(pw_call_wait(c, 6000));
 	CU_ASSERT(c->err != 0 || pw_stream_complete(c, 400));
-	CU_ASSERT(has_whole_events(c, 400));
+	CU_ASSERT(pw_has_whole_events(c, 400));
 	finish_tunnel(e);
 }
 
@@ -447,7 +433,7 @@
 	sigqueue(e->pid, SIGUSR1, v);
 	CU_ASSERT(pw_call_wait(c, 3000));
 	CU_ASSERT(c->err != 0);
-	CU_ASSERT(has_whole_events(c, 400));
+	CU_ASSERT(pw_has_whole_events(c, 400));
 	pw_end();
 	pw_entry_program = "saddlehead-entry";
 }
