Relay: a success that is no event stream does not continue a stream

What callers saw (in tests only): an engine that was to continue a stream answered 200 with a body that is no event stream, or 204.

Cause: any 2xx of a streaming route was taken for events, that of a later engine too, whose head the caller never sees.

Whether an answer is a stream is decided once, at its head. The media type of a first answer is not judged, as before.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -51,8 +51,9 @@
 	int beyond_room;         /* sent though its server may have no room: room_is_beyond */
 	int not_run;             /* the answer states that the request was not run */
 	int answered;            /* the head of a valid answer arrived */
-	int status;              /* of that answer ... */
-	enum hp_framing framing; /* ... and what ends it */
+	int status;              /* of that answer */
+	int is_stream;           /* it is passed on event by event ... */
+	enum hp_framing framing; /* ... and is ended by this */
 	int stop_ordered;    /* for a move; it may have stopped, unless it replied that not */
 	int absences;        /* orders in a row that its engine answered without the run */
 	int may_be_complete; /* its unframed stream was closed after an order to stop it */
@@ -164,6 +165,7 @@
 	int copies_refused;       /* refusals of copies since its stream last resumed */
 	int runs;                 /* attempts that may have run */
 	int head_sent;
+	char *media_type; /* stated by that head, in lower case; NULL: none */
 	int status;
 	GString *answer; /* body of a plain answer until it is complete */
 	/* A server whose answer was given up as unusually large, and the size beyond which
@@ -474,7 +476,6 @@
 void att_on_up(struct hx *x);
 int att_on_head(struct hx *x);
 int att_on_body(struct hx *x, const char *p, size_t n);
-int att_is_stream(const struct attempt *att, const struct hx *x);
 /* Its stream is complete: ends that of the caller. head: of the answer; may be NULL once the
  * caller has the head of its stream. */
 void att_stream_done(struct attempt *att, const struct hp_head *head);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -76,6 +76,7 @@
 	att_free(r->attempt);
 	att_free(r->next);
 	if (r->answer) g_string_free(r->answer, TRUE);
+	g_free(r->media_type);
 	be_unref(r->doubted);
 	conf_unref(r->conf);
 	ev_free_later(r);
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -22,9 +22,28 @@
 	return x->hp.head.status / 100 == 2;
 }
 
-int att_is_stream(const struct attempt *att, const struct hx *x)
+/* Without its parameters, in lower case; NULL: not stated. Free with g_free. */
+static char *media_type(const struct hp_head *h)
 {
-	return att->rq->route->kind == CONF_STREAM && success(x);
+	const char *type = hp_get(h, "Content-Type");
+
+	return type ? g_ascii_strdown(type, (gssize)strcspn(type, "; \t")) : NULL;
+}
+
+/* Whether the answer is a series of events. One that continues a stream must be of the type
+ * that the caller was told: another success would stand in the middle of it, or end it too
+ * early. */
+static int is_stream(const struct rq *r, const struct hx *x)
+{
+	char *type;
+	int same;
+
+	if (r->route->kind != CONF_STREAM || !success(x)) return 0;
+	if (!r->head_sent) return 1;
+	type = media_type(&x->hp.head);
+	same = !g_strcmp0(type, r->media_type);
+	g_free(type);
+	return same;
 }
 
 void att_on_up(struct hx *x)
@@ -70,13 +89,14 @@
 	if (promises_not_run(x->hp.head.status)) return -EPROTO;
 	att->answered = 1;
 	att->status = x->hp.head.status;
+	att->is_stream = is_stream(r, x);
 	att->framing = x->hp.framing;
 	if (att == r->next) {
-		if (!att_is_stream(att, x)) return -EPROTO;
+		if (!att->is_stream) return -EPROTO;
 		move_next_answered(r);
 	}
 	x->hp.no_body = r->h->hp.head.method == HTTP_HEAD;
-	return att_is_stream(att, x) ? 0 : begin_plain(att, x);
+	return att->is_stream ? 0 : begin_plain(att, x);
 }
 
 static void write_chunk(struct rq *r, const char *p, size_t n)
@@ -101,6 +121,7 @@
 	hs_write(r->h, out->str, out->len);
 	g_string_free(out, TRUE);
 	r->head_sent = 1;
+	r->media_type = media_type(head);
 	r->status = head->status;
 	r->first_us = clock_us();
 }
@@ -171,7 +192,7 @@
 	struct attempt *att = x->user;
 	int rc;
 
-	if (att_is_stream(att, x)) return on_events(att, x, p, n);
+	if (att->is_stream) return on_events(att, x, p, n);
 	rc = giveup_check_size(att, n);
 	if (rc) return rc;
 	g_string_append_len(att->rq->answer, p, n);
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -220,9 +220,9 @@
 /* What ends the answer may come inside an event: then the engine broke off. A source that stops
  * for a move closes its connection like one whose unframed answer is complete; the reply to the
  * order tells which it was. */
-static int stream_error(struct attempt *att, const struct hx *x)
+static int stream_error(struct attempt *att)
 {
-	if (!att_is_stream(att, x)) return 0;
+	if (!att->is_stream) return 0;
 	if (evs_is_inside_event(&att->evs) || closed_before_first_event(att)) {
 		met_add(MET_STREAMS_CUT_SHORT, 1);
 		return -EPIPE;
@@ -245,8 +245,8 @@
 		copy_refused(att, err, x->connected);
 		return;
 	}
-	if (!err) err = stream_error(att, x);
-	if (!err && att_is_stream(att, x))
+	if (!err) err = stream_error(att);
+	if (!err && att->is_stream)
 		att_stream_done(att, &x->hp.head);
 	else if (!err)
 		answer_done(att, &x->hp.head);
--- a/src/relay/rq_giveup.c
+++ b/src/relay/rq_giveup.c
@@ -47,7 +47,7 @@
 	struct al_answer a;
 
 	if (!att->answered || att->stopped_us) return 0;
-	if (att_is_stream(att, att->hx)) {
+	if (att->is_stream) {
 		if (!evs_is_inside_event(&att->evs)) return 0;
 		if (waits_for_reader(r)) {
 			att->part_us = clock_us();
@@ -112,7 +112,7 @@
 	if (!att || !att->hx || r->move.state != MOVE_NONE || r->waiting != RQ_WAIT_NONE)
 		return 0;
 	if (!rq_answer_is_late(r)) return 0;
-	if (!att_is_stream(att, att->hx) && !is_plain_given_up(att, 0)) return 0;
+	if (!att->is_stream && !is_plain_given_up(att, 0)) return 0;
 	att_give_up(att, AL_LATE);
 	return 1;
 }
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -151,9 +151,13 @@
 	char text[128], more[64];
 	int cut = is_cut(r);
 
-	g_snprintf(text, sizeof text, "answer to %s",
-		   r->server->mode == PW_WRONG_ID ? "another" : r->id);
-	if (r->server->mode == PW_UNTIL_CLOSE || r->server->mode == PW_CUT_CLOSE)
+	/* The blank line makes it an event where it is taken for one. */
+	g_snprintf(text, sizeof text, "answer to %s%s",
+		   r->server->mode == PW_WRONG_ID ? "another" : r->id,
+		   is_refused_resumption(r) ? "\n\n" : "");
+	if (plain_status(r) == 204)
+		text[0] = more[0] = '\0'; /* it has no body, and states no length */
+	else if (r->server->mode == PW_UNTIL_CLOSE || r->server->mode == PW_CUT_CLOSE)
 		g_snprintf(more, sizeof more, "Connection: close\r\n");
 	else
 		g_snprintf(more, sizeof more, "Content-Length: %zu\r\n", strlen(text));
--- a/test/test_continue.c
+++ b/test/test_continue.c
@@ -75,6 +75,45 @@
 	check_not_continued(PW_SILENT, 404);
 }
 
+/* A success that is no event stream was written into the stream as an event, and its end ended
+ * the stream as a complete one. */
+static void a_success_without_events_does_not_end_a_stream(void)
+{
+	check_not_continued(PW_BREAK, 200);
+	check_not_continued(PW_BREAK, 204);
+}
+
+/* The same where the stream was to go on from a replica of its memory. */
+static void check_replica(int resume_status)
+{
+	struct pw_server *s[2], *first;
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = add_engine();
+	for (i = 0; i < 2; i++) s[i]->events = 120;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", CHAT, 5000);
+	pw_run(600);
+	first = pw_run_of(c->id, 0)->server;
+	CU_ASSERT(pw_run_of(c->id, 0)->backup[0] != '\0');
+	(first == s[0] ? s[1] : s[0])->resume_status = resume_status;
+	first->mode = PW_BREAK;
+	check_broken_off(c, 120);
+	CU_ASSERT(pw_runs_of(c->id) > 1);
+	pw_end();
+}
+
+static void an_answer_without_events_of_an_engine_with_a_replica_is_not_passed_on(void)
+{
+	check_replica(200);
+	check_replica(204);
+	check_replica(404);
+	check_replica(500);
+}
+
 static int has_run(void *arg)
 {
 	return pw_runs_of(((struct pw_call *)arg)->id) >= 1;
@@ -123,6 +162,10 @@
 	 an_error_of_a_later_engine_is_not_written_into_a_stream},
 	{"a_refusal_of_a_later_engine_is_not_written_into_a_stream",
 	 a_refusal_of_a_later_engine_is_not_written_into_a_stream},
+	{"a_success_without_events_does_not_end_a_stream",
+	 a_success_without_events_does_not_end_a_stream},
+	{"an_answer_without_events_of_an_engine_with_a_replica_is_not_passed_on",
+	 an_answer_without_events_of_an_engine_with_a_replica_is_not_passed_on},
 	{"a_stream_that_a_later_engine_refuses_has_its_other_attempts",
 	 a_stream_that_a_later_engine_refuses_has_its_other_attempts},
 };
