Relay: a close before a later engine's first event does not end a stream

What callers saw (in a test only): an engine that was to continue a stream answered without a length and closed its connection after the head. The caller got the end of a complete answer after 10 of 30 events.

Cause: a close before the first event ends no stream, as a run that has begun makes an event; but the events were those of the whole request, so that the first engine's counted for the second one's answer.

Change: each answer counts its own events, those that the caller has already included. An engine that is to continue an unframed stream of which only the end is missing is taken for one that broke off, as when a caller takes such a stream up itself (docs/incidents/unframed-answers.md, "What remains").

Evidence: test_continue, an_unframed_answer_without_an_event_does_not_end_a_stream: red on the code before, green in 3 of 3 plays. test_pure and test_stream_end: no test failed.

--- a/src/internal/evs.h
+++ b/src/internal/evs.h
@@ -8,8 +8,10 @@
 #define EVS_ID_MAX 63        /* characters: a longer id is treated as none */
 #define EVS_EVENT_MAX 262144 /* bytes: a thousand times the usual size of an event */
 
+/* The events of one answer. */
 struct evs {
 	GString *partial; /* an incomplete event */
+	uint64_t count;   /* of complete ones, with those that were dropped */
 };
 
 /* Position of a stream, over all engines that it came from. */
--- a/src/relay/evs.c
+++ b/src/relay/evs.c
@@ -6,6 +6,7 @@
 void evs_init(struct evs *s)
 {
 	s->partial = g_string_new(NULL);
+	s->count = 0;
 }
 
 void evs_free(struct evs *s)
@@ -99,6 +100,7 @@
 	while ((len = event_length(s->partial->str + off, s->partial->len - off))) {
 		accept_event(seen, s->partial->str + off, len, out);
 		off += len;
+		s->count++;
 	}
 	g_string_erase(s->partial, 0, off);
 	return s->partial->len > EVS_EVENT_MAX ? -EMSGSIZE : 0;
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -210,11 +210,11 @@
 	broken_off(att, -EMSGSIZE);
 }
 
-/* A run that has begun makes an event, so that a close before the first one ends no stream. A
- * length or a last chunk states that the answer is empty. */
+/* A run that has begun makes an event, also one that continues a stream, so that a close before
+ * its first one ends no stream. A length or a last chunk states that the answer is empty. */
 static int closed_before_first_event(const struct attempt *att)
 {
-	return att->framing == HP_BY_CLOSE && !att->rq->seen.count;
+	return att->framing == HP_BY_CLOSE && !att->evs.count;
 }
 
 /* What ends the answer may come inside an event: then the engine broke off. A source that stops
--- a/test/test_continue.c
+++ b/test/test_continue.c
@@ -75,6 +75,33 @@
 	check_not_continued(PW_SILENT, 404);
 }
 
+static int has_run(void *arg)
+{
+	return pw_runs_of(((struct pw_call *)arg)->id) >= 1;
+}
+
+/* The second engine closes its connection after the head. That ends an unframed answer, but a
+ * run that has begun makes an event: the stream ended as a complete one. */
+static void an_unframed_answer_without_an_event_does_not_end_a_stream(void)
+{
+	struct pw_server *second;
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	pw_init();
+	add_failing_engine(PW_BREAK, 0)->work_ms = 300;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", SUM, 5000);
+	CU_ASSERT(pw_until(has_run, c, 1000));
+	second = add_failing_engine(PW_BREAK, 0);
+	second->framing = PW_UNFRAMED;
+	second->break_end = PW_BY_END;
+	second->break_between = 1;
+	check_broken_off(c, BROKEN_AFTER);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
+	pw_end();
+}
+
 /* A success that is no event stream was written into the stream as an event, and its end ended
  * the stream as a complete one. */
 static void a_success_without_events_does_not_end_a_stream(void)
@@ -114,11 +141,6 @@
 	check_replica(500);
 }
 
-static int has_run(void *arg)
-{
-	return pw_runs_of(((struct pw_call *)arg)->id) >= 1;
-}
-
 static int has_second_run(void *arg)
 {
 	return pw_runs_of(((struct pw_call *)arg)->id) >= 2;
@@ -162,6 +184,8 @@
 	 an_error_of_a_later_engine_is_not_written_into_a_stream},
 	{"a_refusal_of_a_later_engine_is_not_written_into_a_stream",
 	 a_refusal_of_a_later_engine_is_not_written_into_a_stream},
+	{"an_unframed_answer_without_an_event_does_not_end_a_stream",
+	 an_unframed_answer_without_an_event_does_not_end_a_stream},
 	{"a_success_without_events_does_not_end_a_stream",
 	 a_success_without_events_does_not_end_a_stream},
 	{"an_answer_without_events_of_an_engine_with_a_replica_is_not_passed_on",
--- a/test/test_pure.c
+++ b/test/test_pure.c
@@ -105,6 +105,7 @@
 				       "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\n");
 		CU_ASSERT_STRING_EQUAL(seen.id, "2");
 		CU_ASSERT_EQUAL(seen.duplicates, 1);
+		CU_ASSERT_EQUAL(e.count, 4);
 		evs_free(&e);
 		g_string_free(out, TRUE);
 	}
