Relay: a stream whose last event states no id is not continued

What callers saw (in tests only): a stream with streamResumption whose events have no ids lost its engine after 10 events; it was sent to another one without Last-Event-Id, began anew, and the caller got the first 10 events twice in an answer that ended as complete. With ids up to the fifth event it got the sixth to the tenth twice. The same from the replica of a run.

Cause: another run continues after the last id; data that came since without an id, which nothing can recognize when it comes again, was not considered.

Change: after such data no other run continues the stream: it stays where it runs, and is broken off visibly if that is lost. Comments without data change nothing, and the next id ends the state. If the state begins while a move has stopped its source already, the stream is broken off as well.

--- a/src/internal/evs.h
+++ b/src/internal/evs.h
@@ -17,6 +17,7 @@
 /* Position of a stream, over all engines that it came from. */
 struct evs_seen {
 	char id[EVS_ID_MAX + 1]; /* of the last event forwarded; empty: none */
+	int no_id; /* data came since that states no id: nothing tells where to continue */
 	uint64_t count;
 	uint64_t duplicates; /* dropped: the reader has received them already */
 };
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -199,6 +199,8 @@
 void rq_refuse_quarantined(struct rq *r, const struct fp *fp);
 /* Whether it may run more than once. */
 int rq_retryable(const struct rq *r);
+/* Whether another run can be told after which event to continue the stream. */
+int rq_can_continue(const struct rq *r);
 
 /* rq_begin.c */
 /* Goes on with a request that has waited to learn its stream's version. */
--- a/src/relay/evs.c
+++ b/src/relay/evs.c
@@ -63,6 +63,19 @@
 	return 0;
 }
 
+/* Comments, for example, carry none. */
+static int has_data(const char *p, size_t n)
+{
+	const char *end = p + n;
+
+	while (p && p < end) {
+		if (end - p >= 4 && !memcmp(p, "data", 4)) return 1;
+		p = memchr(p, '\n', end - p);
+		if (p) p++;
+	}
+	return 0;
+}
+
 /* Ids increase as numbers; ids that are no numbers are duplicates only if they equal the last
  * one. */
 static int was_seen(const struct evs_seen *seen, const char *id)
@@ -87,6 +100,9 @@
 			return;
 		}
 		g_strlcpy(seen->id, id, sizeof seen->id);
+		seen->no_id = 0;
+	} else if (has_data(p, n)) {
+		seen->no_id = 1;
 	}
 	seen->count++;
 	g_string_append_len(out, p, n);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -223,6 +223,11 @@
 	return r->route->kind == CONF_SAFE;
 }
 
+int rq_can_continue(const struct rq *r)
+{
+	return !r->seen.no_id;
+}
+
 void rq_on_caller_left(struct hs *h)
 {
 	struct rq *r = h->user;
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -84,7 +84,7 @@
 
 int rq_may_run_again(struct rq *r, int more)
 {
-	if (r->on_trial) return 0;
+	if (r->on_trial || !rq_can_continue(r)) return 0;
 	return rq_retryable(r) && r->runs + more < r->route->attempts && rq_may_retry(r);
 }
 
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -94,7 +94,7 @@
 	int64_t whole_us;
 
 	if (m->state != MOVE_PENDING || m->timer.armed) return;
-	if (!r->attempt || !r->attempt->hx) return;
+	if (!r->attempt || !r->attempt->hx || !rq_can_continue(r)) return;
 	if (!m->from_silent && (!r->seen.count || !r->attempt->first_us)) return;
 	if (move_has_replica(r)) {
 		whole_us = r->attempt->first_us + SETTLE_US;
@@ -155,7 +155,7 @@
 
 void move_from_silent(struct rq *r)
 {
-	if (!r->service->moves || !r->attempt->hx) return;
+	if (!r->service->moves || !r->attempt->hx || !rq_can_continue(r)) return;
 	r->move.tries = 0;
 	r->move.from_silent =
 		1; /* its engine runs on: no waiting for streams of others that move */
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -49,6 +49,10 @@
 
 static void resume_at(struct rq *r, struct be *b, const struct be *copy_at, const char *copy)
 {
+	if (!rq_can_continue(r)) {
+		move_fail(r, "its last event has no id to continue after");
+		return;
+	}
 	if (!be_may_continue(b)) {
 		move_fail(r, "its memory is in a data centre that is drained");
 		return;
@@ -78,6 +82,7 @@
 
 	if (r->move.state == MOVE_SWITCHING) return 0;
 	if (r->on_trial) return -ENOENT; /* it costs one server at most */
+	if (!rq_can_continue(r)) return -ENOENT;
 	if (!r->attempt || !move_has_replica(r)) return -ENOENT;
 	move_reset(r);
 	b = r->attempt->replica;
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -134,6 +134,7 @@
 {
 	struct attempt *att = r->attempt;
 
+	if (!rq_can_continue(r)) return 0;
 	/* Its run may still go on where nothing else of its version may. */
 	if (r->bound != RQ_UNBOUND && !rq_pick(r, NULL)) return 0;
 	if (r->runs + 1 >= r->route->attempts || !rq_may_retry(r)) return 0;
--- a/test/pw.h
+++ b/test/pw.h
@@ -200,6 +200,7 @@
 	int stop_unanswered; /* it is carried out, and its reply is lost */
 	int draining;        /* its report states draining */
 	int unhealthy;       /* its health check fails */
+	int no_id_from;      /* events from this one on state no id; 0: all state theirs */
 	int resume_status;   /* of a plain answer to a run that is to continue a stream; 0: it
 				continues it */
 	int room;            /* runs at once; more are rejected; 0: no limit */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -199,7 +199,9 @@
 	GString *g = g_string_new(NULL);
 	gsize prefix_len;
 
-	g_string_printf(g, "id: %d\ndata: %s-%d", n, r->id, n);
+	if (!r->server->no_id_from || n < r->server->no_id_from)
+		g_string_printf(g, "id: %d\n", n);
+	g_string_append_printf(g, "data: %s-%d", r->id, n);
 	if (r->server->event_bytes) {
 		g_string_append_c(g, ' ');
 		prefix_len = g->len;
--- a/test/test_continue.c
+++ b/test/test_continue.c
@@ -102,6 +102,73 @@
 	pw_end();
 }
 
+/* How often the caller got an event. */
+static int times_received(const struct pw_call *c, int event)
+{
+	char *text = g_strdup_printf("data: %s-%d\n", c->id, event);
+	const char *at = c->body->str;
+	int n = 0;
+
+	while ((at = strstr(at, text))) {
+		at += strlen(text);
+		n++;
+	}
+	g_free(text);
+	return n;
+}
+
+static void check_no_ids(enum pw_mode mode, int no_id_from)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = add_failing_engine(mode, 0);
+	for (i = 0; i < 2; i++) s[i]->no_id_from = no_id_from;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", SUM, 3000);
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(c->err != 0);
+	for (i = 1; i <= BROKEN_AFTER; i++) CU_ASSERT_EQUAL(times_received(c, i), 1);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	pw_end();
+}
+
+/* A later engine can't be told where to continue: it began at the last id, or at the start, and
+ * the caller got events twice. */
+static void a_stream_whose_last_event_has_no_id_is_not_continued(void)
+{
+	check_no_ids(PW_BREAK, 1);
+	check_no_ids(PW_BREAK, 6);
+	check_no_ids(PW_SILENT, 6);
+}
+
+/* The same from the replica of a run, which a request without an id asks for from the start. */
+static void a_stream_whose_last_event_has_no_id_is_not_taken_to_its_replica(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = add_engine();
+	for (i = 0; i < 2; i++) s[i]->no_id_from = 6;
+	for (i = 0; i < 2; i++) s[i]->events = 120;
+	e = pw_entry_ready();
+	c = pw_request(e, "POST", CHAT, 5000);
+	pw_run(600);
+	CU_ASSERT(pw_run_of(c->id, 0)->backup[0] != '\0');
+	pw_run_of(c->id, 0)->server->mode = PW_BREAK;
+	CU_ASSERT(pw_call_wait(c, 3000));
+	CU_ASSERT(c->err != 0);
+	for (i = 1; i <= 120; i++) CU_ASSERT(times_received(c, i) <= 1);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	pw_end();
+}
+
 /* A success that is no event stream was written into the stream as an event, and its end ended
  * the stream as a complete one. */
 static void a_success_without_events_does_not_end_a_stream(void)
@@ -186,6 +253,10 @@
 	 a_refusal_of_a_later_engine_is_not_written_into_a_stream},
 	{"an_unframed_answer_without_an_event_does_not_end_a_stream",
 	 an_unframed_answer_without_an_event_does_not_end_a_stream},
+	{"a_stream_whose_last_event_has_no_id_is_not_continued",
+	 a_stream_whose_last_event_has_no_id_is_not_continued},
+	{"a_stream_whose_last_event_has_no_id_is_not_taken_to_its_replica",
+	 a_stream_whose_last_event_has_no_id_is_not_taken_to_its_replica},
 	{"a_success_without_events_does_not_end_a_stream",
 	 a_success_without_events_does_not_end_a_stream},
 	{"an_answer_without_events_of_an_engine_with_a_replica_is_not_passed_on",
