Node: an engine's 400 to a resumption is no rejected request

What readers saw (in a test only), on the product's own interface: a stream of 80 tokens was cut after 20, its engine answered the resumption 400, and the stream ended with an error event bad_request that says "ran":"no", though the generation ran; retries that were left were not used.

Cause: on_fail() takes 400, 413 and 422 for a rejection of the request, whichever of its exchanges was answered so.

Change: these statuses reject a request only where its generation is to start. A resumption that gets them is tried again like one that is cut, and at last fails as a lost stream, with "ran":"yes".

Evidence: test_failure, a_rejected_resumption_is_no_rejected_request: red on the code before, green in 4 of 4 plays; the program's other tests: none failed.

--- a/src/node/gen.c
+++ b/src/node/gen.c
@@ -161,9 +161,11 @@
 		     e->step, e->peer, e->text);
 }
 
-static int engine_rejects(long status)
+/* Whether the engine rejects the request as such. Where a generation continues, which it
+ * accepted before, the same status says nothing of the request. */
+static int engine_rejects(const struct gen *g, long status)
 {
-	return status == 400 || status == 413 || status == 422;
+	return !g->resuming && (status == 400 || status == 413 || status == 422);
 }
 
 /* Whether the engine may still have the generation, so that it is resumed and not run again. */
@@ -183,7 +185,7 @@
 	gen_detach_sink(g);
 	next = gen_next_offset(g);
 	delivered = g->stream && next;
-	if (engine_rejects(m->u.fail.status)) {
+	if (engine_rejects(g, m->u.fail.status)) {
 		gen_release(g);
 		fail_request(g, REF_BAD_REQUEST, RAN_NO, 0, m->u.fail.err.step,
 			     m->u.fail.err.peer, "the engine rejects the request");
--- a/src/standin/engine_model.h
+++ b/src/standin/engine_model.h
@@ -16,6 +16,7 @@
 
 struct engine_faults {
 	int cut, cross, refuse, freeze;
+	int reject_resume; /* so many resumptions are answered 400 */
 	int64_t cut_after, delay_ms;
 };
 
--- a/src/standin/standin-engine.c
+++ b/src/standin/standin-engine.c
@@ -159,6 +159,8 @@
 	}
 	q = model_find(&model, id);
 	if (!q) return standin_send(c, 404, "{}");
+	if (consume_fault(&faults.reject_resume))
+		return standin_send(c, 400, "{\"error\":\"rejected\"}");
 	return stream(c, q, (uint32_t)standin_param(c, "from", 0));
 }
 
@@ -192,6 +194,7 @@
 	if (standin_has(o, "cut_after")) faults.cut = (int)standin_int(o, "cut", 1);
 	faults.cross = (int)standin_int(o, "cross", faults.cross);
 	faults.refuse = (int)standin_int(o, "refuse", faults.refuse);
+	faults.reject_resume = (int)standin_int(o, "reject_resume", faults.reject_resume);
 	faults.delay_ms = standin_int(o, "delay_ms", faults.delay_ms);
 	faults.freeze = (int)standin_int(o, "freeze", faults.freeze);
 	model.slow = (int)standin_int(o, "slow", model.slow);
--- a/test/test_failure.c
+++ b/test/test_failure.c
@@ -35,6 +35,26 @@
 	stop(f);
 }
 
+/* The engine's 400 to a resumption was told to the reader as that of a request that did not
+ * run. */
+static void a_rejected_resumption_is_no_rejected_request(void)
+{
+	struct fleet *f = fleet(1, 1, 1, NULL);
+	struct stream *s;
+
+	fleet_fault(f->engine[0], "{\"cut_after\":20,\"cut\":1,\"reject_resume\":1}");
+	s = stream_open(f->entry[0], KEY_MEMBERS, STREAM(80), NULL, 0);
+	check_complete(s, 80);
+	stream_free(s);
+	fleet_fault(f->engine[0], "{\"cut_after\":20,\"cut\":1,\"reject_resume\":100}");
+	s = stream_open(f->entry[0], KEY_MEMBERS, STREAM(80), NULL, 0);
+	stream_join(s);
+	CU_ASSERT(s->error && !s->done && !s->mixed && !s->out_of_order);
+	CU_ASSERT_PTR_NOT_NULL(strstr(s->raw->str, "\"ran\":\"yes\""));
+	stream_free(s);
+	stop(f);
+}
+
 static void a_crossed_answer_reaches_nobody(void)
 {
 	struct fleet *f = fleet(1, 1, 1, NULL);
@@ -194,6 +214,8 @@
 static const struct check list[] = {
 	{"a_cut_stream_goes_on_with_the_same_generation",
 	 a_cut_stream_goes_on_with_the_same_generation},
+	{"a_rejected_resumption_is_no_rejected_request",
+	 a_rejected_resumption_is_no_rejected_request},
 	{"a_crossed_answer_reaches_nobody", a_crossed_answer_reaches_nobody},
 	{"an_engine_that_dies_ends_the_stream_with_an_error",
 	 an_engine_that_dies_ends_the_stream_with_an_error},
