Test: a stand-in engine decides at a run's start whether it continues a stream

Cause: resume_status was read at each step of a run, so that a run that had begun to continue a stream could write the head of a plain answer into its own body when the status was set meanwhile.

Change: the status is taken at the start of the run. A run that a caller takes up, which names the attempt that began the stream, is continued as always.

--- a/test/pw.h
+++ b/test/pw.h
@@ -159,6 +159,7 @@
 	char body_sum[32];
 	int64_t deadline_ms, began_us, ended_us;
 	int events, cancelled, finished, stopped;
+	int resume_status;       /* its server's at its start, if it continues a stream */
 	int body_sent;           /* bytes of a plain answer in parts, or of one without end */
 	enum pw_framing framing; /* that of its server at its start */
 	struct pw_server *server;
@@ -201,8 +202,8 @@
 	int draining;        /* its report states draining */
 	int unhealthy;       /* its health check fails */
 	int no_id_from;      /* events from this one on state no id; 0: all state theirs */
-	int resume_status;   /* of a plain answer to a run that is to continue a stream; 0: it
-				continues it */
+	int resume_status;   /* of plain answers to runs that the system sends it to continue a
+				stream; 0: it continues them */
 	int room;            /* runs at once; more are rejected; 0: no limit */
 	int running;         /* runs now */
 	int checks;          /* health checks received */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -128,20 +128,15 @@
 	end_plain(r);
 }
 
-static int is_refused_resumption(const struct pw_run *r)
-{
-	return r->server->resume_status && r->after[0];
-}
-
 static int plain_status(const struct pw_run *r)
 {
-	if (is_refused_resumption(r)) return r->server->resume_status;
+	if (r->resume_status) return r->resume_status;
 	return r->server->mode == PW_ERROR ? 500 : 200;
 }
 
 static int is_cut(const struct pw_run *r)
 {
-	if (is_refused_resumption(r)) return 0;
+	if (r->resume_status) return 0;
 	return r->server->mode == PW_CUT_CLOSE || r->server->mode == PW_BREAK;
 }
 
@@ -154,7 +149,7 @@
 	/* The blank line makes it an event where it is taken for one. */
 	g_snprintf(text, sizeof text, "answer to %s%s",
 		   r->server->mode == PW_WRONG_ID ? "another" : r->id,
-		   is_refused_resumption(r) ? "\n\n" : "");
+		   r->resume_status ? "\n\n" : "");
 	if (plain_status(r) == 204)
 		text[0] = more[0] = '\0'; /* it has no body, and states no length */
 	else if (r->server->mode == PW_UNTIL_CLOSE || r->server->mode == PW_CUT_CLOSE)
@@ -331,7 +326,7 @@
 	case PW_ENDLESS_LENGTH: send_endless(r); return;
 	default: break;
 	}
-	if (r->server->engine && r->server->mode != PW_ERROR && !is_refused_resumption(r))
+	if (r->server->engine && r->server->mode != PW_ERROR && !r->resume_status)
 		send_event(r);
 	else if (r->server->answer_bytes)
 		large_answer(r);
@@ -358,10 +353,11 @@
 void pw_run_begin(struct pw_server *s, struct hs *h, const char *copy)
 {
 	struct pw_run *r = g_new0(struct pw_run, 1);
-	char deadline[32], prompt[256];
+	char deadline[32], prompt[256], resumes[64];
 
 	pw_field(h, "X-Request-Id", r->id, sizeof r->id);
 	pw_field(h, "Last-Event-Id", r->after, sizeof r->after);
+	pw_field(h, "Resumes", resumes, sizeof resumes);
 	pw_field(h, "Kv-Backup", r->backup, sizeof r->backup);
 	pw_field(h, "X-Tenant", r->group, sizeof r->group);
 	pw_field(h, "X-Target-Instance", r->expect, sizeof r->expect);
@@ -373,6 +369,7 @@
 	r->deadline_ms = atoi(deadline);
 	r->events = atoi(r->after);
 	r->server = s;
+	if (r->after[0] && !resumes[0]) r->resume_status = s->resume_status;
 	r->framing = s->framing;
 	r->h = h;
 	r->began_us = clock_us();
