Relay: a 204 on a streaming route has no last chunk

What callers saw (in a test only): an engine's 204 to a request that begins a stream came as 204 with Transfer-Encoding: chunked and "0 CRLF CRLF", which a caller reads where its next answer begins.

Cause: as for HEAD: every success of a streaming route was passed on as a stream. Change: a 204 is a plain answer; one that was to continue a stream was kept out of it already.

Evidence: test_stream_end, an_engine_without_content_ends_its_answer_with_the_head: red on the code before, green in 4 of 4 plays. The other tests of the program and test_continue: none failed.

--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -30,16 +30,16 @@
 	return type ? g_ascii_strdown(type, (gssize)strcspn(type, "; \t")) : NULL;
 }
 
-/* Whether the answer is a series of events; that to HEAD has none. One that continues a stream
- * must be of the type that the caller was told: another success would stand in the middle of
- * it, or end it too early. */
+/* Whether the answer is a series of events; that to HEAD, and a 204, have none. One that
+ * continues a stream must be of the type that the caller was told: another success would stand
+ * in the middle of it, or end it too early. */
 static int is_stream(const struct rq *r, const struct hx *x)
 {
 	char *type;
 	int same;
 
 	if (r->route->kind != CONF_STREAM || !success(x)) return 0;
-	if (r->h->hp.head.method == HTTP_HEAD) return 0;
+	if (r->h->hp.head.method == HTTP_HEAD || x->hp.head.status == 204) return 0;
 	if (!r->head_sent) return 1;
 	type = media_type(&x->hp.head);
 	same = !g_strcmp0(type, r->media_type);
--- a/test/pw.h
+++ b/test/pw.h
@@ -134,6 +134,7 @@
 	PW_ENCODED,     /* a success in an encoding */
 	PW_FALSE_503,   /* 503 without the field for a request that was not run */
 	PW_ERROR,       /* 500, signed */
+	PW_NO_CONTENT,  /* 204, signed */
 	PW_EXTRA,       /* a second answer after the first */
 	PW_GARBAGE,     /* bytes that are not HTTP */
 	PW_UNTIL_CLOSE, /* no length: the answer ends when the connection closes */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -131,7 +131,16 @@
 static int plain_status(const struct pw_run *r)
 {
 	if (r->resume_status) return r->resume_status;
-	return r->server->mode == PW_ERROR ? 500 : 200;
+	switch (r->server->mode) {
+	case PW_ERROR: return 500;
+	case PW_NO_CONTENT: return 204;
+	default: return 200;
+	}
+}
+
+static int answers_plainly(const struct pw_run *r)
+{
+	return !r->server->engine || plain_status(r) != 200 || r->resume_status;
 }
 
 static int is_cut(const struct pw_run *r)
@@ -326,7 +335,7 @@
 	case PW_ENDLESS_LENGTH: send_endless(r); return;
 	default: break;
 	}
-	if (r->server->engine && r->server->mode != PW_ERROR && !r->resume_status)
+	if (!answers_plainly(r))
 		send_event(r);
 	else if (r->server->answer_bytes)
 		large_answer(r);
--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -438,31 +438,44 @@
 	pw_entry_program = "saddlehead-entry";
 }
 
+/* Whether the answer ends with its head. */
+static int has_no_body(struct pw_entry *e, const char *request, const char *status)
+{
+	char *in = pw_raw(e, request, strlen(request), 500, NULL);
+	const char *end = strstr(in, "\r\n\r\n");
+	int ok = g_str_has_prefix(in, status) && end && !end[4];
+
+	g_free(in);
+	return ok;
+}
+
+#define FIELDS                                                              \
+	SUM " HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: raw\r\n"      \
+	    "X-Credential: k1\r\nX-Model: m\r\nX-Token-Usage: 1000,400\r\n" \
+	    "X-Prompt-Prefix: aa:500,bb:500\r\n\r\n"
+
 /* The last chunk was written after the head, where the next answer begins. */
 static void a_head_request_for_a_stream_has_no_body(void)
 {
-	static const char request[] =
-		"HEAD " SUM " HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: head\r\n"
-		"X-Credential: k1\r\nX-Model: m\r\nX-Token-Usage: 1000,400\r\n"
-		"X-Prompt-Prefix: aa:500,bb:500\r\n\r\n";
-	struct pw_entry *e;
-	const char *end;
-	char *in;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(framings); i++) {
 		pw_init();
 		add_engine(framings[i]);
-		e = pw_entry_ready();
-		in = pw_raw(e, request, sizeof request - 1, 500, NULL);
-		CU_ASSERT(g_str_has_prefix(in, "HTTP/1.1 200 "));
-		end = strstr(in, "\r\n\r\n");
-		CU_ASSERT(end && !end[4]);
-		g_free(in);
+		CU_ASSERT(has_no_body(pw_entry_ready(), "HEAD " FIELDS, "HTTP/1.1 200 "));
 		pw_end();
 	}
 }
 
+/* The same for a status that has no body. */
+static void an_engine_without_content_ends_its_answer_with_the_head(void)
+{
+	pw_init();
+	add_engine(PW_CHUNKED)->mode = PW_NO_CONTENT;
+	CU_ASSERT(has_no_body(pw_entry_ready(), "GET " FIELDS, "HTTP/1.1 204 "));
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"a_stream_that_ends_inside_an_event_is_not_complete",
 	 a_stream_that_ends_inside_an_event_is_not_complete},
@@ -495,6 +508,8 @@
 	{"an_unframed_stream_whose_helper_is_killed_is_not_complete",
 	 an_unframed_stream_whose_helper_is_killed_is_not_complete},
 	{"a_head_request_for_a_stream_has_no_body", a_head_request_for_a_stream_has_no_body},
+	{"an_engine_without_content_ends_its_answer_with_the_head",
+	 an_engine_without_content_ends_its_answer_with_the_head},
 };
 
 CHECK_MAIN(list)
