Soak: engines that answer resumptions with something else

Change: a kind of its own for new seeds (kinds 7, after the recorded ones, so that these draw as before): in each burst one engine, or all, answer 500, 404, 200 or 204 to what the system sends them to continue a stream. Bytes that are no answer count as a broken promise, in all seeds.

--- a/test/soak.c
+++ b/test/soak.c
@@ -61,7 +61,7 @@
 	s->crashers = g_array_sized_new(FALSE, TRUE, sizeof(struct soak_crasher), 64);
 	s->segments = g_array_sized_new(FALSE, TRUE, sizeof(struct soak_segment), 64);
 	s->key = 1;
-	if (kinds >= SOAK_ALL_KINDS && seed % 2) {
+	if (kinds >= SOAK_RUSH_KINDS && seed % 2) {
 		s->rush = g_rand_new_with_seed(seed + 6);
 		pw_conf.admission = "{\"scope\":\"fleet\"}";
 		pw_conf.tokens = RUSH_TOKENS;
--- a/test/soak.h
+++ b/test/soak.h
@@ -87,6 +87,7 @@
 	SOAK_VERSIONS, /* planned: engines of another software version join */
 	SOAK_SEGMENT,  /* a prompt segment that crashes engines */
 	SOAK_RUSH,     /* planned: several times the callers, on the streaming routes */
+	SOAK_REFUSAL,  /* engines answer resumptions with something that is no stream */
 	SOAK_FAULT_KINDS
 };
 #define SOAK_FIRST_UNPLANNED SOAK_KILL
@@ -100,7 +101,8 @@
 	SOAK_RECOVERY_KINDS,
 	SOAK_STREAM_KINDS, /* callers take up streams, too */
 	SOAK_SEGMENT_KINDS,
-	SOAK_ALL_KINDS /* a rush in odd seeds, with admission over the fleet */
+	SOAK_RUSH_KINDS, /* a rush in odd seeds, with admission over the fleet */
+	SOAK_ALL_KINDS
 };
 
 struct soak_fault {
@@ -221,6 +223,7 @@
 
 /* soak_stream.c: how streams end, which versions serve, and what callers take up. */
 void soak_endings_begin(struct soak *s, const struct soak_fault *f);
+void soak_refusal_begin(struct soak *s, const struct soak_fault *f);
 void soak_release(struct soak *s);
 /* Takes up the stream of a call that has ended; NULL: it is not taken up. */
 struct soak_call *soak_take_up(struct soak *s, const struct soak_call *k);
--- a/test/soak_check.c
+++ b/test/soak_check.c
@@ -1,6 +1,7 @@
 /* Checks the observations of callers and backend servers against the system's guarantees. */
 #include "clock.h"
 #include "soak.h"
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -159,6 +160,7 @@
 {
 	char want[96];
 
+	if (k->c->err == -EBADMSG) return 0; /* bytes that are no answer */
 	if (k->c->status != 200) return 1;
 	if (!k->c->signature[0]) return 0;
 	if (k->kind <= SOAK_SUM) return stream_correct(k);
--- a/test/soak_draw.c
+++ b/test/soak_draw.c
@@ -42,7 +42,8 @@
 						    "streams end inside events",
 						    "another version joins",
 						    "a segment ends engines",
-						    "rush"};
+						    "rush",
+						    "resumptions refused"};
 
 const char *soak_fault_name(enum soak_fault_kind k)
 {
@@ -162,6 +163,18 @@
 	add(s, SOAK_RUSH, at, at + g_rand_int_range(rand, LONGEST_US, CYCLE_US / 2), 0);
 }
 
+/* Beside each burst's other faults, some of which break streams. */
+static void draw_refusal(struct soak *s, GRand *rand, int64_t burst_us)
+{
+	int64_t at = burst_us + g_rand_int_range(rand, 0, BURST_US);
+	struct soak_fault f = {SOAK_REFUSAL, at,
+			       at + g_rand_int_range(rand, SHORTEST_US, LONGEST_US),
+			       .victim = g_rand_int_range(rand, 0, 1 << 16),
+			       .variant = g_rand_int_range(rand, 0, 1 << 16)};
+
+	g_array_append_val(s->faults, f);
+}
+
 void soak_draw_faults(struct soak *s, int seconds)
 {
 	GRand *more = g_rand_new_with_seed(s->seed);   /* leaves s->rand's draws as they are */
@@ -170,6 +183,7 @@
 	GRand *recovery = g_rand_new_with_seed(s->seed + 2); /* nor those of notices */
 	GRand *streams = g_rand_new_with_seed(s->seed + 3);  /* nor those of recovery */
 	GRand *segments = g_rand_new_with_seed(s->seed + 5); /* nor those of streams, take_up */
+	GRand *refusals = g_rand_new_with_seed(s->seed + 7); /* nor those of segments, rush */
 	int64_t at;
 	int i, n, only_planned;
 
@@ -187,7 +201,9 @@
 		if (s->rush) draw_rush(s, s->rush, s->began_us + at);
 		if (s->kinds >= SOAK_SEGMENT_KINDS)
 			draw_segments(s, segments, s->began_us + at);
+		if (s->kinds >= SOAK_ALL_KINDS) draw_refusal(s, refusals, s->began_us + at);
 	}
+	g_rand_free(refusals);
 	g_rand_free(segments);
 	g_rand_free(streams);
 	g_rand_free(recovery);
--- a/test/soak_fault.c
+++ b/test/soak_fault.c
@@ -155,6 +155,7 @@
 	case SOAK_VERSIONS: soak_release(s); return;
 	case SOAK_SEGMENT: soak_segment_begin(s); return;
 	case SOAK_RUSH: s->rushing = 1; return;
+	case SOAK_REFUSAL: soak_refusal_begin(s, f); return;
 	case SOAK_FAULT_KINDS: return;
 	}
 }
@@ -198,6 +199,7 @@
 static void restore_server(struct soak_server *v, enum soak_fault_kind kind)
 {
 	if (v->crashed) return;
+	if (kind == SOAK_REFUSAL) v->pw->resume_status = 0;
 	if (kind == SOAK_SERVER_LINK) proxy_set(v->link, PROXY_OK);
 	if ((kind == SOAK_SERVER_MODE || kind == SOAK_ENDINGS) &&
 	    v->notice != SOAK_NOTICE_BACKOFF)
--- a/test/soak_stream.c
+++ b/test/soak_stream.c
@@ -21,6 +21,20 @@
 	v->pw->mode = PW_BREAK;
 }
 
+/* One engine, or all of them. */
+void soak_refusal_begin(struct soak *s, const struct soak_fault *f)
+{
+	static const int status[] = {500, 404, 200, 204};
+	int i, all = f->variant / 4 % 2;
+
+	for (i = 0; i < s->nservers; i++) {
+		struct pw_server *v = s->server[i].pw;
+
+		if (v->engine && (all || i == f->victim % SOAK_ENGINES))
+			v->resume_status = status[f->variant % G_N_ELEMENTS(status)];
+	}
+}
+
 void soak_release(struct soak *s)
 {
 	char version[16];
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -104,7 +104,14 @@
  */
 static void soak_seed_8001(void)
 {
-	CU_ASSERT_EQUAL(soak_run(8001, 15, SOAK_ALL_KINDS), 0);
+	CU_ASSERT_EQUAL(soak_run(8001, 15, SOAK_RUSH_KINDS), 0);
+}
+
+/* Engines that answer with something else when they are to continue a stream: their answers
+ * were written into the stream that the caller had a part of, or ended it. */
+static void soak_seed_9204(void)
+{
+	CU_ASSERT_EQUAL(soak_run(9204, 15, SOAK_ALL_KINDS), 0);
 }
 
 static const struct check list[] = {
@@ -115,6 +122,6 @@
 	{"soak_seed_738", soak_seed_738},   {"soak_seed_724", soak_seed_724},
 	{"soak_seed_501", soak_seed_501},   {"soak_seed_1201", soak_seed_1201},
 	{"soak_seed_3002", soak_seed_3002}, {"soak_seed_7006", soak_seed_7006},
-	{"soak_seed_8001", soak_seed_8001},
+	{"soak_seed_8001", soak_seed_8001}, {"soak_seed_9204", soak_seed_9204},
 };
 CHECK_MAIN(list)
