--- a/test/soak.c
+++ b/test/soak.c
@@ -80,13 +80,20 @@
 
 static void run_until(struct soak *s, int64_t until_us)
 {
-	while (clock_us() < until_us) {
+	int64_t step_us, now = clock_us();
+
+	while (now < until_us) {
+		step_us = now;
 		soak_step_faults(s);
 		soak_step_callers(s);
 		soak_step_crasher(s);
 		soak_step_segment(s);
 		soak_step_versions(s);
 		pw_run(STEP_MS);
+		now = clock_us();
+		if (now - step_us <= s->longest_step_us) continue;
+		s->longest_step_us = now - step_us;
+		s->longest_end_us = now;
 	}
 }
 
@@ -193,6 +200,11 @@
 	if (s.rush) print_rush(&s);
 	printf("seed %u: %u requests, %u whole, %u faults, broken promises %d\n", seed,
 	       s.calls->len, count_succeeded(&s), s.faults->len, broken);
+	/* Ends that it sees late while it stands still look like late answers. */
+	if (broken)
+		printf("  longest step of this process: %d ms, until %.3f\n",
+		       (int)(s.longest_step_us / 1000),
+		       (double)(s.longest_end_us - s.began_us) / 1e6);
 	finish(&s, broken);
 	return broken;
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -152,8 +152,10 @@
 	int rushing;
 	int key;                      /* serial of the valid key beside the permanent one */
 	int64_t key_revoked_us[1024]; /* when a key was revoked; 0: it wasn't */
-	int64_t safe_moved_us; /* when the route of safe calls last changed its service */
-	int64_t relist_us;     /* when lapsed list entries are written again; 0: none */
+	int64_t safe_moved_us;   /* when the route of safe calls last changed its service */
+	int64_t relist_us;       /* when lapsed list entries are written again; 0: none */
+	int64_t longest_step_us; /* of the loop that sends and checks ... */
+	int64_t longest_end_us;  /* ... and when it ended */
 	int crashes;
 	GArray *crashers; /* struct soak_crasher: one for each fault of the kind */
 	GArray *segments; /* struct soak_segment: the same */
