Test: the ways by which a stream comes to an engine that does not continue it

Cause: test_continue tried a stream that is sent anew at once, and one that is taken to its replica. By another instance, after a wait for a rate limit, for a reader with events still in the buffer, from an answer without a length, with a head that is cut or with one that is not valid had not been tried.

No check of a test is taken out.

--- a/test/pw.h
+++ b/test/pw.h
@@ -137,6 +137,7 @@
 	PW_NO_CONTENT,  /* 204, signed */
 	PW_EXTRA,       /* a second answer after the first */
 	PW_GARBAGE,     /* bytes that are not HTTP */
+	PW_CUT_HEAD,    /* a success whose head is cut by a close */
 	PW_UNTIL_CLOSE, /* no length: the answer ends when the connection closes */
 	PW_CUT_CLOSE,   /* no length, reset in the middle */
 	PW_SILENT, /* a stream that sends nothing more after break_after events, left open */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -299,12 +299,13 @@
 	end_stream(r);
 }
 
-static void answer_garbage(struct pw_run *r)
+/* Sends these bytes alone, and closes the connection. */
+static void answer_bytes_only(struct pw_run *r, const char *bytes)
 {
 	struct hs *h = r->h;
 
 	pw_run_finish(r);
-	hs_write(h, "what is this\r\n\r\n", 16);
+	hs_write(h, bytes, strlen(bytes));
 	h->keep = 0;
 	hs_finish(h);
 }
@@ -327,7 +328,8 @@
 	switch (r->server->mode) {
 	case PW_HANG: return;
 	case PW_RESET: reset(r); return;
-	case PW_GARBAGE: answer_garbage(r); return;
+	case PW_GARBAGE: answer_bytes_only(r, "what is this\r\n\r\n"); return;
+	case PW_CUT_HEAD: answer_bytes_only(r, "HTTP/1.1 200 X\r\nX-Req"); return;
 	case PW_FALSE_503: answer_false_503(r); return;
 	case PW_ENDLESS_HEAD:
 	case PW_ENDLESS_BODY:
--- a/test/test_continue.c
+++ b/test/test_continue.c
@@ -1,46 +1,12 @@
 /* Streams that an engine breaks off and a later one is to continue, when the later one answers
  * with something else. Its answer must not reach a caller who has a part of the stream. */
 #include "check.h"
-#include "pw.h"
-#include <errno.h>
+#include "continue.h"
 #include <string.h>
 
-#define EVENTS 30
-#define EVENT_MS 10
-#define BROKEN_AFTER 10 /* events */
-#define LOG_MS 300      /* until a line is written */
-#define CHAT "/chat/"   /* not resumable */
-#define SUM "/sum/"     /* resumable */
-
-static struct pw_server *add_engine(void)
-{
-	struct pw_server *s = pw_server_add("llm", 1);
-
-	s->events = EVENTS;
-	s->event_ms = EVENT_MS;
-	return s;
-}
-
-/* It loses each stream after BROKEN_AFTER events, and answers a resumption with this status. */
-static struct pw_server *add_failing_engine(enum pw_mode mode, int resume_status)
-{
-	struct pw_server *s = add_engine();
-
-	s->mode = mode;
-	s->break_after = BROKEN_AFTER;
-	s->resume_status = resume_status;
-	return s;
-}
-
-/* The caller can tell that its stream is broken, and has nothing that is not of the stream. */
-static void check_broken_off(struct pw_call *c, int events)
-{
-	CU_ASSERT(pw_call_wait(c, 4000));
-	CU_ASSERT_EQUAL(c->status, 200);
-	CU_ASSERT(c->err != 0);
-	CU_ASSERT_NOT_EQUAL(c->err, -EBADMSG);
-	CU_ASSERT(pw_has_whole_events(c, events));
-}
+#define LOG_MS 300    /* until a line is written */
+#define CHAT "/chat/" /* not resumable */
+#define SUM "/sum/"   /* resumable */
 
 static void check_not_continued(enum pw_mode mode, int resume_status)
 {
@@ -49,14 +15,16 @@
 	int i;
 
 	pw_init();
-	for (i = 0; i < 2; i++) add_failing_engine(mode, resume_status);
+	for (i = 0; i < 2; i++) continue_add_failing(mode, resume_status);
 	e = pw_entry_ready();
 	c = pw_request(e, "POST", SUM, 5000);
-	check_broken_off(c, BROKEN_AFTER);
+	continue_check_broken_off(c, CONTINUE_BROKEN_AFTER);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
 	pw_run(LOG_MS);
 	CU_ASSERT(pw_log_has(e, "\"why\":\"not_continued\""));
 	CU_ASSERT(pw_log_has(e, "\"outcome\":\"broken_off\""));
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_refused_total{reason=\"stream_lost\"}"), 1);
+	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_repeats_total"), 1);
 	pw_end();
 }
 
@@ -75,11 +43,6 @@
 	check_not_continued(PW_SILENT, 404);
 }
 
-static int has_run(void *arg)
-{
-	return pw_runs_of(((struct pw_call *)arg)->id) >= 1;
-}
-
 /* The second engine closes its connection after the head. That ends an unframed answer, but a
  * run that has begun makes an event: the stream ended as a complete one. */
 static void an_unframed_answer_without_an_event_does_not_end_a_stream(void)
@@ -89,15 +52,15 @@
 	struct pw_call *c;
 
 	pw_init();
-	add_failing_engine(PW_BREAK, 0)->work_ms = 300;
+	continue_add_failing(PW_BREAK, 0)->work_ms = 300;
 	e = pw_entry_ready();
 	c = pw_request(e, "POST", SUM, 5000);
-	CU_ASSERT(pw_until(has_run, c, 1000));
-	second = add_failing_engine(PW_BREAK, 0);
+	CU_ASSERT(pw_until(continue_has_run, c, 1000));
+	second = continue_add_failing(PW_BREAK, 0);
 	second->framing = PW_UNFRAMED;
 	second->break_end = PW_BY_END;
 	second->break_between = 1;
-	check_broken_off(c, BROKEN_AFTER);
+	continue_check_broken_off(c, CONTINUE_BROKEN_AFTER);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
 	pw_end();
 }
@@ -125,13 +88,13 @@
 	int i;
 
 	pw_init();
-	for (i = 0; i < 2; i++) s[i] = add_failing_engine(mode, 0);
+	for (i = 0; i < 2; i++) s[i] = continue_add_failing(mode, 0);
 	for (i = 0; i < 2; i++) s[i]->no_id_from = no_id_from;
 	e = pw_entry_ready();
 	c = pw_request(e, "POST", SUM, 3000);
 	CU_ASSERT(pw_call_wait(c, 4000));
 	CU_ASSERT(c->err != 0);
-	for (i = 1; i <= BROKEN_AFTER; i++) CU_ASSERT_EQUAL(times_received(c, i), 1);
+	for (i = 1; i <= CONTINUE_BROKEN_AFTER; i++) CU_ASSERT_EQUAL(times_received(c, i), 1);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
 	pw_end();
 }
@@ -154,7 +117,7 @@
 	int i;
 
 	pw_init();
-	for (i = 0; i < 2; i++) s[i] = add_engine();
+	for (i = 0; i < 2; i++) s[i] = continue_add_engine();
 	for (i = 0; i < 2; i++) s[i]->no_id_from = 6;
 	for (i = 0; i < 2; i++) s[i]->events = 120;
 	e = pw_entry_ready();
@@ -186,7 +149,7 @@
 	int i;
 
 	pw_init();
-	for (i = 0; i < 2; i++) s[i] = add_engine();
+	for (i = 0; i < 2; i++) s[i] = continue_add_engine();
 	for (i = 0; i < 2; i++) s[i]->events = 120;
 	e = pw_entry_ready();
 	c = pw_request(e, "POST", CHAT, 5000);
@@ -195,7 +158,7 @@
 	CU_ASSERT(pw_run_of(c->id, 0)->backup[0] != '\0');
 	(first == s[0] ? s[1] : s[0])->resume_status = resume_status;
 	first->mode = PW_BREAK;
-	check_broken_off(c, 120);
+	continue_check_broken_off(c, 120);
 	CU_ASSERT(pw_runs_of(c->id) > 1);
 	pw_end();
 }
@@ -208,11 +171,6 @@
 	check_replica(500);
 }
 
-static int has_second_run(void *arg)
-{
-	return pw_runs_of(((struct pw_call *)arg)->id) >= 2;
-}
-
 /* The second engine answers with this status; by then the first one has recovered. */
 static void check_third_run(int resume_status)
 {
@@ -224,17 +182,17 @@
 	pw_conf.resume_attempts = 3;
 	pw_conf.version++;
 	pw_conf_write();
-	first = add_failing_engine(PW_BREAK, resume_status);
+	first = continue_add_failing(PW_BREAK, resume_status);
 	first->work_ms = 300;
 	e = pw_entry_ready();
 	c = pw_request(e, "POST", SUM, 5000);
-	CU_ASSERT(pw_until(has_run, c, 1000));
-	add_failing_engine(PW_BREAK, resume_status)->work_ms = 200;
-	CU_ASSERT(pw_until(has_second_run, c, 2000));
+	CU_ASSERT(pw_until(continue_has_run, c, 1000));
+	continue_add_failing(PW_BREAK, resume_status)->work_ms = 200;
+	CU_ASSERT(pw_until(continue_has_second_run, c, 2000));
 	first->mode = PW_OK;
 	first->resume_status = 0;
 	CU_ASSERT(pw_call_wait(c, 4000));
-	CU_ASSERT(pw_stream_complete(c, EVENTS));
+	CU_ASSERT(pw_stream_complete(c, CONTINUE_EVENTS));
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 3);
 	pw_end();
 }
--- a/test/test_stream_end.c
+++ b/test/test_stream_end.c
@@ -3,6 +3,7 @@
 #include "check.h"
 #include "partition.h"
 #include "pw.h"
+#include "tunneled.h"
 #include <signal.h>
 #include <string.h>
 
@@ -349,22 +350,6 @@
 	}
 }
 
-/* Two instances, of which the first reaches servers through the second only. */
-static void begin_with_tunnel(struct pw_entry **e)
-{
-	union sigval v = {.sival_int = PARTITION_VALUE(PARTITION_REFUSED, 0)};
-	int i;
-
-	for (i = 0; i < 2; i++) e[i] = pw_entry_ready();
-	pw_run(900);
-	sigqueue(e[0]->pid, SIGUSR1, v);
-	for (i = 0; i < 20; i++) {
-		pw_request(e[0], "POST", "/safe/", 1500);
-		pw_run(50);
-	}
-	pw_run(2000);
-}
-
 static struct pw_call *call_through_tunnel(struct pw_entry **e, const char *path,
 					   enum pw_framing f, int break_after)
 {
@@ -376,7 +361,7 @@
 		add_broken_engine(f, break_after);
 	else
 		add_engine(f)->events = 400;
-	begin_with_tunnel(e);
+	tunneled_start(e);
 	return pw_request(e[0], "POST", path, 9000);
 }
 
