Relay: a stream is not moved again to an engine that refused its copy

What callers saw (in a test only): an engine leaves, its stream's memory is copied to another one, and that answers the request that is to continue the stream with 404 or 500 (200 and 204 likewise, since they are no streams). The stream went on at its source, and was moved to the same engine at its next event: 21 times in 0.25 s in one play, each time with the source stopped, until the allowance of repeats was used up (41 of it). Then it was lost, though its source had its memory and ran on for a second.

Cause: the tries of a move were counted from zero whenever a stream went on, at its own source, too; nothing remembered which engine had refused. With the programs of the test fails for all four answers.

Change: the last engine whose answer did not continue a stream from a copy is not chosen for that stream again, and a return to the source counts as a try. An engine that turns the copy away as not run, for want of room, is asked again as before.

--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -78,6 +78,7 @@
 	if (r->answer) g_string_free(r->answer, TRUE);
 	g_free(r->media_type);
 	be_unref(r->doubted);
+	be_unref(r->refused_copy);
 	conf_unref(r->conf);
 	ev_free_later(r);
 }
--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -178,9 +178,17 @@
 	rq_answer(r, head);
 }
 
+/* A stream that is moved to it again would be stopped each time. */
+static void note_refused_copy(const struct attempt *att)
+{
+	be_unref(att->rq->refused_copy);
+	att->rq->refused_copy = be_ref(att->be);
+}
+
 static void copy_refused(struct attempt *att, int err, int up)
 {
 	log_broken(att, "copy_refused", err);
+	if (att->answered) note_refused_copy(att);
 	if (up) rq_note_copy_refused(att->rq);
 	if (up && !att->not_run && att->fault != TN_HELPER) att_note_broken(att, err);
 	if (!up && att->fault != TN_HELPER) path_blame_unreached(att->be, err);
--- a/src/relay/rq_move.c
+++ b/src/relay/rq_move.c
@@ -147,7 +147,7 @@
 	if (r->route->kind != CONF_STREAM || r->move.state != MOVE_NONE) return;
 	if (!r->service->moves && !r->service->replicas) return;
 	r->move.state = MOVE_PENDING;
-	r->move.tries = 0;
+	if (!r->move.returned) r->move.tries = 0;
 	r->move.start_by_us = 0;
 	r->move.from_silent = 0;
 	move_continue(r);
--- a/src/relay/rq_move_next.c
+++ b/src/relay/rq_move_next.c
@@ -142,6 +142,7 @@
 {
 	struct attempt *old = r->attempt;
 
+	r->move.returned = old->be == r->next->be;
 	r->attempt = r->next;
 	r->next = NULL;
 	if (old->replica == r->attempt->be) old->replica_freed = 1; /* it was taken over */
--- a/test/test_continue_ways.c
+++ b/test/test_continue_ways.c
@@ -79,6 +79,39 @@
 	pw_entry_program = "saddlehead-entry";
 }
 
+/* The stream was moved to the engine that does not continue it at each of its events, until no
+ * repeat was left; then it was lost, though its source still had its memory. */
+static void a_stream_whose_moved_copy_is_not_continued_goes_on_at_its_source(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		struct pw_server *first;
+		struct pw_entry *e;
+		struct pw_call *c;
+
+		pw_init();
+		pw_conf.no_replicas = 1;
+		pw_conf.version++;
+		pw_conf_write();
+		first = continue_add_engine();
+		first->events = 120;
+		e = pw_entry_ready();
+		c = pw_request(e, "POST", CHAT, 9000);
+		pw_run(300);
+		continue_add_failing(PW_OK, answers[i])->events = 120;
+		pw_run(100);
+		pw_server_list(first, "draining");
+		CU_ASSERT(pw_call_wait(c, 4000));
+		CU_ASSERT(pw_stream_complete(c, 120));
+		CU_ASSERT_EQUAL(pw_runs_of(c->id), 3);
+		CU_ASSERT(first->moves > 0);
+		CU_ASSERT(pw_run_of(c->id, 1) &&
+			  pw_run_of(c->id, 1)->resume_status == answers[i]);
+		pw_end();
+	}
+}
+
 /* The only other engine takes a request a second, and has just had one. */
 static void check_after_wait(int resume_status)
 {
@@ -173,6 +206,8 @@
 	 an_answer_without_a_length_is_not_written_into_a_stream},
 	{"an_answer_by_way_of_another_instance_is_not_written_into_a_stream",
 	 an_answer_by_way_of_another_instance_is_not_written_into_a_stream},
+	{"a_stream_whose_moved_copy_is_not_continued_goes_on_at_its_source",
+	 a_stream_whose_moved_copy_is_not_continued_goes_on_at_its_source},
 	{"an_answer_after_a_wait_is_not_written_into_a_stream",
 	 an_answer_after_a_wait_is_not_written_into_a_stream},
 	{"a_slow_reader_gets_no_other_answer_in_its_stream",
