Relay: a success that does not continue a stream is charged to its server

Cause: since a 200 or 204 that is no event stream is kept out of a stream that has begun, but the server was counted as one that served, and nothing kept further streams from it. Found by asking of each such answer who is charged; 500s were, as before.

Change: it counts as a failure of the server and of its version. A status from 300 to 499 may be a word about the request and is not charged, as before.

--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -157,9 +157,12 @@
 static void answer_done(struct attempt *att, const struct hp_head *head)
 {
 	struct rq *r = att->rq;
-	int failed = head->status >= 500;
+	int success = head->status / 100 == 2;
+	/* A success that does not continue a stream is the server's failure; a status from 300
+	 * to 499 may be a word about the request. */
+	int failed = head->status >= 500 || (success && r->head_sent);
 
-	att_note_success(att, head->status / 100 == 2);
+	att_note_success(att, success && !failed);
 	att_report_outcome(att, failed ? RO_FAILED : RO_OK);
 	if (failed)
 		be_answered_error(att->be);
@@ -174,7 +177,7 @@
 		place_again(r, RETRY_ENGINE_STATUS);
 		return;
 	}
-	if (head->status / 100 == 2) giveup_note_answer(r);
+	if (success) giveup_note_answer(r);
 	rq_answer(r, head);
 }
 
--- a/test/test_continue_ways.c
+++ b/test/test_continue_ways.c
@@ -199,6 +199,47 @@
 	for (i = 0; i < G_N_ELEMENTS(answers); i++) check_slow_reader(answers[i]);
 }
 
+#define FIRST 3
+#define STREAMS 8
+
+/* Engines that leave lose streams, which go to two others, which answer so. */
+static int engines_are_ejected(int resume_status)
+{
+	struct pw_server *first[FIRST];
+	struct pw_entry *e;
+	int i, ejected;
+
+	pw_init();
+	pw_settings("bounds.retryBudgetRatio=1\nbounds.budgetSlack=200\n");
+	pw_conf.target_latency_ms = 5000; /* nothing is refused for its wait */
+	pw_conf.version++;
+	pw_conf_write();
+	for (i = 0; i < FIRST; i++) {
+		first[i] = continue_add_failing(PW_BREAK, 0);
+		first[i]->work_ms = START_MS;
+	}
+	e = pw_entry_ready();
+	for (i = 0; i < STREAMS; i++) pw_request(e, "POST", SUM, 3000);
+	pw_run(100);
+	for (i = 0; i < 2; i++) continue_add_failing(PW_OK, resume_status);
+	for (i = 0; i < FIRST; i++) pw_server_list(first[i], "draining");
+	pw_run(1000);
+	ejected = pw_log_has(e, "\"why\":\"answers with failures\"");
+	CU_ASSERT(pw_log_has(e, "\"why\":\"not_continued\""));
+	pw_settings(NULL);
+	pw_end();
+	return ejected;
+}
+
+/* A 404 is a word about the request; it is not charged to its engine. */
+static void engines_that_fail_to_continue_streams_are_ejected(void)
+{
+	CU_ASSERT(engines_are_ejected(500));
+	CU_ASSERT(engines_are_ejected(200));
+	CU_ASSERT(engines_are_ejected(204));
+	CU_ASSERT(!engines_are_ejected(404));
+}
+
 static const struct check list[] = {
 	{"an_answer_that_is_not_valid_is_not_written_into_a_stream",
 	 an_answer_that_is_not_valid_is_not_written_into_a_stream},
@@ -212,6 +253,8 @@
 	 an_answer_after_a_wait_is_not_written_into_a_stream},
 	{"a_slow_reader_gets_no_other_answer_in_its_stream",
 	 a_slow_reader_gets_no_other_answer_in_its_stream},
+	{"engines_that_fail_to_continue_streams_are_ejected",
+	 engines_that_fail_to_continue_streams_are_ejected},
 };
 
 CHECK_MAIN(list)
