--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -90,9 +90,9 @@
 	int source_stopped;             /* the source has stopped; only the copy is left */
 	int from_silent; /* started because the connection is silent; its engine still runs */
 	int tries;
-	int returned;        /* the stream went on at its source: the next move is another try */
-	int refusals;        /* of the copy that the stream is to resume from */
-	int64_t ordered_us;  /* when the copy order in flight was sent */
+	int returned;       /* the stream went on at its source: the next move is another try */
+	int refusals;       /* of the copy that the stream is to resume from */
+	int64_t ordered_us; /* when the copy order in flight was sent */
 	int64_t start_by_us; /* latest start if others use the link first; 0: not set */
 };
 
@@ -173,7 +173,8 @@
 	 * another one's answer shows that it was not at fault; or NULL. */
 	struct be *doubted;
 	uint64_t doubted_max;
-	struct be *refused_copy; /* the last server that did not continue from a copy; or NULL */
+	/* The last server that did not continue its stream from a copy; or NULL. */
+	struct be *refused_copy;
 	struct evs_seen seen;
 	uint32_t index;
 	struct fp fp; /* valid once has_fp is set */
--- a/src/relay/rq_pick.c
+++ b/src/relay/rq_pick.c
@@ -217,8 +217,7 @@
 	r->rollout_roles = ro_allowed(r->service->name, 0);
 	c = collect(r, &now, source->dc, source, source);
 	for (i = 0; i < c->n; i++)
-		if (!can_take_move(c->at[i]) || c->at[i] == r->refused_copy)
-			c->s[i].usable = 0;
+		if (!can_take_move(c->at[i]) || c->at[i] == r->refused_copy) c->s[i].usable = 0;
 	return chosen(c, place_move(c->s, c->n, &now, g_random_int()));
 }
 
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -1,5 +1,6 @@
 /* Deadlines of requests, and how long silence is tolerated. */
 #include "clock.h"
+#include "jlog.h"
 #include "rq_impl.h"
 #include <stddef.h>
 
@@ -130,6 +131,17 @@
 	return rq_silence_us(r) >= rq_silence_timeout_us(r);
 }
 
+static void log_silent_server(const struct rq *r)
+{
+	GString *g = jlog_begin("relay", "server_silent");
+
+	jlog_str(g, "request", r->in.id);
+	jlog_str(g, "backend", r->attempt->be->id);
+	jlog_int(g, "silent_ms", rq_silence_us(r) / 1000);
+	jlog_int(g, "events", r->seen.count);
+	jlog_end(g);
+}
+
 int rq_retry_elsewhere(struct rq *r, int failed)
 {
 	struct attempt *att = r->attempt;
@@ -146,6 +158,7 @@
 		att->head_bytes = att->hx->hp.head_bytes;
 		giveup_log(att, AL_LATE);
 	}
+	log_silent_server(r);
 	met_retried(att->answered ? RETRY_RESUME : RETRY_FIRST_BYTE);
 	if (att->hx->connected)
 		r->runs++;
--- a/test/test_continue.c
+++ b/test/test_continue.c
@@ -21,6 +21,7 @@
 	continue_check_broken_off(c, CONTINUE_BROKEN_AFTER);
 	CU_ASSERT_EQUAL(pw_runs_of(c->id), 2);
 	pw_run(LOG_MS);
+	CU_ASSERT(pw_log_has(e, mode == PW_SILENT ? "server_silent" : "may_have_run"));
 	CU_ASSERT(pw_log_has(e, "\"why\":\"not_continued\""));
 	CU_ASSERT(pw_log_has(e, "\"outcome\":\"broken_off\""));
 	CU_ASSERT_EQUAL(pw_metric(e, "saddlehead_refused_total{reason=\"stream_lost\"}"), 1);
