--- a/review/stand2.py
+++ b/review/stand2.py
@@ -3,6 +3,7 @@
 import asyncio, base64, itertools, json, os, random, shutil, signal, socket, subprocess, sys
 import tempfile, time, urllib.parse
 
+LEAD_S = 10  # traffic starts so long after the machines do
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
@@ -461,6 +462,7 @@
     def add_entries(self, n, **more):
         seeds = {"ips": [self.ip(i + 1) for i in range(min(n, 3))],
                  "port": free_port(self.ip(1))}
+        self.started = now()
         for i in range(n):
             e = Entry(self.place, self.ip(i + 1), self.store, seeds, **more)
             self.entries.append(e)
@@ -471,6 +473,7 @@
             if not await e.until_ready():
                 self.record.say("not ready:", e.ip)
                 return False
+        await asyncio.sleep(max(0, self.started + LEAD_S - now()))
         return True
 
     def end(self):
@@ -489,7 +492,7 @@
         scene = Scene(case)
         try:
             await scene.start_store()
-            return await asyncio.wait_for(main(scene), 110)
+            return await asyncio.wait_for(main(scene), 116)
         finally:
             scene.end()
 
