--- a/review/5/case.py
+++ b/review/5/case.py
@@ -203,6 +203,8 @@
     for a in answers:
         k = "%s%s" % (a["status"], "" if a["whole"] else " broken off")
         statuses[k] = statuses.get(k, 0) + 1
+    if not statuses.get("200"):
+        return 2
     refused = [a["id"] for a in answers if a["status"] in (429, 503, 408, 421) and a["id"] in run]
     print("answers: %s" % statuses)
     print("refused with a promise, and run: %d of %d" % (len(refused), len(answers)))
--- a/review/stand2.py
+++ b/review/stand2.py
@@ -1,6 +1,6 @@
 """Stand-ins for the cases of this review: the platform's store, servers and callers, on one
 asyncio loop; and the start of real entry processes. Python's standard library only."""
-import asyncio, base64, itertools, json, os, random, shutil, signal, socket, subprocess, sys
+import asyncio, base64, itertools, json, os, random, re, shutil, signal, socket, subprocess, sys
 import tempfile, time, urllib.parse
 
 LEAD_S = 10  # traffic starts so long after the machines do
@@ -281,7 +281,7 @@
     def __init__(self, place, ip, store, seeds, first=True, zone="a", memory_mb=110, more=()):
         self.ip, self.dir = ip, place
         self.front, self.ready = free_port(ip), free_port(ip)
-        self.directory, self.metrics = free_port(ip), free_port(ip)
+        self.directory, self.starts = free_port(ip), 0
         self.settings = os.path.join(place, "node-%s.conf" % ip)
         self.log = os.path.join(place, "log-%s" % ip)
         peer = seeds["port"]
@@ -316,13 +316,19 @@
             f.write("".join("%s=%s\n" % i for i in lines.items()))
 
     def start(self):
-        program = os.environ.get("ENTRY", "target/saddlehead-entry")
-        env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
+        """With the run line of deploy/system.toml. Only the first start is the fleet's first."""
+        with open(os.path.join(ROOT, "deploy/system.toml")) as f:
+            command = re.search(r'^run = "(.*)"$', f.read(), re.M).group(1).split(" ")
+        if self.starts:
+            with open(self.settings, "a") as f:
+                f.write("firstStart=false\n")
+        self.starts += 1
+        env = {k: os.environ[k] for k in ("PATH", "HOME", "JAVA_HOME", "LANG")
+               if k in os.environ}
         env["SADDLEHEAD_NODE_FILE"] = self.settings
         with open(self.log, "a") as log:
-            self.process = subprocess.Popen(
-                [program, "--metrics-port", str(self.metrics)], cwd=ROOT, env=env,
-                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log,
+                                            stdin=subprocess.DEVNULL)
 
     def status(self):
         """None while it runs, else as subprocess tells it."""
@@ -497,12 +503,15 @@
             scene.end()
 
     async def quiet():
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(lambda loop, context: None)
+        for sig in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(sig, task.cancel)
         return await whole()
 
     try:
         code = asyncio.run(quiet())
-    except Exception as e:  # the case itself failed
+    except (Exception, asyncio.CancelledError) as e:  # the case itself failed, or was stopped
         print("could not run: %r" % e)
         if os.environ.get("KEEP"):
             raise
