Relay: a moved stream that has run is not refused as not run

Cause: whether a request may have run was read off the open exchange with its server. A stream that moves before its first event gives that exchange up once the next engine is reached, or loses it when the source restarts, and no run is counted, as the move is the same run. Until the move ended, a deadline or the end of the instance answered 503. rq_refuse() did not ask at all whether an exchange was open.

Ruled out by the log (request_sent twice, source_let_go, request_ended with deadline and 503): a refusal from the queue, and an engine's "not run".

Change: an attempt remembers that its server was reached, until the server itself says that it has not run the request. Refusals and failures both ask.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -37,6 +37,7 @@
 	struct rq *rq;
 	struct be *be;
 	struct hx *hx;           /* NULL once it has ended */
+	int reached;             /* its server may have read the request */
 	struct be *replica;      /* receives a replica of its memory from the engine; or NULL */
 	int replica_refused;     /* a resumption from it was refused; its memory still counts */
 	int replica_freed;       /* the run succeeded, or its replica was taken over */
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -113,9 +113,22 @@
 	return why == REF_APPOINTMENT || why == REF_EARLY || why == REF_LATE;
 }
 
+/* Asks the attempt and not its exchange, which may be over: a stream that is moved gives up the
+ * connection to the engine that has run it. */
+static int att_may_have_run(const struct attempt *att)
+{
+	return att && att->reached && !att->not_run;
+}
+
+static int may_have_run(const struct rq *r)
+{
+	if (r->runs || r->head_sent) return 1;
+	return att_may_have_run(r->attempt) || att_may_have_run(r->next);
+}
+
 void rq_refuse(struct rq *r, enum refusal why, int64_t retry_us, const char *detail)
 {
-	if (r->runs || r->head_sent) {
+	if (may_have_run(r)) {
 		rq_fail(r, why, detail);
 		return;
 	}
@@ -126,13 +139,6 @@
 	answer_error(r, retry_us, refusal_info(why)->code, NULL);
 }
 
-/* A server may have read the request once its connection was up. */
-static int may_have_run(const struct rq *r)
-{
-	if (r->runs || r->head_sent) return 1;
-	return r->attempt && r->attempt->hx && r->attempt->hx->connected;
-}
-
 void rq_fail(struct rq *r, enum refusal why, const char *detail)
 {
 	if (!may_have_run(r)) {
--- a/src/relay/rq_answer.c
+++ b/src/relay/rq_answer.c
@@ -51,6 +51,7 @@
 {
 	struct attempt *att = x->user;
 
+	att->reached = 1;
 	att_note_reached(att);
 	if (att == att->rq->next) move_next_reached(att->rq);
 }
--- a/test/test_silent.c
+++ b/test/test_silent.c
@@ -2,6 +2,7 @@
 #include "check.h"
 #include "pw.h"
 #include "soak_proxy.h"
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -97,6 +98,79 @@
 	end();
 }
 
+/* A stream without an event whose connection falls silent, and whose copy is at an engine that
+ * does not answer. */
+static struct pw_call *begin_with_hanging_copy(struct pw_entry **e)
+{
+	struct pw_call *c;
+	int i;
+
+	*e = begin();
+	for (i = 0; i < ENGINES; i++) engine[i]->work_ms = 50;
+	c = pw_request(*e, "POST", "/chat/", 3000);
+	pw_run(30);
+	CU_ASSERT_EQUAL(pw_runs_of(c->id), 1);
+	for (i = 0; i < ENGINES; i++)
+		if (engine[i] != pw_run_of(c->id, 0)->server) engine[i]->mode = PW_HANG;
+	silence_links();
+	return c;
+}
+
+static int copy_was_sent(void *unused)
+{
+	(void)unused;
+	return engine[0]->copies + engine[1]->copies > 0;
+}
+
+/* Its first engine had run it, and the caller got a 503, which promises that it has not run. */
+static void a_moved_stream_that_has_run_is_not_refused_as_not_run(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c = begin_with_hanging_copy(&e);
+
+	CU_ASSERT(pw_until(copy_was_sent, NULL, 2900));
+	CU_ASSERT(pw_call_wait(c, 4000));
+	pw_run(300);
+	CU_ASSERT(pw_log_has(e, "source_let_go"));
+	CU_ASSERT_EQUAL(c->status, 504);
+	end();
+}
+
+/* The same when the first engine's entry tells, while the stream is moved, that it has
+ * restarted.
+ */
+static void a_moved_stream_whose_source_restarted_is_not_refused_as_not_run(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c = begin_with_hanging_copy(&e);
+	struct pw_server *source = pw_run_of(c->id, 0)->server;
+
+	source->incarnation_ms = 1000;
+	pw_server_list(source, "ready");
+	CU_ASSERT(pw_until(copy_was_sent, NULL, 2900));
+	source->incarnation_ms++;
+	pw_server_list(source, "ready");
+	CU_ASSERT(pw_call_wait(c, 4000));
+	pw_run(300);
+	CU_ASSERT(!pw_log_has(e, "source_let_go"));
+	CU_ASSERT_EQUAL(c->status, 504);
+	end();
+}
+
+/* The same when the instance stops meanwhile. */
+static void a_moved_stream_that_has_run_is_not_refused_when_its_instance_stops(void)
+{
+	struct pw_entry *e;
+	struct pw_call *c = begin_with_hanging_copy(&e);
+
+	CU_ASSERT(pw_until(copy_was_sent, NULL, 2900));
+	pw_run(200);
+	pw_entry_kill(e, SIGTERM);
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT_NOT_EQUAL(c->status, 503);
+	end();
+}
+
 /* The stream may be resumed by a new run, but an instance that has run for a few seconds has no
  * part of the fleet's retry budget: the stream was cut at its deadline. */
 static void a_stream_whose_repeat_is_held_back_leaves_a_silent_connection(void)
@@ -229,6 +303,12 @@
 	 a_stream_leaves_a_silent_connection_before_its_run_is_over},
 	{"a_stream_without_an_event_leaves_a_silent_connection",
 	 a_stream_without_an_event_leaves_a_silent_connection},
+	{"a_moved_stream_that_has_run_is_not_refused_as_not_run",
+	 a_moved_stream_that_has_run_is_not_refused_as_not_run},
+	{"a_moved_stream_whose_source_restarted_is_not_refused_as_not_run",
+	 a_moved_stream_whose_source_restarted_is_not_refused_as_not_run},
+	{"a_moved_stream_that_has_run_is_not_refused_when_its_instance_stops",
+	 a_moved_stream_that_has_run_is_not_refused_when_its_instance_stops},
 	{"a_stream_whose_repeat_is_held_back_leaves_a_silent_connection",
 	 a_stream_whose_repeat_is_held_back_leaves_a_silent_connection},
 	{"a_stream_that_its_engine_holds_up_stays", a_stream_that_its_engine_holds_up_stays},
