Test: no stream is joined from two versions while killed instances return

A report from a similar system: all entry instances were killed at once while two software versions were in service, or the engines of the old one had just left, and streams that were taken up afterwards were joined from two versions.

The new test kills all instances, with both versions listed and with the old one gone, and takes every stream up five times a second at each instance from the first moment of their return.

--- a/test/test_take_up.c
+++ b/test/test_take_up.c
@@ -227,6 +227,64 @@
 	pw_end();
 }
 
+#define RETURN_MS 4000 /* callers try again and again while instances come back */
+#define ROUND_MS 200
+
+/* Tries to take all streams up at each instance in turn. Returns the tries that went on at
+ * another version. */
+static int take_up_while_they_return(const int *last)
+{
+	static struct pw_call *c[RETURN_MS / ROUND_MS][VS_STREAMS];
+	int i, round, joined = 0;
+
+	for (round = 0; round < RETURN_MS / ROUND_MS; round++) {
+		for (i = 0; i < VS_STREAMS; i++) {
+			struct pw_entry *at = vs_entry[(i + round) % VS_INSTANCES];
+
+			c[round][i] = last[i] ? vs_take_up(at, vs_first[i]->id, last[i]) : NULL;
+		}
+		pw_run(ROUND_MS);
+	}
+	for (round = 0; round < RETURN_MS / ROUND_MS; round++)
+		for (i = 0; i < VS_STREAMS; i++) {
+			if (!c[round][i]) continue;
+			CU_ASSERT(pw_call_wait(c[round][i], 6000));
+			joined +=
+				vs_runs_elsewhere(c[round][i], vs_version_of(vs_first[i])) != 0;
+		}
+	return joined;
+}
+
+/* All instances are killed at once and come back: the callers take their streams up from the
+ * first moment on. old_leaves: the engines of the first version have just left. */
+static void check_return(int old_leaves)
+{
+	struct pw_server *s[4];
+	int i, last[VS_STREAMS], begun = 0;
+
+	start_with_two_versions(s, 4);
+	for (i = 0; old_leaves && i < 4; i += 2) pw_server_unlist(s[i]);
+	kill_instances(VS_INSTANCES);
+	cancel_all();
+	for (i = 0; old_leaves && i < 4; i += 2) pw_server_crash(s[i]);
+	for (i = 0; i < VS_STREAMS; i++) {
+		last[i] = last_event(vs_first[i]);
+		begun += last[i] > 0;
+	}
+	CU_ASSERT(begun >= VS_STREAMS / 2);
+	for (i = 0; i < VS_INSTANCES; i++) pw_entry_restart(vs_entry[i]);
+	CU_ASSERT_EQUAL(take_up_while_they_return(last), 0);
+	for (i = 0; i < VS_INSTANCES; i++) CU_ASSERT(pw_entry_until_ready(vs_entry[i]));
+	pw_end();
+}
+
+/* Streams were answered 200 and joined from two versions, the rest from the new one. */
+static void no_stream_is_joined_from_two_versions_while_killed_instances_return(void)
+{
+	check_return(0);
+	check_return(1);
+}
+
 /* The others don't answer: what they know can't be asked. */
 static void a_stream_is_refused_where_nobody_can_be_asked(void)
 {
@@ -337,6 +395,8 @@
 	 a_stream_is_refused_at_once_when_its_version_is_gone},
 	{"a_stream_is_refused_at_once_after_all_instances_were_killed",
 	 a_stream_is_refused_at_once_after_all_instances_were_killed},
+	{"no_stream_is_joined_from_two_versions_while_killed_instances_return",
+	 no_stream_is_joined_from_two_versions_while_killed_instances_return},
 	{"a_stream_is_refused_where_nobody_can_be_asked",
 	 a_stream_is_refused_where_nobody_can_be_asked},
 	{"a_stream_of_a_split_route_keeps_its_service",
