HTTP: heads that are not HTTP are refused

A server in trouble sent an answer whose status was 000, or in whose head the name of a field held a blank, and the caller got it as an answer: 26 of 30 such exchanges, end to end, with ten heads, two kinds of call and a stream.

Cause: http-parser checks this only when it is compiled to be strict, which the packaged library is not (it has no strict build), and nothing here checked again. 21 of 43 bad heads of answers were not refused by the parser, and 8 of 22 of requests.

Change: hp_scan reads the bytes of each head before the library does: line ends, and the status line. Names, values and reasons are checked as they are reported. All answers of servers and of the store pass through it, and all requests, which get 400.

Measured: test_heads, three of its four tests red before, green now.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 # Tests of the platform path: a small platform in the test's process, the real program beside it.
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_entry pw_store pw_server pw_crash pw_run pw_conf pw_caller pw_peer pw_query) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
-PW_TESTS = $(patsubst %,$(B)/test/test_%,segments trials links verdicts silent relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices canary regions hold partition helpers brittle restored slow stream_end versions take_up keepers keeper_loss keeper_frames scope endless rush shares continue continue_ways)
+PW_TESTS = $(patsubst %,$(B)/test/test_%,segments trials links verdicts silent relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices canary regions hold partition helpers brittle restored slow stream_end versions take_up keepers keeper_loss keeper_frames scope endless rush shares continue continue_ways heads)
 $(PW_TESTS) $(B)/bench/bench_entry $(B)/bench/bench_tunnel: $(PW_OBJ)
 $(B)/bench/bench_tunnel: | $(B)/test/entry_jump
 $(B)/test/test_partition $(B)/test/test_helpers $(B)/test/test_stream_end $(B)/test/test_continue_ways $(B)/test/test_keeper_loss: | $(B)/test/entry_jump
--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -39,11 +39,18 @@
 	return 0;
 }
 
+static int on_reason(http_parser *p, const char *at, size_t n)
+{
+	(void)p;
+	return hp_scan_is_text(at, n) ? 0 : -1;
+}
+
 static int on_field(http_parser *p, const char *at, size_t n)
 {
 	struct hp *m = self(p);
 	struct hp_field f;
 
+	if (!hp_scan_is_name(at, n)) return -1;
 	if (m->head.fields->len && !m->in_value) {
 		append_text(&m->head, at, n);
 		return 0;
@@ -61,6 +68,7 @@
 	struct hp_field *f =
 		&g_array_index(m->head.fields, struct hp_field, m->head.fields->len - 1);
 
+	if (!hp_scan_is_text(at, n)) return -1;
 	if (m->in_value) {
 		append_text(&m->head, at, n);
 		return 0;
@@ -108,6 +116,7 @@
 static const http_parser_settings settings = {
 	.on_message_begin = on_begin,
 	.on_url = on_url,
+	.on_status = on_reason,
 	.on_header_field = on_field,
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers,
@@ -120,6 +129,7 @@
 	memset(p, 0, sizeof *p);
 	http_parser_init(&p->parser, request ? HTTP_REQUEST : HTTP_RESPONSE);
 	p->parser.data = p;
+	p->scan.request = request;
 	p->head.text = g_string_new(NULL);
 	p->head.fields = g_array_new(FALSE, FALSE, sizeof(struct hp_field));
 }
@@ -130,6 +140,7 @@
 	p->parser.data = p;
 	g_string_truncate(p->head.text, 0);
 	g_array_set_size(p->head.fields, 0);
+	p->scan = (struct hp_scan){.request = p->scan.request};
 	p->head_bytes = 0;
 	p->in_value = p->head_done = p->done = 0;
 }
@@ -142,13 +153,13 @@
 	p->head.fields = NULL;
 }
 
-ssize_t hp_feed(struct hp *p, const char *at, size_t n)
+/* Parses bytes of the head, or of the body. Returns like hp_feed. */
+static ssize_t parse(struct hp *p, const char *at, size_t n)
 {
 	enum http_errno err;
 	size_t used;
 	int had_head = p->head_done;
 
-	if (p->done) return 0;
 	used = http_parser_execute(&p->parser, &settings, at, n);
 	err = HTTP_PARSER_ERRNO(&p->parser);
 	if (!had_head) p->head_bytes += used;
@@ -158,7 +169,21 @@
 	if (!had_head && p->head_max && p->head.text->len > p->head_max) return -EMSGSIZE;
 	if (err != HPE_OK && err != HPE_PAUSED) return -EBADMSG;
 	if (p->parser.upgrade) return -EBADMSG;
-	return used;
+	return (ssize_t)used;
+}
+
+ssize_t hp_feed(struct hp *p, const char *at, size_t n)
+{
+	ssize_t head, used;
+
+	if (p->done) return 0;
+	if (p->scan.over) return parse(p, at, n);
+	head = hp_scan_head(&p->scan, at, n);
+	if (head < 0) return head;
+	used = parse(p, at, (size_t)head);
+	if (used < 0 || p->done || !p->scan.over || (size_t)head == n) return used;
+	used = parse(p, at + head, n - (size_t)head);
+	return used < 0 ? used : head + used;
 }
 
 int hp_end(struct hp *p)
--- a/src/internal/hp.h
+++ b/src/internal/hp.h
@@ -1,6 +1,7 @@
 /* Incremental parser (hp_) of an HTTP/1.1 request or answer, on top of http-parser. */
 #ifndef SH_HP_H
 #define SH_HP_H
+#include "hp_scan.h"
 #include <glib.h>
 #include <http_parser.h>
 #include <stdint.h>
@@ -29,6 +30,7 @@
 
 struct hp {
 	http_parser parser;
+	struct hp_scan scan;
 	struct hp_head head;
 	size_t head_max;   /* bytes; 0: only http-parser's own limit */
 	size_t head_bytes; /* parsed so far */
--- a/test/pw.h
+++ b/test/pw.h
@@ -137,6 +137,7 @@
 	PW_NO_CONTENT,  /* 204, signed */
 	PW_EXTRA,       /* a second answer after the first */
 	PW_GARBAGE,     /* bytes that are not HTTP */
+	PW_RAW,         /* the bytes of raw_answer */
 	PW_CUT_HEAD,    /* a success whose head is cut by a close */
 	PW_UNTIL_CLOSE, /* no length: the answer ends when the connection closes */
 	PW_CUT_CLOSE,   /* no length, reset in the middle */
@@ -183,7 +184,8 @@
 	enum pw_mode mode;
 	enum pw_framing framing;
 	enum pw_break_end break_end;
-	int break_between; /* PW_BREAK ends a stream between two events, not inside one */
+	const char *raw_answer; /* "%s" in it stands for the request's id */
+	int break_between;      /* PW_BREAK ends a stream between two events, not inside one */
 	int engine;
 	int work_ms, event_ms, events, break_after;
 	int event_bytes;    /* of padding in each event */
--- a/test/pw_run.c
+++ b/test/pw_run.c
@@ -310,6 +310,16 @@
 	hs_finish(h);
 }
 
+static void answer_raw(struct pw_run *r)
+{
+	char **part = g_strsplit(r->server->raw_answer, "%s", -1);
+	char *bytes = g_strjoinv(r->id, part);
+
+	answer_bytes_only(r, bytes);
+	g_strfreev(part);
+	g_free(bytes);
+}
+
 static void answer_false_503(struct pw_run *r)
 {
 	struct pw_server *s = r->server;
@@ -329,6 +339,7 @@
 	case PW_HANG: return;
 	case PW_RESET: reset(r); return;
 	case PW_GARBAGE: answer_bytes_only(r, "what is this\r\n\r\n"); return;
+	case PW_RAW: answer_raw(r); return;
 	case PW_CUT_HEAD: answer_bytes_only(r, "HTTP/1.1 200 X\r\nX-Req"); return;
 	case PW_FALSE_503: answer_false_503(r); return;
 	case PW_ENDLESS_HEAD:
--- /dev/null
+++ b/test/test_heads.c
@@ -0,0 +1,242 @@
+/* Answers whose heads are not HTTP: a server in trouble sends them, no caller gets them. */
+#include "check.h"
+#include "hp.h"
+#include "pw.h"
+#include <errno.h>
+#include <string.h>
+
+#define DEADLINE_MS 2000
+
+/* ---- the parser ---- */
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define END "Content-Length: 0\r\n\r\n"
+
+/* A head, with its length, as it may contain a NUL. */
+struct head {
+	const char *bytes;
+	size_t n;
+};
+#define HEAD(text)                       \
+	{                                \
+		(text), sizeof(text) - 1 \
+	}
+
+static const struct head bad_answers[] = {
+	/* status lines */
+	HEAD("HTTP/1.1 000 X\r\n" END),
+	HEAD("HTTP/1.1 099 X\r\n" END),
+	HEAD("HTTP/1.1 20 X\r\n" END),
+	HEAD("HTTP/1.1 0200 X\r\n" END),
+	HEAD("HTTP/1.1 600 X\r\n" END),
+	HEAD("HTTP/1.1 999 X\r\n" END),
+	HEAD("HTTP/1.1 2000 X\r\n" END),
+	HEAD("HTTP/1.1 -20 X\r\n" END),
+	HEAD("HTTP/1.1  200 X\r\n" END),
+	HEAD("HTTP/1.1\t200 X\r\n" END),
+	HEAD("HTTP/1.1 200\tX\r\n" END),
+	HEAD("HTTP/0.9 200 X\r\n" END),
+	HEAD("HTTP/2.0 200 X\r\n" END),
+	HEAD("HTTP/11.1 200 X\r\n" END),
+	HEAD("http/1.1 200 X\r\n" END),
+	HEAD("ICY 200 X\r\n" END),
+	HEAD("\r\n" OK END),
+	HEAD("HTTP/1.1 200 O\1K\r\n" END),
+	HEAD("HTTP/1.1 200 O\0K\r\n" END),
+	HEAD("HTTP/1.1 200 O\177K\r\n" END),
+	HEAD("HTTP/1.1 200 O\rK\r\n" END),
+};
+
+/* These are the same in requests. */
+static const struct head bad_fields[] = {
+	HEAD("X-A : b\r\n" END),
+	HEAD("X A: b\r\n" END),
+	HEAD(" X-A: b\r\n" END),
+	HEAD("\tX-A: b\r\n" END),
+	HEAD("X-A\t: b\r\n" END),
+	HEAD("X\1A: b\r\n" END),
+	HEAD("X\0A: b\r\n" END),
+	HEAD("X\177A: b\r\n" END),
+	HEAD("X\351A: b\r\n" END),
+	HEAD(": b\r\n" END),
+	HEAD("X-A\r\n" END),
+	HEAD("X-A\rX-B: b\r\n" END),
+	HEAD("X-A: \1b\r\n" END),
+	HEAD("X-A: \0b\r\n" END),
+	HEAD("X-A: a\1b\r\n" END),
+	HEAD("X-A: a\0b\r\n" END),
+	HEAD("X-A: a\177b\r\n" END),
+	HEAD("X-A: a\rb\r\n" END),
+	HEAD("X-A: \rX-B: b\r\n" END),
+	HEAD("X-A: b\r\n\rX" END),
+	HEAD("Content-Length : 0\r\n\r\n"),
+	HEAD("Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"),
+};
+
+static const struct head good_answers[] = {
+	HEAD(OK END),
+	HEAD("HTTP/1.0 200 OK\r\n" END),
+	HEAD("HTTP/1.1 200\r\n" END),
+	HEAD("HTTP/1.1 200 \r\n" END),
+	HEAD("HTTP/1.1 599 \351 \t reason\r\n" END),
+	HEAD("HTTP/1.1 200 OK\nX-A: b\nContent-Length: 0\n\n"),
+	HEAD(OK "X-A:b\r\n" END),
+	HEAD(OK "X-A: \t b \t\r\n" END),
+	HEAD(OK "X-A:\r\n" END),
+	HEAD(OK "X-A: \351\r\n" END),
+	HEAD(OK "X-A: a\r\n b\r\n" END),
+	HEAD(OK "!#$%&'*+-.^_`|~09azAZ: b\r\n" END),
+};
+
+/* Whole, and byte by byte. */
+static void feed(const char *p, size_t n, int request, ssize_t *whole, ssize_t *bytewise)
+{
+	struct hp h;
+	size_t i;
+
+	hp_init(&h, request);
+	*whole = hp_feed(&h, p, n);
+	if (*whole >= 0 && !h.done) *whole = -EPIPE;
+	hp_free(&h);
+	hp_init(&h, request);
+	*bytewise = 0;
+	for (i = 0; i < n && *bytewise >= 0; i++) *bytewise = hp_feed(&h, p + i, 1);
+	if (*bytewise >= 0 && !h.done) *bytewise = -EPIPE;
+	hp_free(&h);
+}
+
+static void check_bad(const char *p, size_t n, int request)
+{
+	ssize_t whole, bytewise;
+
+	feed(p, n, request, &whole, &bytewise);
+	if (whole != -EBADMSG || bytewise != -EBADMSG)
+		fprintf(stderr, "accepted (%zd, %zd): %s", whole, bytewise, p);
+	CU_ASSERT_EQUAL(whole, -EBADMSG);
+	CU_ASSERT_EQUAL(bytewise, -EBADMSG);
+}
+
+static void check_field(const char *start, const struct head *field, int request)
+{
+	GString *g = g_string_new(start);
+
+	g_string_append_len(g, field->bytes, (gssize)field->n);
+	check_bad(g->str, g->len, request);
+	g_string_free(g, TRUE);
+}
+
+/* A status of 000 was passed on, and so was a field whose name held a blank. */
+static void heads_that_are_no_http_are_refused(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad_answers); i++)
+		check_bad(bad_answers[i].bytes, bad_answers[i].n, 0);
+	for (i = 0; i < G_N_ELEMENTS(bad_fields); i++) {
+		check_field(OK, &bad_fields[i], 0);
+		check_field("GET / HTTP/1.1\r\n", &bad_fields[i], 1);
+	}
+}
+
+static void heads_that_are_http_are_accepted(void)
+{
+	ssize_t whole, bytewise;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(good_answers); i++) {
+		feed(good_answers[i].bytes, good_answers[i].n, 0, &whole, &bytewise);
+		CU_ASSERT_EQUAL(whole, (ssize_t)good_answers[i].n);
+		CU_ASSERT(bytewise >= 0);
+	}
+	feed("\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", 31, 1, &whole, &bytewise);
+	CU_ASSERT_EQUAL(whole, 31);
+	CU_ASSERT(bytewise >= 0);
+}
+
+/* ---- the whole way ---- */
+
+#define NAMED "X-Request-Id: %s\r\nX-Response-Signature: sig\r\n"
+
+static const char *const odd[] = {
+	"HTTP/1.1 000 X\r\n" NAMED END,
+	"HTTP/1.1 999 X\r\n" NAMED END,
+	"HTTP/1.1 0200 X\r\n" NAMED END,
+	"HTTP/2.0 200 X\r\n" NAMED END,
+	OK NAMED "X-A : b\r\n" END,
+	OK NAMED "X A: b\r\n" END,
+	OK NAMED "X-A: \1b\r\n" END,
+	OK NAMED "Content-Length : 9\r\n" END,
+	OK NAMED "Transfer-Encoding : chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+	OK NAMED "X-A: b\r\n\rXContent-Length: 0\r\n\r\n",
+};
+
+static void begin(struct pw_server **s, struct pw_entry **e, const char *service)
+{
+	int i;
+
+	pw_init();
+	for (i = 0; i < 2; i++) s[i] = pw_server_add(service, !strcmp(service, "llm"));
+	*e = pw_entry_ready();
+}
+
+static void answer_oddly(struct pw_server *s, const char *bytes)
+{
+	s->mode = PW_RAW;
+	s->raw_answer = bytes;
+}
+
+/* Both servers answer so. */
+static void check_refused(const char *service, const char *path, const char *bytes)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+
+	begin(s, &e, service);
+	answer_oddly(s[0], bytes);
+	answer_oddly(s[1], bytes);
+	c = pw_request(e, "POST", path, DEADLINE_MS);
+	CU_ASSERT(pw_call_wait(c, DEADLINE_MS + 500));
+	if (c->status != 502) fprintf(stderr, "%s: %d for %s", path, c->status, bytes);
+	CU_ASSERT_EQUAL(c->status, 502);
+	CU_ASSERT_STRING_EQUAL(c->signature, "");
+	CU_ASSERT(pw_runs_of(c->id) >= 1);
+	pw_end();
+}
+
+static void no_caller_gets_an_answer_that_is_no_http(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		check_refused("app", "/safe/", odd[i]);
+		check_refused("app", "/unsafe/", odd[i]);
+		check_refused("llm", "/chat/", odd[i]);
+	}
+}
+
+static void a_safe_call_is_served_by_another_server(void)
+{
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+	size_t i;
+
+	begin(s, &e, "app");
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		answer_oddly(s[0], odd[i]);
+		c = pw_request(e, "POST", "/safe/", DEADLINE_MS);
+		CU_ASSERT(pw_call_wait(c, DEADLINE_MS + 500));
+		CU_ASSERT_EQUAL(c->status, 200);
+	}
+	pw_end();
+}
+
+static const struct check list[] = {
+	{"heads_that_are_no_http_are_refused", heads_that_are_no_http_are_refused},
+	{"heads_that_are_http_are_accepted", heads_that_are_http_are_accepted},
+	{"no_caller_gets_an_answer_that_is_no_http", no_caller_gets_an_answer_that_is_no_http},
+	{"a_safe_call_is_served_by_another_server", a_safe_call_is_served_by_another_server},
+};
+
+CHECK_MAIN(list)
