Own interface: a trailer without end is given up

A faulty engine sent bytes without end, and the process that had called it kept them all.

Bodies are bounded by this project's own code (eng_call, sse).

Change: the bytes of all heads and the trailer of one exchange are counted, and more than 128 KB end it.

--- a/src/internal/mux.h
+++ b/src/internal/mux.h
@@ -14,10 +14,11 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	char *body;
-	int64_t start_us; /* earliest start, monotonic clock */
-	int64_t last_us;  /* when data last arrived */
-	int64_t stall_us; /* ends after this long without data; 0: never */
-	int bad_head;     /* it is not HTTP: the exchange has no status */
+	int64_t start_us;  /* earliest start, monotonic clock */
+	int64_t last_us;   /* when data last arrived */
+	int64_t stall_us;  /* ends after this long without data; 0: never */
+	size_t head_bytes; /* received of heads and trailer */
+	int bad_head;      /* too large, or not HTTP: the exchange has no status */
 	int running, paused, cancelled, stalled, has_data;
 	/* Returns 0, or -1 to end the exchange. */
 	int (*on_data)(struct mux_xfer *x, const char *data, size_t n);
--- a/src/link/mux.c
+++ b/src/link/mux.c
@@ -16,6 +16,8 @@
 #define EVENTS_MAX 256
 #define CMDS_MAX 256
 #define SWEEP_US 100000
+/* Bytes of all heads and the trailer of one exchange: libcurl keeps each line of them. */
+#define HEAD_MAX 131072
 
 enum cmd_type { CMD_SUBMIT, CMD_CANCEL, CMD_RESUME };
 
@@ -141,7 +143,8 @@
 	struct mux_xfer *x = user;
 
 	x->last_us = x->mux->now_us;
-	if (!hp_scan_is_line(data, size * n)) {
+	x->head_bytes += size * n;
+	if (x->head_bytes > HEAD_MAX || !hp_scan_is_line(data, size * n)) {
 		x->bad_head = 1;
 		return 0;
 	}
--- a/test/test_mux.c
+++ b/test/test_mux.c
@@ -13,6 +13,7 @@
 #define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
 #define DONE_MS 3000
 #define ENDLESS_MAX (256 << 20) /* bytes that the server sends at most */
+#define TAKEN_MAX (16 << 20)    /* with what both kernels hold */
 
 /* Sends start once, and then more again and again until the peer closes, unless it is empty. */
 struct raw_server {
@@ -172,9 +173,35 @@
 	CU_ASSERT_EQUAL(r.status, 200);
 }
 
+/* libcurl kept each line of a trailer without end: 3 GB of memory after 286 MB. */
+static void a_head_or_a_trailer_without_end_is_given_up(void)
+{
+	static const char *const endless[][2] = {
+		{OK "X: ", "x"},
+		{OK, "X: y\r\n"},
+		{"HTTP/1.1 200 ", "x"},
+		{"", "HTTP/1.1 100 X\r\nX: y\r\n\r\n"},
+		{"", "\r\n"},
+		{CHUNKED "0\r\n", "X: y\r\n"},
+		{CHUNKED "0\r\nX: ", "y"},
+	};
+	struct result r;
+	size_t i, taken;
+
+	for (i = 0; i < G_N_ELEMENTS(endless); i++) {
+		taken = exchange(endless[i][0], endless[i][1], &r);
+		if (taken > TAKEN_MAX) fprintf(stderr, "%zu: %zu MB taken\n", i, taken >> 20);
+		CU_ASSERT(r.done);
+		CU_ASSERT_NOT_EQUAL(r.rc, CURLE_OK);
+		CU_ASSERT(taken <= TAKEN_MAX);
+	}
+}
+
 static const struct check list[] = {
 	{"heads_that_are_no_http_are_refused", heads_that_are_no_http_are_refused},
 	{"heads_that_are_http_are_accepted", heads_that_are_http_are_accepted},
+	{"a_head_or_a_trailer_without_end_is_given_up",
+	 a_head_or_a_trailer_without_end_is_given_up},
 };
 
 CHECK_MAIN(list)
