HTTP: interim answers are not taken for the answer

A status from 100 to 199 of a server was passed on as its answer where it named the request (100 and 101, end to end), and made a 502 of a good answer that followed where it did not. The same cause as with bad heads: what the parser reports was not judged.

Change: the parser drops interim answers and reads on; a change of protocol, which nobody asks for, is a bad head. The heads of one exchange are counted together, 128 KB at most, so that interim answers have an end.

--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <strings.h>
 
+/* Bytes of an answer's head with the interim ones before it. */
+#define HEADS_MAX 131072
+
 static struct hp *self(http_parser *p)
 {
 	return p->data;
@@ -85,10 +88,20 @@
 	return HP_BY_CLOSE;
 }
 
+/* Another answer follows one whose status is below 200, unless the protocol changes. */
+static int on_interim_headers(struct hp *m)
+{
+	if (m->parser.status_code == HTTP_STATUS_SWITCHING_PROTOCOLS) return -1;
+	m->interim = 1;
+	return 1;
+}
+
 static int on_headers(http_parser *p)
 {
 	struct hp *m = self(p);
 
+	if (p->type == HTTP_RESPONSE && p->status_code < HTTP_STATUS_OK)
+		return on_interim_headers(m);
 	m->head.method = p->method;
 	m->head.status = p->status_code;
 	m->framing = framing_of(p);
@@ -108,7 +121,9 @@
 
 static int on_complete(http_parser *p)
 {
-	self(p)->done = 1;
+	struct hp *m = self(p);
+
+	m->done = !m->interim;
 	http_parser_pause(p, 1);
 	return 0;
 }
@@ -134,15 +149,21 @@
 	p->head.fields = g_array_new(FALSE, FALSE, sizeof(struct hp_field));
 }
 
-void hp_reset(struct hp *p)
+static void begin_head(struct hp *p)
 {
 	http_parser_init(&p->parser, p->parser.type);
 	p->parser.data = p;
 	g_string_truncate(p->head.text, 0);
 	g_array_set_size(p->head.fields, 0);
 	p->scan = (struct hp_scan){.request = p->scan.request};
+	p->in_value = p->interim = 0;
+}
+
+void hp_reset(struct hp *p)
+{
+	begin_head(p);
 	p->head_bytes = 0;
-	p->in_value = p->head_done = p->done = 0;
+	p->head_done = p->done = 0;
 }
 
 void hp_free(struct hp *p)
@@ -153,6 +174,11 @@
 	p->head.fields = NULL;
 }
 
+static size_t head_max(const struct hp *p)
+{
+	return p->head_max ? p->head_max : HEADS_MAX;
+}
+
 /* Parses bytes of the head, or of the body. Returns like hp_feed. */
 static ssize_t parse(struct hp *p, const char *at, size_t n)
 {
@@ -165,25 +191,34 @@
 	if (!had_head) p->head_bytes += used;
 	if (p->rc) return p->rc;
 	if (err == HPE_HEADER_OVERFLOW) return -EMSGSIZE;
-	if (!p->head_done && p->head_max && p->head_bytes > p->head_max) return -EMSGSIZE;
-	if (!had_head && p->head_max && p->head.text->len > p->head_max) return -EMSGSIZE;
+	if (!p->head_done && p->head_bytes > head_max(p)) return -EMSGSIZE;
+	if (!had_head && p->head.text->len > head_max(p)) return -EMSGSIZE;
 	if (err != HPE_OK && err != HPE_PAUSED) return -EBADMSG;
 	if (p->parser.upgrade) return -EBADMSG;
 	return (ssize_t)used;
 }
 
+/* Parses up to the end of the head, if that has not ended yet. Returns like hp_feed. */
+static ssize_t feed_part(struct hp *p, const char *at, size_t n)
+{
+	ssize_t head = (ssize_t)n;
+
+	if (!p->scan.over) head = hp_scan_head(&p->scan, at, n);
+	return head < 0 ? head : parse(p, at, (size_t)head);
+}
+
 ssize_t hp_feed(struct hp *p, const char *at, size_t n)
 {
-	ssize_t head, used;
+	size_t used = 0;
 
-	if (p->done) return 0;
-	if (p->scan.over) return parse(p, at, n);
-	head = hp_scan_head(&p->scan, at, n);
-	if (head < 0) return head;
-	used = parse(p, at, (size_t)head);
-	if (used < 0 || p->done || !p->scan.over || (size_t)head == n) return used;
-	used = parse(p, at + head, n - (size_t)head);
-	return used < 0 ? used : head + used;
+	while (used < n && !p->done) {
+		ssize_t part = feed_part(p, at + used, n - used);
+
+		if (part < 0) return part;
+		used += (size_t)part;
+		if (p->interim) begin_head(p);
+	}
+	return (ssize_t)used;
 }
 
 int hp_end(struct hp *p)
--- a/src/internal/hp.h
+++ b/src/internal/hp.h
@@ -32,10 +32,11 @@
 	http_parser parser;
 	struct hp_scan scan;
 	struct hp_head head;
-	size_t head_max;   /* bytes; 0: only http-parser's own limit */
-	size_t head_bytes; /* parsed so far */
+	size_t head_max;   /* bytes; 0: a default */
+	size_t head_bytes; /* parsed so far, with those of interim answers */
 	int in_value, head_done, done, no_body;
-	enum hp_framing framing;      /* valid once head_done is set */
+	int interim;             /* the head is that of an interim answer, which is dropped */
+	enum hp_framing framing; /* valid once head_done is set */
 	int (*on_head)(struct hp *p); /* returns 0, or a negative errno that stops parsing */
 	int (*on_body)(struct hp *p, const char *at, size_t n);
 	int rc; /* last return value of a callback */
--- a/test/test_heads.c
+++ b/test/test_heads.c
@@ -153,6 +153,62 @@
 	CU_ASSERT(bytewise >= 0);
 }
 
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+#define ENDLESS_MAX (8 << 20) /* bytes fed */
+#define KEPT_MAX (256 << 10)
+
+/* The bytes fed until the message is given up. */
+static size_t feed_endless(struct hp *h, const char *start, const char *more)
+{
+	GString *block = g_string_new(start);
+	size_t fed = 0;
+	ssize_t rc = 0;
+
+	while (rc >= 0 && fed < ENDLESS_MAX && !h->done) {
+		while (block->len < 16384) g_string_append(block, more);
+		rc = hp_feed(h, block->str, block->len);
+		fed += block->len;
+		g_string_truncate(block, 0);
+	}
+	g_string_free(block, TRUE);
+	return fed;
+}
+
+/* A server that sends without end filled the memory of whoever had called it. */
+static void no_head_without_end_is_kept(void)
+{
+	static const char *const endless[][2] = {
+		{OK "X: ", "x"},
+		{OK "X: ", " "},
+		{OK "X: y\r\n", " \r\n"},
+		{OK, "X: y\r\n"},
+		{OK, "x"},
+		{OK "Content-Length: ", "0"},
+		{"HTTP/1.1 200 ", "x"},
+		{"", "\r\n"},
+		{"", "noise"},
+		{"", "HTTP/1.1 100 X\r\nX: y\r\n\r\n"},
+		{CHUNKED "1;", "x"},
+		{CHUNKED, "0"},
+		{CHUNKED "1", " "},
+		{CHUNKED "0\r\n", "X: y\r\n"},
+		{CHUNKED "0\r\nX: ", "y"},
+		{CHUNKED "0\r\nX: y\r\n", " \r\n"},
+	};
+	size_t i, fed;
+	struct hp h;
+
+	for (i = 0; i < G_N_ELEMENTS(endless); i++) {
+		hp_init(&h, 0);
+		fed = feed_endless(&h, endless[i][0], endless[i][1]);
+		if (fed > KEPT_MAX || h.done) fprintf(stderr, "%zu: %zu bytes\n", i, fed);
+		CU_ASSERT(!h.done);
+		CU_ASSERT(fed <= KEPT_MAX);
+		CU_ASSERT(h.head.text->len <= KEPT_MAX);
+		hp_free(&h);
+	}
+}
+
 /* ---- the whole way ---- */
 
 #define NAMED "X-Request-Id: %s\r\nX-Response-Signature: sig\r\n"
@@ -215,6 +271,41 @@
 	}
 }
 
+#define BODY "Content-Length: 2\r\n\r\nab"
+
+/* An interim answer was taken for the answer, or for none that is valid. */
+static void an_interim_answer_is_not_the_answer(void)
+{
+	static const char *const interim[] = {
+		"HTTP/1.1 100 X\r\n\r\n" OK NAMED BODY,
+		"HTTP/1.1 103 X\r\n" NAMED "X-A: b\r\n\r\n" OK NAMED BODY,
+		"HTTP/1.1 102 X\r\nConnection: close\r\n" NAMED
+		"\r\nHTTP/1.1 199 X\r\n\r\n" OK NAMED BODY,
+	};
+	static const char *const alone[] = {
+		"HTTP/1.1 100 X\r\n" NAMED "\r\n",
+		"HTTP/1.1 101 X\r\n" NAMED "\r\n",
+		"HTTP/1.1 101 X\r\n" NAMED
+		"Connection: upgrade\r\nUpgrade: a\r\n\r\n" OK NAMED BODY,
+	};
+	struct pw_server *s[2];
+	struct pw_entry *e;
+	struct pw_call *c;
+	size_t i;
+
+	begin(s, &e, "app");
+	for (i = 0; i < G_N_ELEMENTS(interim); i++) {
+		answer_oddly(s[0], interim[i]);
+		answer_oddly(s[1], interim[i]);
+		c = pw_request(e, "POST", "/unsafe/", DEADLINE_MS);
+		CU_ASSERT(pw_call_wait(c, DEADLINE_MS + 500));
+		CU_ASSERT_EQUAL(c->status, 200);
+		CU_ASSERT_STRING_EQUAL(c->body->str, "ab");
+	}
+	pw_end();
+	for (i = 0; i < G_N_ELEMENTS(alone); i++) check_refused("app", "/unsafe/", alone[i]);
+}
+
 static void a_safe_call_is_served_by_another_server(void)
 {
 	struct pw_server *s[2];
@@ -236,6 +327,8 @@
 	{"heads_that_are_no_http_are_refused", heads_that_are_no_http_are_refused},
 	{"heads_that_are_http_are_accepted", heads_that_are_http_are_accepted},
 	{"no_caller_gets_an_answer_that_is_no_http", no_caller_gets_an_answer_that_is_no_http},
+	{"an_interim_answer_is_not_the_answer", an_interim_answer_is_not_the_answer},
+	{"no_head_without_end_is_kept", no_head_without_end_is_kept},
 	{"a_safe_call_is_served_by_another_server", a_safe_call_is_served_by_another_server},
 };
 
