Relay: a stream goes on only at an incarnation that says so itself

A report from a similar system: during a release one instance was out of step, and streams that were taken up there went on at an engine of another version.

Tried with test_out_of_step: an instance that stands still, is cut off from the others and the store, or from the store alone, while engines of a new version join. No stream was joined on the code as it was; these tests pass from the start. One variant was red: engines come back under their ids as another version, and the instance that is cut off sends them the rest of streams of the old one (no_stream_goes_on_at_an_id_that_came_back_as_another_version).

Cause: the version of an engine is that of its entry, which may be out of date, and the id tells nothing where ids come back.

A newer start ends the old incarnation, and another engine is chosen. Engines that state no start have a new id each time, and are not asked.

Measured: test_out_of_step, five tests: green. test_life, versions, take_up, silent, continue, copies: green.

--- a/Makefile
+++ b/Makefile
@@ -57,14 +57,14 @@
 # Tests of the platform path: a small platform in the test's process, the real program beside it.
 PW_OBJ = $(patsubst %,$(B)/test/%.o,pw pw_entry pw_store pw_server pw_crash pw_run pw_conf pw_caller pw_peer pw_query) $(B)/platform/pf_json.o \
 	$(patsubst %.c,$(B)/%.o,$(wildcard src/http/*.c))
-PW_TESTS = $(patsubst %,$(B)/test/test_%,segments trials links verdicts silent relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices canary regions hold partition helpers brittle restored slow stream_end versions take_up keepers keeper_loss keeper_frames scope endless rush shares continue continue_ways heads)
+PW_TESTS = $(patsubst %,$(B)/test/test_%,segments trials links verdicts silent relay wait leave entry mesh standby copies crash jump life drain cold repeats lists limits notices canary regions hold partition helpers brittle restored slow stream_end versions take_up keepers keeper_loss keeper_frames scope endless rush shares continue continue_ways heads out_of_step)
 $(PW_TESTS) $(B)/bench/bench_entry $(B)/bench/bench_tunnel: $(PW_OBJ)
 $(B)/bench/bench_tunnel: | $(B)/test/entry_jump
-$(B)/test/test_partition $(B)/test/test_helpers $(B)/test/test_stream_end $(B)/test/test_continue_ways $(B)/test/test_keeper_loss: | $(B)/test/entry_jump
+$(B)/test/test_partition $(B)/test/test_helpers $(B)/test/test_stream_end $(B)/test/test_continue_ways $(B)/test/test_keeper_loss $(B)/test/test_out_of_step: | $(B)/test/entry_jump
 $(B)/test/test_links $(B)/test/test_verdicts $(B)/test/test_silent $(B)/test/test_keeper_loss $(B)/test/test_keeper_frames: $(B)/test/soak_proxy.o
 $(B)/test/test_keeper_loss $(B)/test/test_keeper_frames: $(B)/test/keeper_load.o
 $(B)/test/test_links $(B)/test/test_verdicts: $(B)/test/relayed.o
-$(B)/test/test_versions $(B)/test/test_take_up $(B)/test/test_keepers: $(B)/test/versions.o
+$(B)/test/test_versions $(B)/test/test_take_up $(B)/test/test_keepers $(B)/test/test_out_of_step: $(B)/test/versions.o
 $(B)/test/test_rush $(B)/test/test_shares: $(B)/test/rush.o
 $(B)/test/test_continue $(B)/test/test_continue_ways: $(B)/test/continue.o
 $(B)/test/test_stream_end $(B)/test/test_continue_ways: $(B)/test/tunneled.o
--- a/src/fleet/probe.c
+++ b/src/fleet/probe.c
@@ -76,6 +76,8 @@
 	struct dl_report r;
 
 	dl_read_report(body->str, body->len, &r);
+	if (r.incarnation_ms && r.incarnation_ms == b->incarnation_ms)
+		b->confirmed_us = clock_us();
 	if (!be_is_incarnation(b, r.incarnation_ms) && r.incarnation_ms > b->incarnation_ms)
 		be_end_incarnation(b, "its own report");
 	else if (r.leaving)
--- a/src/internal/be.h
+++ b/src/internal/be.h
@@ -76,6 +76,7 @@
 	int refs;
 	char *id;
 	int64_t incarnation_ms; /* start of this incarnation by its own clock; 0: unknown */
+	int64_t confirmed_us;   /* when its own report stated that; 0: never */
 	char *service, *dc, *address;
 	char *version; /* of its software; empty: not stated */
 	/* Equal for servers of one service and version; 0: unknown, and equal to none. */
--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -135,6 +135,12 @@
 	struct ev_timer timer;
 };
 
+/* The engine whose report a stream waits for before it goes on there; NULL: none. */
+struct rq_confirm {
+	struct be *be;
+	struct ev_timer timer;
+};
+
 struct rq {
 	struct hs *h;
 	struct conf *conf;
@@ -156,6 +162,7 @@
 	int64_t expected_wait_us; /* expected wait at that time ... */
 	int64_t forecast_us;      /* ... and by the forecast alone, without past errors */
 	struct rq_origin origin;
+	struct rq_confirm confirm;
 	enum rq_bound bound;
 	uint64_t version_key;   /* of its service and version, if bound */
 	uint32_t rollout_roles; /* bits of enum ro_role: servers that it may go to at present */
@@ -322,6 +329,14 @@
 /* The service of its route that has servers of the version that r is bound to; NULL: none. */
 const char *rq_bound_service(const struct rq *r);
 
+/* rq_confirm.c */
+/* 1 when r is to go on at b and waits for b's report; 0: it may be sent. */
+int rq_confirm_incarnation(struct rq *r, struct be *b);
+/* If r waits for b's report, these place it again, or refuse it. */
+void confirm_on_report(struct rq *r, const struct be *b);
+void confirm_on_incarnation_end(struct rq *r, const struct be *b);
+void confirm_stop(struct rq *r);
+
 /* rq_pick.c */
 /* The place in the ring of servers where this instance starts its walk. */
 uint32_t rq_walk_start(void);
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -73,6 +73,7 @@
 	ev_stop(&r->silence_timer);
 	ev_stop(&r->origin.timer);
 	ev_stop(&r->trial_timer);
+	confirm_stop(r);
 	att_free(r->attempt);
 	att_free(r->next);
 	if (r->answer) g_string_free(r->answer, TRUE);
@@ -312,6 +313,8 @@
 		if (i >= rq_all->len || g_ptr_array_index(rq_all, i) != r) continue;
 		if (r->attempt && r->attempt->be == b && r->attempt->hx)
 			att_server_gone(r->attempt);
+		else
+			confirm_on_incarnation_end(r, b);
 	}
 	rq_note_incarnation_end(b);
 }
--- a/src/relay/rq_send.c
+++ b/src/relay/rq_send.c
@@ -193,6 +193,7 @@
 		rq_refuse(r, REF_BUSY, RETRY_LATER_US, "too little time is left");
 		return;
 	}
+	if (rq_confirm_incarnation(r, b)) return;
 	if (r->service->engine) rq_count_placed();
 	att_free(r->attempt);
 	r->attempt = att_start(r, b, NULL, NULL);
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -114,6 +114,10 @@
 
 		if (i >= rq_all->len) continue; /* some ended meanwhile */
 		r = g_ptr_array_index(rq_all, i);
+		if (r->confirm.be == b) {
+			confirm_on_report(r, b);
+			continue;
+		}
 		if (!is_behind(r, b, p, &made)) continue;
 		log_silent(r, made);
 		met_add(MET_SILENT_CONNECTIONS, 1);
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -150,6 +150,9 @@
 						 : "{\"state\":\"ready\",");
 
 	s->reports++;
+	if (s->incarnation_ms)
+		g_string_append_printf(body, "\"born\":%" G_GINT64_FORMAT ",",
+				       s->incarnation_ms);
 	g_string_append(body, "\"runs\":[");
 	write_runs(s, body);
 	g_string_append(body, "]}");
