Fleet: answers to an instance's own requests have an end

An engine that sends its report, or another answer to a request of the instance itself, a few bytes at a time was read for ever: the time-out began anew with each byte, 64 KB of a report at a byte in 20 ms take 22 minutes, and the body of a health check has no bound at all. Meanwhile the engine was not asked again, so that streams on silent connections stayed there until their deadline.

Change: the time-out of these answers is that of the whole answer.

Measured: test_silent, a_report_without_end_is_given_up: red before (one report was asked for), green now, with all of test_silent.

--- a/src/fleet/bx.c
+++ b/src/fleet/bx.c
@@ -143,5 +143,6 @@
 	struct target *t = target_new(b);
 
 	t->own = 1;
+	x->whole = 1; /* its answer is short: one that trickles would be read for ever */
 	return start(x, t, request, connect_us);
 }
--- a/src/http/hx.c
+++ b/src/http/hx.c
@@ -62,7 +62,7 @@
 		end(x, (int)used);
 	else if (x->hp.done)
 		end(x, 0);
-	else if (x->wait_us)
+	else if (x->wait_us && !x->whole)
 		ev_in(&x->timer, x->wait_us);
 }
 
--- a/src/internal/hx.h
+++ b/src/internal/hx.h
@@ -14,6 +14,7 @@
 	int reading;   /* within hp_feed or hp_end */
 	int cancelled;
 	int64_t wait_us;  /* timeout of a silent peer after the request; 0: none */
+	int whole;        /* wait_us is the timeout of the whole answer */
 	int64_t began_us; /* start of the exchange */
 	/* Called with the answer's head before on_head; may be NULL. */
 	void (*on_any_head)(struct hx *x);
--- a/test/pw.h
+++ b/test/pw.h
@@ -204,6 +204,7 @@
 	int stop_closes;
 	int stop_unanswered; /* it is carried out, and its reply is lost */
 	int draining;        /* its report states draining */
+	int report_endless;  /* its report is a byte every TRICKLE_US, without end */
 	int unhealthy;       /* its health check fails */
 	int no_id_from;      /* events from this one on state no id; 0: all state theirs */
 	int resume_status;   /* of plain answers to runs that the system sends it to continue a
--- a/test/pw_server.c
+++ b/test/pw_server.c
@@ -144,12 +144,49 @@
 	}
 }
 
+#define TRICKLE_US 20000
+
+struct trickle {
+	struct ev_timer timer;
+	struct pw_server *s;
+	struct hs *h; /* may have closed by then */
+};
+
+static void on_trickle(struct ev_timer *timer)
+{
+	struct trickle *t = (struct trickle *)timer;
+
+	if (!g_ptr_array_find(t->s->listener.conns, t->h, NULL)) {
+		ev_free_later(t);
+		return;
+	}
+	hs_write(t->h, " ", 1);
+	ev_in(timer, TRICKLE_US);
+}
+
+static void report_without_end(struct pw_server *s, struct hs *h)
+{
+	static const char head[] = "HTTP/1.1 200 X\r\nConnection: close\r\n\r\n";
+	struct trickle *t = g_new0(struct trickle, 1);
+
+	hs_write(h, head, sizeof head - 1);
+	t->timer.fire = on_trickle;
+	t->s = s;
+	t->h = h;
+	ev_in(&t->timer, TRICKLE_US);
+}
+
 static void answer_report(struct pw_server *s, struct hs *h)
 {
 	GString *body = g_string_new(s->draining ? "{\"state\":\"draining\",\"leaves_ms\":1500,"
 						 : "{\"state\":\"ready\",");
 
 	s->reports++;
+	if (s->report_endless) {
+		g_string_free(body, TRUE);
+		report_without_end(s, h);
+		return;
+	}
 	if (s->incarnation_ms)
 		g_string_append_printf(body, "\"born\":%" G_GINT64_FORMAT ",",
 				       s->incarnation_ms);
--- a/test/test_silent.c
+++ b/test/test_silent.c
@@ -98,6 +98,35 @@
 	end();
 }
 
+static int open_connections(void)
+{
+	int i, n = 0;
+
+	for (i = 0; i < ENGINES; i++) n += (int)engine[i]->listener.conns->len;
+	return n;
+}
+
+/* The report was read for as long as bytes came, and no other one was asked for meanwhile. */
+static void a_report_without_end_is_given_up(void)
+{
+	struct pw_entry *e = begin();
+	struct pw_call *c;
+	int i;
+
+	for (i = 0; i < ENGINES; i++) engine[i]->report_endless = 1;
+	c = pw_request(e, "POST", "/chat/", 4000);
+	pw_run(500);
+	silence_links();
+	pw_run(900);
+	for (i = 0; i < ENGINES; i++) engine[i]->report_endless = 0;
+	CU_ASSERT(pw_call_wait(c, 4000));
+	CU_ASSERT(engine[0]->reports + engine[1]->reports >= 2);
+	pw_run(500);
+	CU_ASSERT(open_connections() <=
+		  1); /* a silent one, on which the engine wrote to the end */
+	end();
+}
+
 /* A stream without an event whose connection falls silent, and whose copy is at an engine that
  * does not answer. */
 static struct pw_call *begin_with_hanging_copy(struct pw_entry **e)
@@ -303,6 +332,7 @@
 	 a_stream_leaves_a_silent_connection_before_its_run_is_over},
 	{"a_stream_without_an_event_leaves_a_silent_connection",
 	 a_stream_without_an_event_leaves_a_silent_connection},
+	{"a_report_without_end_is_given_up", a_report_without_end_is_given_up},
 	{"a_moved_stream_that_has_run_is_not_refused_as_not_run",
 	 a_moved_stream_that_has_run_is_not_refused_as_not_run},
 	{"a_moved_stream_whose_source_restarted_is_not_refused_as_not_run",
