HTTP: chunks whose lines do not end are refused

The library takes any two bytes after a chunk for the end of its line, and any byte after a carriage return in its size line. A server whose chunk sizes are wrong had bytes of its answer dropped without a word, and the caller got the rest as a whole answer; a caller's body was changed likewise.

Change: the parser stops at the end of each line between chunks and looks at its last two bytes.

Measured: test_heads, chunks_that_are_not_framed_are_refused: 10 of 18 were accepted before, none now. chunks_are_read_whatever_their_blocks: green before and after, with blocks of each size. test_pure, test_fuzz: green.

--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -119,6 +119,19 @@
 	return m->rc ? -1 : 0;
 }
 
+static int stop_after_line(http_parser *p)
+{
+	self(p)->chunk_line_over = 1;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+/* The last chunk ends with the trailer. */
+static int on_chunk_end(http_parser *p)
+{
+	return p->flags & F_TRAILING ? 0 : stop_after_line(p);
+}
+
 static int on_complete(http_parser *p)
 {
 	struct hp *m = self(p);
@@ -136,6 +149,8 @@
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers,
 	.on_body = on_body,
+	.on_chunk_header = stop_after_line,
+	.on_chunk_complete = on_chunk_end,
 	.on_message_complete = on_complete,
 };
 
@@ -179,22 +194,53 @@
 	return p->head_max ? p->head_max : HEADS_MAX;
 }
 
-/* Parses bytes of the head, or of the body. Returns like hp_feed. */
-static ssize_t parse(struct hp *p, const char *at, size_t n)
+static void note_last(struct hp *p, const char *at, size_t n)
+{
+	if (!n) return;
+	p->last[0] = n > 1 ? at[n - 2] : p->last[1];
+	p->last[1] = at[n - 1];
+}
+
+/* The library takes any two bytes for the end of a line between chunks. */
+static int has_bad_line_end(const struct hp *p)
+{
+	if (p->chunk_line_over) return p->last[0] != '\r' || p->last[1] != '\n';
+	return p->done && p->framing == HP_BY_CHUNKS && p->last[1] != '\n';
+}
+
+/* Parses up to the end of a line between chunks, if one comes. Returns like hp_feed. */
+static ssize_t parse_part(struct hp *p, const char *at, size_t n)
 {
 	enum http_errno err;
 	size_t used;
 	int had_head = p->head_done;
 
+	p->chunk_line_over = 0;
 	used = http_parser_execute(&p->parser, &settings, at, n);
 	err = HTTP_PARSER_ERRNO(&p->parser);
+	note_last(p, at, used);
 	if (!had_head) p->head_bytes += used;
 	if (p->rc) return p->rc;
 	if (err == HPE_HEADER_OVERFLOW) return -EMSGSIZE;
 	if (!p->head_done && p->head_bytes > head_max(p)) return -EMSGSIZE;
 	if (!had_head && p->head.text->len > head_max(p)) return -EMSGSIZE;
 	if (err != HPE_OK && err != HPE_PAUSED) return -EBADMSG;
-	if (p->parser.upgrade) return -EBADMSG;
+	if (p->parser.upgrade || has_bad_line_end(p)) return -EBADMSG;
+	if (p->chunk_line_over) http_parser_pause(&p->parser, 0);
+	return (ssize_t)used;
+}
+
+/* Parses bytes of the head, or of the body. Returns like hp_feed. */
+static ssize_t parse(struct hp *p, const char *at, size_t n)
+{
+	size_t used = 0;
+	ssize_t part;
+
+	do {
+		part = parse_part(p, at + used, n - used);
+		if (part < 0) return part;
+		used += (size_t)part;
+	} while (p->chunk_line_over && used < n);
 	return (ssize_t)used;
 }
 
--- a/src/internal/hp.h
+++ b/src/internal/hp.h
@@ -36,6 +36,8 @@
 	size_t head_bytes; /* parsed so far, with those of interim answers */
 	int in_value, head_done, done, no_body;
 	int interim;             /* the head is that of an interim answer, which is dropped */
+	char last[2];            /* bytes parsed */
+	int chunk_line_over;     /* a line between chunks has just ended */
 	enum hp_framing framing; /* valid once head_done is set */
 	int (*on_head)(struct hp *p); /* returns 0, or a negative errno that stops parsing */
 	int (*on_body)(struct hp *p, const char *at, size_t n);
--- a/test/test_heads.c
+++ b/test/test_heads.c
@@ -154,6 +154,55 @@
 }
 
 #define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+static const struct head bad_chunks[] = {
+	HEAD("1\r\naXX0\r\n\r\n"),   HEAD("1\r\na\rX0\r\n\r\n"),   HEAD("1\r\nab\r\n0\r\n\r\n"),
+	HEAD("1\rXa\r\n0\r\n\r\n"),  HEAD("1\r\na\r\n0\rX\r\n"),   HEAD("1\r\na\r\n0\r\n\rX"),
+	HEAD("g\r\na\r\n0\r\n\r\n"), HEAD("-1\r\na\r\n0\r\n\r\n"), HEAD("\r\na\r\n0\r\n\r\n"),
+};
+
+/* What followed a chunk in place of its line end was dropped, and the rest was passed on. */
+static void chunks_that_are_not_framed_are_refused(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad_chunks); i++) {
+		check_field(CHUNKED, &bad_chunks[i], 0);
+		check_field("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+			    &bad_chunks[i], 1);
+	}
+}
+
+static int on_body(struct hp *h, const char *p, size_t n)
+{
+	g_string_append_len(h->user, p, (gssize)n);
+	return 0;
+}
+
+/* Fed in blocks of each size: line ends fall between two of them. */
+static void chunks_are_read_whatever_their_blocks(void)
+{
+	static const char in[] = CHUNKED "2\r\nab\r\nA;x=y\r\n0123456789\r\n"
+					 "1 \r\n\n\r\n000\r\nX-T: a\r\n\r\n";
+	size_t n, i;
+
+	for (n = 1; n <= sizeof in - 1; n++) {
+		GString *body = g_string_new(NULL);
+		ssize_t rc = 0;
+		struct hp h;
+
+		hp_init(&h, 0);
+		h.on_body = on_body;
+		h.user = body;
+		for (i = 0; i < sizeof in - 1 && rc >= 0; i += n)
+			rc = hp_feed(&h, in + i, MIN(n, sizeof in - 1 - i));
+		CU_ASSERT(rc > 0);
+		CU_ASSERT(h.done);
+		CU_ASSERT_STRING_EQUAL(body->str, "ab0123456789\n");
+		hp_free(&h);
+		g_string_free(body, TRUE);
+	}
+}
+
 #define ENDLESS_MAX (8 << 20) /* bytes fed */
 #define KEPT_MAX (256 << 10)
 
@@ -327,6 +376,8 @@
 	{"heads_that_are_no_http_are_refused", heads_that_are_no_http_are_refused},
 	{"heads_that_are_http_are_accepted", heads_that_are_http_are_accepted},
 	{"no_caller_gets_an_answer_that_is_no_http", no_caller_gets_an_answer_that_is_no_http},
+	{"chunks_that_are_not_framed_are_refused", chunks_that_are_not_framed_are_refused},
+	{"chunks_are_read_whatever_their_blocks", chunks_are_read_whatever_their_blocks},
 	{"an_interim_answer_is_not_the_answer", an_interim_answer_is_not_the_answer},
 	{"no_head_without_end_is_kept", no_head_without_end_is_kept},
 	{"a_safe_call_is_served_by_another_server", a_safe_call_is_served_by_another_server},
