HTTP: a trailer is no part of the head

Fields after a body in chunks were appended to those of the head.

Change: the fields of a trailer are checked and dropped.

Measured: test_heads, a_trailer_is_no_part_of_the_head: red before, green now.

--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -54,6 +54,7 @@
 	struct hp_field f;
 
 	if (!hp_scan_is_name(at, n)) return -1;
+	if (m->head_done) return 0; /* of a trailer, which is dropped */
 	if (m->head.fields->len && !m->in_value) {
 		append_text(&m->head, at, n);
 		return 0;
@@ -72,6 +73,7 @@
 		&g_array_index(m->head.fields, struct hp_field, m->head.fields->len - 1);
 
 	if (!hp_scan_is_text(at, n)) return -1;
+	if (m->head_done) return 0;
 	if (m->in_value) {
 		append_text(&m->head, at, n);
 		return 0;
--- a/test/test_heads.c
+++ b/test/test_heads.c
@@ -203,6 +203,20 @@
 	}
 }
 
+/* Fields after the body were taken for fields of the head: another id, another workspace. */
+static void a_trailer_is_no_part_of_the_head(void)
+{
+	static const char answer[] = CHUNKED "0\r\nX-Request-Id: b\r\nX-T: a\r\n\r\n";
+	struct hp h;
+
+	hp_init(&h, 0);
+	CU_ASSERT_EQUAL(hp_feed(&h, answer, sizeof answer - 1), (ssize_t)sizeof answer - 1);
+	CU_ASSERT(h.done);
+	CU_ASSERT_EQUAL(hp_count(&h.head), 1);
+	CU_ASSERT_PTR_NULL(hp_get(&h.head, "X-Request-Id"));
+	hp_free(&h);
+}
+
 #define ENDLESS_MAX (8 << 20) /* bytes fed */
 #define KEPT_MAX (256 << 10)
 
@@ -378,6 +392,7 @@
 	{"no_caller_gets_an_answer_that_is_no_http", no_caller_gets_an_answer_that_is_no_http},
 	{"chunks_that_are_not_framed_are_refused", chunks_that_are_not_framed_are_refused},
 	{"chunks_are_read_whatever_their_blocks", chunks_are_read_whatever_their_blocks},
+	{"a_trailer_is_no_part_of_the_head", a_trailer_is_no_part_of_the_head},
 	{"an_interim_answer_is_not_the_answer", an_interim_answer_is_not_the_answer},
 	{"no_head_without_end_is_kept", no_head_without_end_is_kept},
 	{"a_safe_call_is_served_by_another_server", a_safe_call_is_served_by_another_server},
