HTTP: bodies in a transfer coding other than chunks are refused

Transfer-Encoding belongs to one connection and is not passed on, and codings other than chunks are not decoded here. An answer in one was passed on as if its coded bytes were the server's own, and so was a request.

Change: such a message is refused: 400 for a request, a failure of its server for an answer. "identity" and an empty value change no byte, and are accepted.

Measured: test_heads, bodies_in_an_unknown_coding_are_refused: red before, green now.

--- a/src/http/hp.c
+++ b/src/http/hp.c
@@ -90,6 +90,30 @@
 	return HP_BY_CLOSE;
 }
 
+/* Whether the field states no coding but chunks. */
+static int is_plain_coding(const char *value)
+{
+	static const char *const plain[] = {"chunked", "identity", ""};
+	size_t i, n = strcspn(value, " \t");
+
+	if (value[n + strspn(value + n, " \t")]) return 0;
+	for (i = 0; i < G_N_ELEMENTS(plain); i++)
+		if (strlen(plain[i]) == n && !strncasecmp(value, plain[i], n)) return 1;
+	return 0;
+}
+
+/* The coding itself is not passed on, as it is one of the connection. */
+static int has_unknown_coding(const struct hp_head *h)
+{
+	uint32_t i;
+
+	for (i = 0; i < hp_count(h); i++) {
+		if (strcasecmp(hp_name(h, i), "Transfer-Encoding")) continue;
+		if (!is_plain_coding(hp_value(h, i))) return 1;
+	}
+	return 0;
+}
+
 /* Another answer follows one whose status is below 200, unless the protocol changes. */
 static int on_interim_headers(struct hp *m)
 {
@@ -104,6 +128,7 @@
 
 	if (p->type == HTTP_RESPONSE && p->status_code < HTTP_STATUS_OK)
 		return on_interim_headers(m);
+	if (has_unknown_coding(&m->head)) return -1;
 	m->head.method = p->method;
 	m->head.status = p->status_code;
 	m->framing = framing_of(p);
--- a/test/test_heads.c
+++ b/test/test_heads.c
@@ -217,6 +217,26 @@
 	hp_free(&h);
 }
 
+static const struct head unknown_codings[] = {
+	HEAD("Transfer-Encoding: gzip\r\n\r\n"),
+	HEAD("Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+	HEAD("Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n"),
+	HEAD("Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"),
+	HEAD("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n"),
+	HEAD("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+};
+
+/* The coding was not passed on, and the coded bytes were. */
+static void bodies_in_an_unknown_coding_are_refused(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(unknown_codings); i++) {
+		check_field(OK, &unknown_codings[i], 0);
+		check_field("POST / HTTP/1.1\r\n", &unknown_codings[i], 1);
+	}
+}
+
 #define ENDLESS_MAX (8 << 20) /* bytes fed */
 #define KEPT_MAX (256 << 10)
 
@@ -393,6 +413,7 @@
 	{"chunks_that_are_not_framed_are_refused", chunks_that_are_not_framed_are_refused},
 	{"chunks_are_read_whatever_their_blocks", chunks_are_read_whatever_their_blocks},
 	{"a_trailer_is_no_part_of_the_head", a_trailer_is_no_part_of_the_head},
+	{"bodies_in_an_unknown_coding_are_refused", bodies_in_an_unknown_coding_are_refused},
 	{"an_interim_answer_is_not_the_answer", an_interim_answer_is_not_the_answer},
 	{"no_head_without_end_is_kept", no_head_without_end_is_kept},
 	{"a_safe_call_is_served_by_another_server", a_safe_call_is_served_by_another_server},
