Relay: a stream that waits for a report is not sent elsewhere meanwhile

Read again: a stream that waited for an engine's report was still checked for silence of the exchange that it had left, which would have counted another repeat every quarter of a second; and where the engine's report told that it leaves, the stream waited for 0.8 s and was refused, though others of its version served.

Change: a wait for a report counts as one in the queue, and a notice to leave places the stream again.

Measured: test_out_of_step (a new test: streams outlive an engine where engines state their start; green before and after), test_life, test_silent: green.

--- a/src/internal/rq_impl.h
+++ b/src/internal/rq_impl.h
@@ -332,10 +332,16 @@
 /* rq_confirm.c */
 /* 1 when r is to go on at b and waits for b's report; 0: it may be sent. */
 int rq_confirm_incarnation(struct rq *r, struct be *b);
-/* If r waits for b's report, these place it again, or refuse it. */
+/* These have an effect if r waits for b's report. It has arrived: places r again, or refuses
+ * it.
+ */
 void confirm_on_report(struct rq *r, const struct be *b);
-void confirm_on_incarnation_end(struct rq *r, const struct be *b);
+/* b leaves, or has ended: places r again. */
+void confirm_on_loss(struct rq *r, const struct be *b);
 void confirm_stop(struct rq *r);
+/* Whether it has left its server, if it had one, and waits to be sent: in the queue, or for a
+ * report. The exchange that it has left may still be in flight. */
+int rq_waits_to_be_sent(const struct rq *r);
 
 /* rq_pick.c */
 /* The place in the ring of servers where this instance starts its walk. */
--- a/src/relay/rq.c
+++ b/src/relay/rq.c
@@ -280,6 +280,10 @@
 
 		if (i >= rq_all->len) continue; /* some ended meanwhile */
 		r = g_ptr_array_index(rq_all, i);
+		if (r->confirm.be == b) {
+			confirm_on_loss(r, b);
+			continue;
+		}
 		if (!r->attempt) continue;
 		if (r->attempt->replica == b) att_drop_replica(r->attempt);
 		if (r->attempt->be == b)
@@ -314,7 +318,7 @@
 		if (r->attempt && r->attempt->be == b && r->attempt->hx)
 			att_server_gone(r->attempt);
 		else
-			confirm_on_incarnation_end(r, b);
+			confirm_on_loss(r, b);
 	}
 	rq_note_incarnation_end(b);
 }
--- a/src/relay/rq_confirm.c
+++ b/src/relay/rq_confirm.c
@@ -55,6 +55,11 @@
 	end((struct rq *)((char *)t - offsetof(struct rq, confirm.timer)));
 }
 
+int rq_waits_to_be_sent(const struct rq *r)
+{
+	return r->waiting != RQ_WAIT_NONE || r->confirm.be;
+}
+
 int rq_confirm_incarnation(struct rq *r, struct be *b)
 {
 	if (!is_unconfirmed(r, b)) return 0;
@@ -71,7 +76,7 @@
 	if (r->confirm.be == b) end(r);
 }
 
-void confirm_on_incarnation_end(struct rq *r, const struct be *b)
+void confirm_on_loss(struct rq *r, const struct be *b)
 {
 	if (r->confirm.be == b) go_on(r);
 }
--- a/src/relay/rq_giveup.c
+++ b/src/relay/rq_giveup.c
@@ -109,8 +109,7 @@
 {
 	struct attempt *att = r->attempt;
 
-	if (!att || !att->hx || r->move.state != MOVE_NONE || r->waiting != RQ_WAIT_NONE)
-		return 0;
+	if (!att || !att->hx || r->move.state != MOVE_NONE || rq_waits_to_be_sent(r)) return 0;
 	if (!rq_answer_is_late(r)) return 0;
 	if (!att->is_stream && !is_plain_given_up(att, 0)) return 0;
 	att_give_up(att, AL_LATE);
--- a/src/relay/rq_silent.c
+++ b/src/relay/rq_silent.c
@@ -40,7 +40,7 @@
  * another engine is leaving already. */
 static int may_be_silent(const struct rq *r)
 {
-	if (r->waiting != RQ_WAIT_NONE) return 0;
+	if (rq_waits_to_be_sent(r)) return 0;
 	return r->attempt && r->attempt->hx && r->move.state == MOVE_NONE &&
 	       !cn_pending(&r->h->cn);
 }
--- a/src/relay/rq_time.c
+++ b/src/relay/rq_time.c
@@ -173,7 +173,7 @@
 static void check_silence(struct rq *r)
 {
 	if (!r->attempt || !r->attempt->hx || !is_silent(r)) return;
-	if (r->move.state != MOVE_NONE || r->waiting != RQ_WAIT_NONE) return;
+	if (r->move.state != MOVE_NONE || rq_waits_to_be_sent(r)) return;
 	if (rq_retry_elsewhere(r, !rq_engine_is_busy(r))) return;
 	if (r->event_us) silent_recover(r);
 }
--- a/test/test_out_of_step.c
+++ b/test/test_out_of_step.c
@@ -214,6 +214,24 @@
 	end();
 }
 
+static void streams_outlive_an_engine_where_engines_state_their_start(void)
+{
+	int i;
+
+	begin();
+	for (i = 0; i < ENGINES; i++) {
+		old[i]->incarnation_ms = 1000;
+		pw_server_list(old[i], "ready");
+	}
+	pw_run(300);
+	vs_begin_streams(VS_SUM, VS_INSTANCES);
+	pw_server_crash(old[0]);
+	vs_await();
+	CU_ASSERT(vs_count_begun() >= VS_STREAMS / 2);
+	CU_ASSERT_EQUAL(vs_count_complete(), vs_count_begun());
+	end();
+}
+
 static void streams_go_on_at_engines_that_state_their_start(void)
 {
 	begin_at_old_version();
@@ -231,6 +249,8 @@
 	 no_stream_is_joined_at_an_instance_without_the_store},
 	{"no_stream_goes_on_at_an_id_that_came_back_as_another_version",
 	 no_stream_goes_on_at_an_id_that_came_back_as_another_version},
+	{"streams_outlive_an_engine_where_engines_state_their_start",
+	 streams_outlive_an_engine_where_engines_state_their_start},
 	{"streams_go_on_at_engines_that_state_their_start",
 	 streams_go_on_at_engines_that_state_their_start},
 };
