Relay: what ends an exchange that a queued request has left changes nothing

Change: while a request waits to be sent, the end of the exchange that it has left is dropped, unless it is an answer. A server's "not run" takes back the run that was counted when it was left.

--- a/src/relay/rq_end.c
+++ b/src/relay/rq_end.c
@@ -53,6 +53,13 @@
 	rq_place(r);
 }
 
+/* Its server was silent, and it waits to be sent elsewhere: what becomes of the exchange that
+ * it has left, unless that is an answer, changes nothing. */
+static int is_queued(const struct rq *r)
+{
+	return rq_waits_to_be_sent(r);
+}
+
 /* The server did not run it: it may go elsewhere within the retry budget. */
 static void on_rejected(struct attempt *att)
 {
@@ -62,6 +69,10 @@
 	be_rejected_request(att->be);
 	room_rejected(att->be);
 	att_prompt_read(att);
+	if (is_queued(r)) {
+		r->runs--; /* counted when it left the server */
+		return;
+	}
 	if (rq_may_retry(r))
 		place_again(r, RETRY_ENGINE_STATUS);
 	else
@@ -75,6 +86,7 @@
 
 	log_broken(att, "not_reached", err);
 	if (att->fault != TN_HELPER) path_blame_unreached(att->be, err);
+	if (is_queued(r)) return;
 	r->unreached_count++;
 	if (r->sends < (quick ? RQ_CONNECTS_MAX : RQ_SENDS_MAX))
 		place_again(r, RETRY_CONNECT);
@@ -131,7 +143,7 @@
 	if (!att->stop_ordered && !move_stops_source(r)) blame(att, err);
 	log_broken(att, "may_have_run", err);
 	drop_answer(att);
-	if (move_source_ended(r)) return;
+	if (move_source_ended(r) || is_queued(r)) return;
 	r->runs++;
 	if (!move_to_replica(r)) return;
 	if (granted || rq_may_run_again(r, 0)) {
@@ -168,6 +180,10 @@
 		be_answered_error(att->be);
 	else
 		be_succeeded(att->be, clock_us() - att->sent_us);
+	if (is_queued(r) && (failed || r->head_sent)) {
+		drop_answer(att);
+		return;
+	}
 	if (failed || r->head_sent) r->runs++;
 	if (r->head_sent) {
 		not_continued(att);
@@ -300,6 +316,7 @@
 		if (!hangs(r->attempt)) continue;
 		hx_cancel(r->attempt->hx);
 		r->attempt->hx = NULL;
+		if (is_queued(r)) continue;
 		r->unreached_count++;
 		place_again(r, RETRY_CONNECT);
 	}
--- a/test/test_notices.c
+++ b/test/test_notices.c
@@ -345,6 +345,44 @@
 	finish();
 }
 
+#define LATE_MS 400 /* longer than an answer is waited for: 0.6 of the objective */
+#define FULL_LATE                                                     \
+	"HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n" \
+	"Retry-After: 1\r\nContent-Length: 0\r\n\r\n"
+#define WAVE 8
+
+/* A call whose server is silent was queued for servers at rest, was then turned away, and was
+ * queued once more; when it ended, the queue still held it, and the instance crashed. */
+static void a_call_that_is_turned_away_while_it_waits_is_queued_once(void)
+{
+	struct pw_call *c[2 * WAVE];
+	struct pw_server *full[2];
+	struct pw_entry *at = pw_init_with(full, 2);
+	int i, status, served = 0;
+
+	for (i = 0; i < 2; i++) {
+		full[i]->mode = PW_RAW;
+		full[i]->raw_answer = FULL_LATE;
+		full[i]->work_ms = LATE_MS;
+	}
+	for (i = 0; i < WAVE; i++) c[i] = pw_request(at, "POST", "/unsafe/", 4000);
+	pw_run(LATE_MS / 2);
+	for (; i < 2 * WAVE; i++) c[i] = pw_request(at, "GET", "/safe/", 4000);
+	pw_run(LATE_MS + 200);
+	for (i = 0; i < 2; i++) {
+		full[i]->mode = PW_OK;
+		full[i]->work_ms = 5;
+	}
+	for (i = 0; i < 2 * WAVE; i++) {
+		CU_ASSERT(pw_call_wait(c[i], 4500));
+		served += c[i]->status == 200;
+	}
+	CU_ASSERT(served > 0);
+	CU_ASSERT(!pw_entry_ended(at, &status));
+	CU_ASSERT_EQUAL(pw_metric(at, "saddlehead_waiting"), 0);
+	pw_end();
+}
+
 static const struct check list[] = {
 	{"an_engine_that_rests_gets_no_orders_to_move_streams",
 	 an_engine_that_rests_gets_no_orders_to_move_streams},
@@ -370,6 +408,8 @@
 	 streams_leave_an_engine_whose_answer_says_that_it_leaves},
 	{"a_server_that_leaves_by_its_answers_gets_nothing_new",
 	 a_server_that_leaves_by_its_answers_gets_nothing_new},
+	{"a_call_that_is_turned_away_while_it_waits_is_queued_once",
+	 a_call_that_is_turned_away_while_it_waits_is_queued_once},
 };
 
 CHECK_MAIN(list)
